--- /dev/null
+++ b/tools/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems that the product meets."""
--- /dev/null
+++ b/tools/standins/upstream_state.py
@@ -0,0 +1,281 @@
+"""What a stand-in upstream keeps: slots, grants, runs and its misbehaviour."""
+
+import dataclasses
+import enum
+import json
+import os
+import threading
+import time
+import uuid
+
+import msgspec
+
+_NS_PER_MS = 1_000_000
+COLD_SLOWDOWN = 4.0
+COLD_EXTRA_MS = 5.0
+
+
+class Reason(enum.Enum):
+    """Why the upstream refuses work without running it."""
+
+    SHED = "shed"
+    DRAINING = "draining"
+    FENCE = "fence"
+    EXPIRED = "expired"
+    DEADLINE = "deadline"
+    CANCELLED = "cancelled"
+
+
+class Mode(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """How the stand-in misbehaves, set by `PUT /-/mode`.
+
+    `is_black_holing` silences the connections that were open when the mode was
+    set. `health_state` and `in_flight` replace the truth in reports, which are
+    `report_lag_ms` old. Each run takes `slow_ms` longer.
+    """
+
+    is_black_holing: bool = False
+    health_state: str | None = None
+    in_flight: int | None = None
+    report_lag_ms: int = 0
+    slow_ms: int = 0
+
+
+class Grant(msgspec.Struct, frozen=True, kw_only=True):
+    """Shard, fence and expiry that came with a request.
+
+    `expires_ms` is on the upstream's monotonic clock; None means no expiry.
+    """
+
+    shard: int
+    fence: int
+    expires_ms: int | None
+
+
+class Run(msgspec.Struct, frozen=True, kw_only=True):
+    """One line of the records: a run, and whether it took effect."""
+
+    server: str
+    incarnation: str
+    request_id: str
+    idempotency_key: str
+    key: str
+    shard: int
+    fence: int
+    method: str
+    path: str
+    start_ns: int
+    end_ns: int
+    is_committed: bool
+
+
+class Report(msgspec.Struct, frozen=True, kw_only=True):
+    """What the upstream tells of itself at one moment."""
+
+    taken_at_ms: int
+    state: str
+    clock_ms: int
+    in_flight: int
+
+
+def read_clock_ms() -> int:
+    """Reads CLOCK_MONOTONIC in milliseconds."""
+    return time.monotonic_ns() // _NS_PER_MS
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Options:
+    """The command line of the stand-in."""
+
+    server: str
+    ip_address: str
+    port: int
+    slots: int
+    connections: int
+    is_fenced: bool
+    cold_ms: int
+    service_ms: float
+    records: str
+
+
+class State:
+    """All that the threads of one stand-in share; safe between threads."""
+
+    def __init__(self, *, options: Options) -> None:
+        self.options = options
+        self.incarnation = uuid.uuid4().hex
+        self.started_at_ms = read_clock_ms()
+        self.is_draining = threading.Event()
+        self.mode = Mode()
+        self.mode_set_at_ns = 0
+        self._lock = threading.Lock()
+        self._idle = threading.Condition(self._lock)
+        self._running: dict[str, list[threading.Event]] = {}
+        self._in_flight = 0
+        self._serial = 0
+        self._fences: dict[int, int] = {}
+        self._report: Report | None = None
+        self._records = -1
+        if options.records:
+            self._records = os.open(
+                options.records, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644
+            )
+
+    def find_state(self) -> str:
+        """Tells the true state: cold, serving or draining."""
+        if self.is_draining.is_set():
+            return "draining"
+        return "cold" if self._find_coldness() > 0 else "serving"
+
+    def find_service_ms(self, requested_ms: float | None) -> float:
+        """Finds how long a run takes now, in milliseconds."""
+        base_ms = (
+            self.options.service_ms if requested_ms is None else requested_ms
+        )
+        coldness = self._find_coldness()
+        slowdown = 1 + (COLD_SLOWDOWN - 1) * coldness
+        return base_ms * slowdown + COLD_EXTRA_MS * coldness + self.mode.slow_ms
+
+    def set_mode(self, mode: Mode) -> None:
+        """Replaces the mode."""
+        self.mode_set_at_ns = time.monotonic_ns()
+        self.mode = mode
+
+    def is_black_hole(self, opened_at_ns: int) -> bool:
+        """Tells whether a connection opened at this moment is silenced."""
+        return self.mode.is_black_holing and opened_at_ns < self.mode_set_at_ns
+
+    def begin(
+        self, request_id: str, grant: Grant, deadline_ms: int | None
+    ) -> threading.Event | Reason:
+        """Admits one run.
+
+        Args:
+            request_id: Names the run for cancellations.
+            grant: The grant that came with it.
+            deadline_ms: How long the caller still waits.
+
+        Returns:
+            An event that a cancellation sets, or why it may not run.
+        """
+        with self._lock:
+            reason = self._find_refusal(grant, deadline_ms)
+            if reason is not None:
+                return reason
+            self._in_flight += 1
+            cancelled = threading.Event()
+            self._running.setdefault(request_id, []).append(cancelled)
+            return cancelled
+
+    def commit(self, grant: Grant) -> int | Reason:
+        """Lets a run take effect.
+
+        Returns:
+            The serial number of the commit, or why it takes no effect.
+        """
+        with self._lock:
+            reason = self._check_grant(grant)
+            if reason is not None:
+                return reason
+            self._serial += 1
+            return self._serial
+
+    def end(self, request_id: str, cancelled: threading.Event) -> None:
+        """Frees the slot of a run."""
+        with self._lock:
+            self._in_flight -= 1
+            events = self._running[request_id]
+            events.remove(cancelled)
+            if not events:
+                del self._running[request_id]
+            self._idle.notify_all()
+
+    def cancel(self, request_id: str) -> bool:
+        """Cancels the runs of a request; tells whether there were any."""
+        with self._lock:
+            events = self._running.get(request_id, [])
+            for event in events:
+                event.set()
+            return bool(events)
+
+    def wait_until_idle(self, timeout_s: float) -> bool:
+        """Waits until nothing runs."""
+        with self._lock:
+            return self._idle.wait_for(lambda: not self._in_flight, timeout_s)
+
+    def record(self, run: Run) -> None:
+        """Appends one line to the records."""
+        if self._records >= 0:
+            os.write(self._records, msgspec.json.encode(run) + b"\n")
+
+    def report(self) -> Report:
+        """Reports on the upstream, with lag and lies as the mode has it."""
+        now_ms = read_clock_ms()
+        mode = self.mode
+        with self._lock:
+            last = self._report
+            if last and now_ms - last.taken_at_ms < mode.report_lag_ms:
+                return last
+            self._report = Report(
+                taken_at_ms=now_ms,
+                state=mode.health_state or self.find_state(),
+                clock_ms=now_ms,
+                in_flight=(
+                    self._in_flight
+                    if mode.in_flight is None
+                    else mode.in_flight
+                ),
+            )
+            return self._report
+
+    def announce(self) -> bytes:
+        """Writes the announcement to the node, as JSON."""
+        options = self.options
+        state = "draining" if self.is_draining.is_set() else "serving"
+        return json.dumps(
+            {
+                "server": options.server,
+                "ip_address": options.ip_address,
+                "port": options.port,
+                "incarnation": self.incarnation,
+                "slots": options.slots,
+                "connections": options.connections,
+                "is_fenced": options.is_fenced,
+                "state": state,
+            }
+        ).encode()
+
+    def _find_coldness(self) -> float:
+        if not self.options.cold_ms:
+            return 0.0
+        age_ms = read_clock_ms() - self.started_at_ms
+        return max(0.0, 1 - age_ms / self.options.cold_ms)
+
+    def _find_refusal(
+        self, grant: Grant, deadline_ms: int | None
+    ) -> Reason | None:
+        if self.is_draining.is_set():
+            return Reason.DRAINING
+        if deadline_ms is not None and deadline_ms <= 0:
+            return Reason.DEADLINE
+        reason = self._check_grant(grant)
+        if reason is not None:
+            return reason
+        if self._in_flight >= self.options.slots:
+            return Reason.SHED
+        return None
+
+    def _check_grant(self, grant: Grant) -> Reason | None:
+        if not self.options.is_fenced:
+            return None
+        expires_ms = grant.expires_ms
+        if expires_ms is not None and read_clock_ms() >= expires_ms:
+            return Reason.EXPIRED
+        if grant.shard < 0:
+            return None
+        if grant.fence < self._fences.get(grant.shard, 0):
+            return Reason.FENCE
+        self._fences[grant.shard] = grant.fence
+        return None
