Number the events, keep a time line, gather metrics, define node answers

Operators need one place that says what each event means, and a time line that a burst of requests doesn't wipe out. Events live in one enum with number, level, fields, meaning and action. The log keeps two bounded rings, one for requests, so that rare events stay; a Lamport time orders events of different processes. Metrics are gathered in the process and sent once a flush. The records of the node's answers are msgspec structures.

--- /dev/null
+++ b/src/rhubarblead/events/log.py
@@ -0,0 +1,188 @@
+"""The event log of one process: a bounded time line and JSON lines."""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import logging
+import sys
+import threading
+from typing import TypeAlias
+
+from pythonjsonlogger import json as json_logger
+
+from rhubarblead import clock
+from rhubarblead.events import catalog
+from rhubarblead.events import record
+
+LOGGER_NAME = "rhubarblead"
+
+_Fields: TypeAlias = dict[str, record.Value]
+_Row: TypeAlias = tuple[catalog.Event, int, int, int, int, _Fields]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Filter:
+    """Which events of a time line are wanted; None means all.
+
+    `since_ms` and `until_ms` are compared with the wall time of the process
+    that reported the event.
+    """
+
+    key: str | None = None
+    request_id: str | None = None
+    since_ms: int | None = None
+    until_ms: int | None = None
+
+    def is_wanted(self, item: record.Record) -> bool:
+        """Tells whether a record passes the filter."""
+        if self.since_ms is not None and item.wall_ms < self.since_ms:
+            return False
+        if self.until_ms is not None and item.wall_ms > self.until_ms:
+            return False
+        if self.key is not None and item.fields.get("key") != self.key:
+            return False
+        return (
+            self.request_id is None
+            or item.fields.get("request_id") == self.request_id
+        )
+
+
+_ALL = Filter()
+
+
+class EventLog:
+    """Takes the events of one process; any thread may use it.
+
+    Events of requests have a ring of their own, so that they don't push the
+    rarer ones out of the time line.
+    """
+
+    __slots__ = (
+        "_incarnation",
+        "_instance",
+        "_lamport",
+        "_lock",
+        "_logger",
+        "_others",
+        "_read_monotonic_ms",
+        "_read_wall_ms",
+        "_requests",
+        "_sequence",
+    )
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        timeline_capacity: int,
+        incarnation: str = "",
+        read_wall_ms: Callable[[], int] = clock.read_wall_ms,
+        read_monotonic_ms: Callable[[], int] = clock.read_monotonic_ms,
+    ) -> None:
+        """Makes an empty log.
+
+        Args:
+            instance: Name of the instance that the process runs on.
+            timeline_capacity: How many events the time line keeps; half of
+                them may be of requests.
+            incarnation: Tells this run of the process from others.
+            read_wall_ms: The wall clock.
+            read_monotonic_ms: The monotonic clock.
+        """
+        self._instance = instance
+        self._incarnation = incarnation
+        self._read_wall_ms = read_wall_ms
+        self._read_monotonic_ms = read_monotonic_ms
+        half = max(1, timeline_capacity // 2)
+        self._requests: collections.deque[_Row] = collections.deque(maxlen=half)
+        self._others: collections.deque[_Row] = collections.deque(maxlen=half)
+        self._lock = threading.Lock()
+        self._sequence = 0
+        self._lamport = 0
+        self._logger = logging.getLogger(LOGGER_NAME)
+
+    def emit(self, event: catalog.Event, **fields: record.Value) -> None:
+        """Records one event, and logs it when its level is enabled.
+
+        Args:
+            event: The kind of event.
+            **fields: The fields that the catalogue names for it.
+        """
+        ring = self._requests if event.is_per_request else self._others
+        wall_ms = self._read_wall_ms()
+        monotonic_ms = self._read_monotonic_ms()
+        with self._lock:
+            self._sequence += 1
+            self._lamport += 1
+            row = (
+                event,
+                self._sequence,
+                self._lamport,
+                wall_ms,
+                monotonic_ms,
+                fields,
+            )
+            ring.append(row)
+        if self._logger.isEnabledFor(event.level):
+            self._logger.log(event.level, self._describe(row))
+
+    def tick(self) -> int:
+        """Advances the Lamport clock; returns the time for a message."""
+        with self._lock:
+            self._lamport += 1
+            return self._lamport
+
+    def observe(self, lamport: int) -> None:
+        """Notes the Lamport time that a received message carried."""
+        with self._lock:
+            self._lamport = max(self._lamport, lamport)
+
+    def list_events(self, wanted: Filter = _ALL) -> list[record.Record]:
+        """Lists the kept events that pass a filter, oldest first."""
+        with self._lock:
+            rows = [*self._requests, *self._others]
+        records = (self._make_record(row) for row in sorted(rows, key=_order))
+        return [item for item in records if wanted.is_wanted(item)]
+
+    def _make_record(self, row: _Row) -> record.Record:
+        event, sequence, lamport, wall_ms, monotonic_ms, fields = row
+        return record.Record(
+            number=event.number,
+            name=event.name,
+            level=logging.getLevelName(event.level),
+            instance=self._instance,
+            incarnation=self._incarnation,
+            sequence=sequence,
+            lamport=lamport,
+            wall_ms=wall_ms,
+            monotonic_ms=monotonic_ms,
+            fields=fields,
+        )
+
+    def _describe(self, row: _Row) -> dict[str, object]:
+        item = self._make_record(row)
+        return {name: getattr(item, name) for name in item.__struct_fields__}
+
+
+def configure_logging(level: str) -> None:
+    """Sends the logs of this process to stderr, one JSON object a line.
+
+    Args:
+        level: The lowest level that is logged, such as "INFO".
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(json_logger.JsonFormatter(""))
+    logger = logging.getLogger(LOGGER_NAME)
+    logger.handlers[:] = [handler]
+    logger.propagate = False
+    logger.setLevel(level)
+
+
+def _order(row: _Row) -> int:
+    return row[1]
+
+
+def find_lamport(records: Iterable[record.Record]) -> int:
+    """Finds the highest Lamport time among records; 0 for none."""
+    return max((item.lamport for item in records), default=0)
--- /dev/null
+++ b/src/rhubarblead/status.py
@@ -0,0 +1,131 @@
+"""The records that a node answers to operators and to routing clients."""
+
+from typing import TypeVar
+
+import msgspec
+
+_T = TypeVar("_T")
+
+_ENCODER = msgspec.json.Encoder()
+
+
+class GranterView(msgspec.Struct, frozen=True, kw_only=True):
+    """A granter and how old its last promise is; -1 when there was none."""
+
+    member_id: str
+    promise_age_ms: int
+
+
+class UpstreamView(msgspec.Struct, frozen=True, kw_only=True):
+    """The upstream beside a node; `state` is empty before it announced."""
+
+    server: str = ""
+    state: str = ""
+    incarnation: str = ""
+    in_flight_count: int = 0
+    slots_count: int = 0
+    queued_count: int = 0
+
+
+class Status(msgspec.Struct, frozen=True, kw_only=True):
+    """What is in force on one node.
+
+    `lease_left_ms` is 0 when the node holds no lease. `state` is the state of
+    the node's life, such as "serving" or "draining".
+    """
+
+    member_id: str
+    instance: str
+    incarnation: str = ""
+    failure_domain: str
+    region: str
+    pool: str
+    state: str
+    lease_left_ms: int
+    granters: tuple[GranterView, ...] = ()
+    granters_epoch: int = 0
+    ownership_revision: int = 0
+    tables_revision: int = 0
+    tables_digest: str = ""
+    shards_owned_count: int = 0
+    in_flight_count: int = 0
+    upstream: UpstreamView = UpstreamView()
+    uptime_ms: int = 0
+    rss_bytes: int = 0
+    is_store_reachable: bool = True
+
+
+class MemberView(msgspec.Struct, frozen=True, kw_only=True):
+    """A member as the ownership state shows it."""
+
+    member_id: str
+    instance: str
+    failure_domain: str
+    region: str
+    pool: str
+    ip_address: str
+    http_port: int
+    granters: tuple[str, ...] = ()
+    granters_epoch: int = 0
+    shards_owned_count: int = 0
+
+
+class Members(msgspec.Struct, frozen=True, kw_only=True):
+    """The members by one revision of the ownership state."""
+
+    ownership_revision: int
+    members: tuple[MemberView, ...]
+
+
+class OwnerView(msgspec.Struct, frozen=True, kw_only=True):
+    """Who owns a key and why.
+
+    `owner` is the owner's instance and `authority` the `ip:port` of its node
+    for HTTP; both are empty when nobody owns the shard.
+    """
+
+    pool: str
+    key: str
+    shard: int
+    owner: str
+    authority: str
+    fence: int
+    ownership_revision: int
+    why: str
+
+
+class ShardMap(msgspec.Struct, frozen=True, kw_only=True):
+    """The owners of all shards of a pool.
+
+    `owners` has one item per shard, an index into `nodes` (`ip:port` for
+    HTTP) or -1 for nobody. Shards at or above `shard_count` belong to the
+    split keys in `splits`.
+    """
+
+    pool: str
+    revision: int
+    shard_count: int
+    nodes: tuple[str, ...]
+    owners: tuple[int, ...]
+    splits: dict[str, int] = msgspec.field(default_factory=dict)
+
+
+def encode(answer: msgspec.Struct) -> bytes:
+    """Encodes an answer as JSON."""
+    return _ENCODER.encode(answer)
+
+
+def decode(text: bytes, kind: type[_T]) -> _T:
+    """Decodes an answer.
+
+    Args:
+        text: What `encode` returned.
+        kind: The class of the answer.
+
+    Returns:
+        The answer.
+
+    Raises:
+        msgspec.DecodeError: The text is no such answer.
+    """
+    return msgspec.json.decode(text, type=kind)
--- /dev/null
+++ b/tests/rhubarblead/events/log.feature
@@ -0,0 +1,82 @@
+Feature: The event log keeps a bounded time line and writes JSON lines
+
+  Scenario: The event log writes each event as one JSON line with its order
+    Given an event log of instance "node-1" with room for 10 events
+    And the event log writes at level "INFO"
+    When the event log takes MEMBER_JOINED with {"member_id": "m1"}
+    And the event log takes REQUEST_ANSWERED with {"request_id": "r1"}
+    Then 1 JSON line is written
+    And the JSON line 1 has
+      | field    | value               |
+      | number   | 1200                |
+      | name     | MEMBER_JOINED       |
+      | instance | node-1              |
+      | sequence | 1                   |
+      | lamport  | 1                   |
+      | wall_ms  | 5000                |
+      | fields   | {"member_id": "m1"} |
+
+  Scenario: Many requests don't push rare events out of the event log
+    Given an event log of instance "node-1" with room for 10 events
+    When the event log takes MEMBER_JOINED with {"member_id": "m1"}
+    And the event log takes 100 times REQUEST_ANSWERED
+    Then the event log lists 6 events, the first being MEMBER_JOINED
+
+  Scenario Outline: The event log's Lamport time follows received messages
+    Given an event log of instance "node-1" with room for 10 events
+    When the event log observes the Lamport time <received>
+    And the event log takes MEMBER_JOINED with {"member_id": "m1"}
+    Then the event log's last Lamport time is <time>
+    And the event log's next message carries <next>
+
+    Examples: times
+      | received | time | next |
+      | 0        | 1    | 2    |
+      | 41       | 42   | 43   |
+
+  Scenario Outline: The event log is filtered
+    Given an event log of instance "node-1" with room for 10 events
+    When the event log takes REQUEST_ANSWERED with {"request_id": "r1", "key": "depot-1"}
+    And the event log takes REQUEST_ANSWERED with {"request_id": "r2", "key": "depot-2"}
+    Then the event log lists <count> events for <filter>
+
+    Examples: filters
+      | filter                 | count |
+      | {"key": "depot-1"}     | 1     |
+      | {"request_id": "r2"}   | 1     |
+      | {"request_id": "r3"}   | 0     |
+      | {"since_ms": 5000}     | 2     |
+      | {"since_ms": 5001}     | 0     |
+      | {"until_ms": 4999}     | 0     |
+
+  Scenario: Threads share the event log without losing an event
+    Given an event log of instance "node-1" with room for 8000 events
+    When 4 threads let the event log take 500 events each
+    Then the event log's sequence numbers are 1 to 2000
+
+  Scenario Outline: Shards are written as ranges in events
+    Given the event's shards <shards>
+    Then the event's shards are written "<text>"
+
+    Examples: shards
+      | shards          | text    |
+      | []              |         |
+      | [7]             | 7       |
+      | [3, 1, 2, 9]    | 1-3,9   |
+      | [0, 2, 4, 5, 5] | 0,2,4-5 |
+
+  Scenario Outline: A shard is looked up in an event's field
+    Then the event's field <value> holds shard 4: <answer>
+
+    Examples: fields
+      | value     | answer |
+      | "1-4,9"   | yes    |
+      | "1-3,5"   | no     |
+      | "4"       | yes    |
+      | ""        | no     |
+      | "rubbish" | no     |
+      | [3, 4]    | yes    |
+      | null      | no     |
+
+  Scenario: Numbers of the event catalogue are used once and in order
+    Then the numbers of the event catalogue rise
--- /dev/null
+++ b/tests/steps/metrics.py
@@ -0,0 +1,91 @@
+"""Steps for metrics."""
+
+import socket
+
+import behave
+from behave import runner
+
+from rhubarblead import metrics
+from rhubarblead import settings
+
+_TIMEOUT_S = 5
+
+
+def _receive(context: runner.Context, wanted_count: int) -> list[str]:
+    lines: list[str] = []
+    while len(lines) < wanted_count:
+        lines += context.statsd.recv(65_536).decode().splitlines()
+    return lines
+
+
+@behave.given("metrics sent to a local statsd server")
+def given_metrics(context: runner.Context) -> None:
+    context.statsd = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    context.add_cleanup(context.statsd.close)
+    context.statsd.settimeout(_TIMEOUT_S)
+    context.statsd.bind(("127.0.0.1", 0))
+    address = settings.Address(
+        ip_address="127.0.0.1", port=context.statsd.getsockname()[1]
+    )
+    context.metrics = metrics.open_metrics(
+        settings.Metrics(server=address, prefix="test")
+    )
+    context.add_cleanup(context.metrics.close)
+
+
+@behave.given("metrics without a server")
+def given_none(context: runner.Context) -> None:
+    context.metrics = metrics.open_metrics(None)
+
+
+@behave.when("metrics count {name:w} {times:d} times")
+def count(context: runner.Context, name: str, times: int) -> None:
+    for _ in range(times):
+        context.metrics.count(metrics.Counter[name])
+
+
+@behave.when("metrics time {name:w} as {duration_ms:g} ms")
+def time(context: runner.Context, name: str, duration_ms: float) -> None:
+    context.metrics.time(metrics.Timer[name], duration_ms)
+
+
+@behave.when("metrics time {name:w} {times:d} times")
+def time_many(context: runner.Context, name: str, times: int) -> None:
+    for _ in range(times):
+        context.metrics.time(metrics.Timer[name], 1)
+
+
+@behave.when("metrics measure {name:w} as {value:d}")
+def measure(context: runner.Context, name: str, value: int) -> None:
+    context.metrics.measure(metrics.Gauge[name], value)
+
+
+@behave.when("the metrics are flushed")
+def flush(context: runner.Context) -> None:
+    context.metrics.flush()
+
+
+@behave.then("the statsd server received")
+def check_lines(context: runner.Context) -> None:
+    wanted = {row["line"] for row in context.table}
+    lines = _receive(context, len(wanted))
+    assert set(lines) == wanted, lines
+
+
+@behave.then('the statsd server received a count of {value:d} for "{name}"')
+def check_count(context: runner.Context, value: int, name: str) -> None:
+    lines = _receive(context, 1_001)
+    assert f"{name}:{value}|c" in lines, lines[:5]
+
+
+@behave.then("no metrics are kept")
+def check_none(context: runner.Context) -> None:
+    assert not context.metrics._counts
+
+
+@behave.then("every metric is explained once")
+def check_meanings(context: runner.Context) -> None:
+    kinds = [*metrics.Counter, *metrics.Timer, *metrics.Gauge]
+    assert set(kinds) == set(metrics.MEANINGS)
+    names = [kind.value for kind in kinds]
+    assert len(names) == len(set(names))
