Describe deployments, and check what ran against what was told

The checker is pure functions over typed records; its tests feed it one history for each rule that it must catch, and such as break none.

--- /dev/null
+++ b/tests/steps/deployment.py
@@ -0,0 +1,76 @@
+"""Steps for the descriptions of deployments."""
+
+import dataclasses
+
+import behave
+from behave import runner
+
+from tools import deployment
+
+
+def _read(name: str) -> deployment.Deployment:
+    return deployment.read_deployment(deployment.EXAMPLES / name)
+
+
+@behave.when('the deployment "{name}" is read')
+def read(context: runner.Context, name: str) -> None:
+    context.deployment = _read(name)
+
+
+@behave.then(
+    "the deployment has {keyed:d} keyed and {balanced:d} balanced servers"
+)
+def check_servers(context: runner.Context, keyed: int, balanced: int) -> None:
+    found = context.deployment
+    for kind, count in (("keyed", keyed), ("balanced", balanced)):
+        pool = found.find_pool(kind)
+        assert len(found.list_servers(pool.name)) == count
+        assert found.find_route(pool.name)
+
+
+@behave.then('the deployment stands in {count:d} failure domains of "{region}"')
+def check_domains(context: runner.Context, count: int, region: str) -> None:
+    instances = context.deployment.instances
+    assert len({item.failure_domain for item in instances}) == count
+    assert {item.region for item in instances} == {region}
+
+
+@behave.given(
+    'the deployment "{name}" with {field} of "{instance}" as "{value}"'
+)
+def given_changed(
+    context: runner.Context, name: str, field: str, instance: str, value: str
+) -> None:
+    found = _read(name)
+    typed = int(value) if value.isdigit() else value
+    context.deployment = dataclasses.replace(
+        found,
+        instances=tuple(
+            item.model_copy(update={field: typed})
+            if item.instance == instance
+            else item
+            for item in found.instances
+        ),
+    )
+
+
+@behave.given('the deployment "{name}" with other ports')
+def given_other_ports(context: runner.Context, name: str) -> None:
+    context.deployment = deployment.assign_ports(
+        _read(name), platform_port=1, ports=iter(range(2, 1_000))
+    )
+
+
+@behave.when("the deployment is checked")
+def check(context: runner.Context) -> None:
+    context.found = deployment.check_deployment(context.deployment)
+
+
+@behave.then('the deployment has a fault at "{path}"')
+def check_fault(context: runner.Context, path: str) -> None:
+    assert path in [fault.path for fault in context.found], context.found
+
+
+@behave.then("the deployment has no fault")
+def check_none(context: runner.Context) -> None:
+    assert not context.found, context.found
--- /dev/null
+++ b/tests/tools/checker.feature
@@ -0,0 +1,47 @@
+Feature: The record checker finds every way in which a run went wrong
+
+  Scenario Outline: A bad history is caught
+    Given the upstreams ran, for the checker
+      | server | request | idempotency | key | shard | fence | start | end | committed |
+      | d-1    | r1      | i1          | k   | 3     | 5     | 10    | 20  | yes       |
+      | <run>  |         |             |     |       |       |       |     |           |
+    And the callers were told, for the checker
+      | request | idempotency | method | status | verdict | refusal | fault |
+      | r1      | i1          | POST   | 200    | ran     |         |       |
+      | <told>  |             |        |        |         |         |       |
+    When the checker reads the history
+    Then the checker finds exactly "<rules>"
+
+    Examples: histories that break one rule
+      | run                            | told                               | rules                      |
+      | d-2,r2,i2,k,3,5,15,25,yes      | r2,i2,POST,200,ran,,               | two-owners                 |
+      | d-2,r2,i2,k,3,6,19,21,yes      | r2,i2,POST,200,ran,,               | two-owners                 |
+      | d-2,r2,i2,k,3,4,30,40,yes      | r2,i2,POST,200,ran,,               | fence-fell                 |
+      | d-1,r2,i1,k,3,5,30,40,yes      | r2,i1,POST,200,ran,,               | ran-twice                  |
+      | d-1,r2,i2,k,3,5,30,40,yes      | r2,i2,POST,503,not-run,shed,       | not-run-but-ran            |
+      | d-1,r2,i2,k,3,5,30,40,yes      | r9,i2,POST,503,not-run,shed,       | not-run-but-ran            |
+      | d-1,r2,,k,3,5,30,40,yes        | r2,,GET,504,not-run,deadline,      | not-run-but-ran            |
+      | d-1,r2,i2,k,3,5,30,40,no       | r2,i2,POST,200,ran,,               | acknowledged-but-missing   |
+      | d-1,r2,i2,k,3,5,30,40,yes      | r3,i3,POST,200,ran,,               | acknowledged-but-missing   |
+      | d-1,r2,,k,3,5,30,40,yes        | r3,,GET,200,ran,,                  | ran-but-missing            |
+      | d-1,r2,i2,k,3,5,30,40,no       | r2,i2,POST,502,ran,answer-broken,  | ran-but-missing            |
+      | d-1,r2,,k,3,5,30,40,yes        | r2,,GET,200,ran,,key               | wrong-answer               |
+      | d-2,r2,i1,k,3,4,15,25,yes      | r2,i1,POST,200,ran,,               | two-owners fence-fell ran-twice |
+
+    Examples: histories that break none
+      | run                            | told                               | rules                      |
+      | d-1,r2,i2,k,3,5,15,25,yes      | r2,i2,POST,200,ran,,               |                            |
+      | d-2,r2,i2,k,3,6,20,30,yes      | r2,i2,POST,200,ran,,               |                            |
+      | d-2,r2,i2,k,4,5,15,25,yes      | r2,i2,POST,200,ran,,               |                            |
+      | d-2,r2,i2,k,3,4,15,25,no       | r2,i2,POST,409,not-run,fenced,     |                            |
+      | b-2,r2,,,-1,0,15,25,yes        | r2,,GET,200,ran,,                  |                            |
+      | d-1,r2,i2,k,3,5,30,40,yes      | r2,i2,POST,502,may-have-run,peer-lost, |                        |
+      | d-1,r2,i2,k,3,5,30,40,no       | r2,i2,POST,502,may-have-run,peer-lost, |                        |
+      | d-1,r2,i2,k,3,5,30,40,yes      | ,i2,POST,0,,,reset                 |                            |
+      | d-1,r2,i2,k,3,5,30,40,no       | r3,i1,POST,200,ran,,               |                            |
+      | d-1,r2,i2,k,3,5,30,40,no       | r3,i1,POST,409,not-run,in-progress,  |                          |
+
+  Scenario: A line that its writer could not finish is left out
+    Given a record file for the checker whose last line is cut off
+    When the checker reads the record file
+    Then the checker has 1 record of it
--- /dev/null
+++ b/tools/checker.py
@@ -0,0 +1,231 @@
+"""Checks what upstreams ran against what callers were told.
+
+Usage: python -m tools.checker FOLDER, where FOLDER holds `upstream-*.jsonl`
+and `caller-*.jsonl`.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+import enum
+import pathlib
+import sys
+
+import msgspec
+
+from tools import records
+
+_OK = 200
+_POST = "POST"
+_EXAMPLES_SHOWN = 5
+
+
+class Rule(enum.Enum):
+    """What a run must never show."""
+
+    TWO_OWNERS = "two-owners"
+    FENCE_FELL = "fence-fell"
+    RAN_TWICE = "ran-twice"
+    NOT_RUN_BUT_RAN = "not-run-but-ran"
+    RAN_BUT_MISSING = "ran-but-missing"
+    ACKNOWLEDGED_BUT_MISSING = "acknowledged-but-missing"
+    WRONG_ANSWER = "wrong-answer"
+
+
+class Finding(msgspec.Struct, frozen=True, kw_only=True):
+    """One violation of a rule, with the records that show it."""
+
+    rule: Rule
+    subject: str
+    explanation: str
+
+
+class _Sends(msgspec.Struct, frozen=True, kw_only=True):
+    """What was committed, to be looked up by the sends of callers."""
+
+    request_ids: frozenset[str]
+    idempotency_keys: frozenset[str]
+    repeated_keys: frozenset[str]
+
+
+def check(
+    runs: Iterable[records.Run], outcomes: Iterable[records.Outcome]
+) -> list[Finding]:
+    """Checks a whole history.
+
+    A run that was not committed had no effect: its upstream found the fence
+    or the expiry passed and refused it. Only committed runs count.
+
+    Args:
+        runs: What the upstreams ran, in any order.
+        outcomes: What the callers were told, in any order.
+
+    Returns:
+        All violations found.
+    """
+    committed = [run for run in runs if run.is_committed]
+    told = list(outcomes)
+    by_shard = _group((run for run in committed if run.shard >= 0), _name_shard)
+    return [
+        *(f for name in by_shard for f in _find_overlaps(name, by_shard[name])),
+        *(f for name in by_shard for f in _find_falls(name, by_shard[name])),
+        *_find_repeats(committed),
+        *_find_contradictions(_index(committed, told), told),
+    ]
+
+
+def count_by_rule(findings: Iterable[Finding]) -> dict[str, int]:
+    """Counts findings under the value of their rule."""
+    return dict(collections.Counter(item.rule.value for item in findings))
+
+
+def _name_shard(run: records.Run) -> str:
+    return f"{run.server.rpartition('-')[0]}/{run.shard}"
+
+
+def _group(
+    runs: Iterable[records.Run], name: Callable[[records.Run], str]
+) -> dict[str, list[records.Run]]:
+    groups = collections.defaultdict(list)
+    for run in runs:
+        groups[name(run)].append(run)
+    return groups
+
+
+def _find_overlaps(shard: str, runs: list[records.Run]) -> Iterator[Finding]:
+    """Finds runs of one shard on two servers at the same time.
+
+    For each run it is enough to look at the latest end so far on a server
+    other than its own, so the ends are kept by server.
+    """
+    latest: dict[str, records.Run] = {}
+    for run in sorted(runs, key=lambda item: item.start_ns):
+        for server, other in latest.items():
+            if server != run.server and other.end_ns > run.start_ns:
+                yield Finding(
+                    rule=Rule.TWO_OWNERS,
+                    subject=shard,
+                    explanation=(
+                        f"{run.request_id} on {run.server} began"
+                        f" {other.end_ns - run.start_ns} ns before"
+                        f" {other.request_id} on {server} ended"
+                    ),
+                )
+        known = latest.get(run.server)
+        if known is None or run.end_ns > known.end_ns:
+            latest[run.server] = run
+
+
+def _find_falls(shard: str, runs: list[records.Run]) -> Iterator[Finding]:
+    highest = 0
+    for run in sorted(runs, key=lambda item: item.end_ns):
+        if run.fence < highest:
+            yield Finding(
+                rule=Rule.FENCE_FELL,
+                subject=shard,
+                explanation=(
+                    f"{run.request_id} on {run.server} committed under"
+                    f" {run.fence} after {highest}"
+                ),
+            )
+        highest = max(highest, run.fence)
+
+
+def _find_repeats(committed: list[records.Run]) -> Iterator[Finding]:
+    named = (run for run in committed if run.idempotency_key)
+    groups = _group(named, lambda run: run.idempotency_key)
+    for key, runs in groups.items():
+        if len(runs) > 1:
+            places = ", ".join(f"{run.server}/{run.fence}" for run in runs)
+            yield Finding(
+                rule=Rule.RAN_TWICE,
+                subject=key,
+                explanation=f"committed {len(runs)} times: {places}",
+            )
+
+
+def _index(committed: list[records.Run], told: list[records.Outcome]) -> _Sends:
+    sends = collections.Counter(
+        item.idempotency_key for item in told if item.idempotency_key
+    )
+    return _Sends(
+        request_ids=frozenset(run.request_id for run in committed),
+        idempotency_keys=frozenset(run.idempotency_key for run in committed),
+        repeated_keys=frozenset(key for key in sends if sends[key] > 1),
+    )
+
+
+def _find_contradictions(
+    sends: _Sends, told: list[records.Outcome]
+) -> Iterator[Finding]:
+    for item in told:
+        if item.fault and item.status == _OK:
+            yield _find(Rule.WRONG_ANSWER, item, item.fault)
+        match item.verdict:
+            case "not-run" if _is_known_committed(sends, item):
+                yield _find(Rule.NOT_RUN_BUT_RAN, item, "it was committed")
+            case "ran" if item.refusal and not _is_committed(sends, item):
+                yield _find(Rule.RAN_BUT_MISSING, item, "no commit of it")
+            case "ran" if not _is_committed(sends, item):
+                yield _find(_name_missing(item), item, "no commit of it")
+
+
+def _name_missing(item: records.Outcome) -> Rule:
+    if item.method == _POST and item.status == _OK:
+        return Rule.ACKNOWLEDGED_BUT_MISSING
+    return Rule.RAN_BUT_MISSING
+
+
+def _is_committed(sends: _Sends, item: records.Outcome) -> bool:
+    if item.idempotency_key:
+        return item.idempotency_key in sends.idempotency_keys
+    return item.request_id in sends.request_ids
+
+
+def _is_known_committed(sends: _Sends, item: records.Outcome) -> bool:
+    """Tells whether this very send was committed.
+
+    When a caller sent an idempotency key several times, one of the other
+    sends may have been the one that ran.
+    """
+    if item.request_id in sends.request_ids:
+        return True
+    is_only_send = item.idempotency_key not in sends.repeated_keys
+    return (
+        bool(item.idempotency_key)
+        and is_only_send
+        and item.idempotency_key in sends.idempotency_keys
+    )
+
+
+def _find(rule: Rule, item: records.Outcome, explanation: str) -> Finding:
+    return Finding(
+        rule=rule,
+        subject=item.idempotency_key or item.request_id,
+        explanation=(
+            f"{item.method} {item.key} answered {item.status}"
+            f" {item.verdict} {item.refusal}: {explanation}"
+        ),
+    )
+
+
+def main(arguments: list[str]) -> int:
+    """Checks a folder; returns 0 when nothing was found."""
+    folder = pathlib.Path(arguments[0])
+    findings = check(
+        records.read_records(
+            sorted(folder.glob("upstream-*.jsonl")), records.Run
+        ),
+        records.read_records(
+            sorted(folder.glob("caller-*.jsonl")), records.Outcome
+        ),
+    )
+    print(f"{len(findings)} violations {count_by_rule(findings)}")
+    for item in findings[:_EXAMPLES_SHOWN]:
+        print(f"  {item.rule.value} {item.subject}: {item.explanation}")
+    return 1 if findings else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tools/deployment.py
@@ -0,0 +1,183 @@
+"""A deployment: operators' tables, and the settings of each instance.
+
+A deployment is a folder as under `examples/`: `tables.json`, and one file per
+instance in `settings/`. The product reads the same files.
+"""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Iterator
+import dataclasses
+import pathlib
+
+from rhubarblead import faults
+from rhubarblead import settings
+from rhubarblead import tables
+
+EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "examples"
+_PORT_FIELDS = ("http_port", "data_port", "control_port")
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Deployment:
+    """The tables and instances that are run together."""
+
+    name: str
+    operators_tables: tables.Tables
+    instances: tuple[settings.Settings, ...]
+
+    def find_instance(self, name: str) -> settings.Settings:
+        """Finds the settings of one instance.
+
+        Raises:
+            KeyError: There is no such instance.
+        """
+        for instance in self.instances:
+            if instance.instance == name:
+                return instance
+        raise KeyError(name)
+
+    def find_pool(self, kind: str) -> tables.Pool:
+        """Finds the first pool of a kind, "keyed" or "balanced".
+
+        Raises:
+            LookupError: There is none.
+        """
+        for pool in self.operators_tables.pools:
+            if pool.kind == kind:
+                return pool
+        raise LookupError(f"{self.name} has no {kind} pool")
+
+    def find_route(self, pool: str) -> tables.Route:
+        """Finds the first route to a pool.
+
+        Raises:
+            LookupError: There is none.
+        """
+        for route in self.operators_tables.routes:
+            if route.pool == pool:
+                return route
+        raise LookupError(f"{self.name} has no route to {pool}")
+
+    def list_servers(self, pool: str) -> list[str]:
+        """Lists the instances that a pool names, in their order."""
+        return [
+            instance.instance
+            for instance in self.instances
+            if self.pool_of(instance.instance).name == pool
+        ]
+
+    def pool_of(self, instance: str) -> tables.Pool:
+        """Finds the pool that an instance serves.
+
+        Raises:
+            LookupError: No pool names the instance.
+        """
+        pool = self.operators_tables.find_pool_of(instance)
+        if pool is None:
+            raise LookupError(f"no pool names {instance}")
+        return pool
+
+
+def read_deployment(folder: pathlib.Path) -> Deployment:
+    """Reads and checks a deployment folder.
+
+    Args:
+        folder: The folder, which also gives the deployment its name.
+
+    Returns:
+        The checked deployment.
+
+    Raises:
+        faults.CannotAccept: A file is not valid, or the files contradict one
+            another; every fault is named.
+    """
+    found = Deployment(
+        name=folder.name,
+        operators_tables=tables.read_tables(
+            (folder / "tables.json").read_bytes()
+        ),
+        instances=tuple(
+            settings.read_settings(path)
+            for path in sorted((folder / "settings").glob("*.json"))
+        ),
+    )
+    problems = check_deployment(found)
+    if problems:
+        raise faults.CannotAccept(subject=str(folder), faults=problems)
+    return found
+
+
+def check_deployment(found: Deployment) -> tuple[faults.Fault, ...]:
+    """Lists contradictions between the files of a deployment."""
+    return (
+        *_find_repeated(
+            "instance", (item.instance for item in found.instances)
+        ),
+        *_find_repeated("port", _list_addresses(found)),
+        *(
+            faults.Fault(
+                path=item.instance, expected="an instance that a pool names"
+            )
+            for item in found.instances
+            if found.operators_tables.find_pool_of(item.instance) is None
+        ),
+        *(
+            faults.Fault(path=item.instance, expected="the same platform")
+            for item in found.instances[1:]
+            if item.platform != found.instances[0].platform
+        ),
+    )
+
+
+def select_instances(found: Deployment, names: Iterable[str]) -> Deployment:
+    """Makes a smaller deployment of some instances of another."""
+    return dataclasses.replace(
+        found, instances=tuple(found.find_instance(name) for name in names)
+    )
+
+
+def assign_ports(
+    found: Deployment, *, platform_port: int, ports: Iterator[int]
+) -> Deployment:
+    """Gives every instance other ports, for a run beside others.
+
+    Args:
+        found: The deployment to take all else from.
+        platform_port: Where both services of the platform listen.
+        ports: Free ports; three are taken for each instance.
+
+    Returns:
+        The deployment with the new ports.
+    """
+    instances = []
+    for instance in found.instances:
+        platform = instance.platform
+        update: dict[str, object] = {
+            field: next(ports) for field in _PORT_FIELDS
+        }
+        update["platform"] = platform.model_copy(
+            update={
+                field: getattr(platform, field).model_copy(
+                    update={"port": platform_port}
+                )
+                for field in ("table_service", "object_store")
+            }
+        )
+        instances.append(instance.model_copy(update=update))
+    return dataclasses.replace(found, instances=tuple(instances))
+
+
+def _list_addresses(found: Deployment) -> Iterator[str]:
+    for instance in found.instances:
+        for field in _PORT_FIELDS:
+            yield f"{instance.ip_address}:{getattr(instance, field)}"
+
+
+def _find_repeated(path: str, values: Iterable[str]) -> list[faults.Fault]:
+    counts = collections.Counter(values)
+    return [
+        faults.Fault(path=path, expected=f"{value!r} once, not {count} times")
+        for value, count in counts.items()
+        if count > 1
+    ]
