Add the decisions of leases by promises

A change of granters was unsafe as first written down: promises of the new epoch counted while the transaction could still fail, so that the old granters, hearing nothing, let the member be evicted. The lease now rests on both epochs until the fate of the change is known. A granter that had forgotten an evicted member would have promised to it again; it now judges by the revision in the heartbeat. The lone member is given granters by others.

--- /dev/null
+++ b/src/rhubarblead/leases/granter.py
@@ -0,0 +1,170 @@
+"""Promises to other members not to call their leases lapsed."""
+
+from rhubarblead import membership
+from rhubarblead import messages
+from rhubarblead import ownership
+from rhubarblead import settings
+from rhubarblead.leases import quorum
+
+
+class Granter:
+    """Keeps one timer per member and epoch that this member grants to.
+
+    Nothing of it outlives the process: a process that starts again is a new
+    member, which nobody has named as granter yet.
+    """
+
+    __slots__ = (
+        "_duration_ms",
+        "_ends_ms",
+        "_followed",
+        "_known_member_at_ms",
+        "_lapsed",
+        "_lease",
+        "_listed_at_ms",
+        "_member_id",
+        "_members",
+        "_resumed_at_ms",
+        "_revision",
+    )
+
+    def __init__(self, *, member_id: str, lease: settings.Lease) -> None:
+        self._member_id = member_id
+        self._lease = lease
+        self._duration_ms = quorum.stretch(
+            duration_ms=lease.duration_ms, lease=lease
+        )
+        self._known_member_at_ms: int | None = None
+        self._members: dict[str, membership.Member] = {}
+        self._revision = 0
+        self._ends_ms: dict[tuple[str, int], int] = {}
+        self._followed: set[tuple[str, int]] = set()
+        self._lapsed: set[tuple[str, int]] = set()
+        self._listed_at_ms: int | None = None
+        self._resumed_at_ms: int | None = None
+
+    def confirm_membership(self, *, as_of_ms: int) -> None:
+        """Takes note that this member was one, which lets it promise.
+
+        Args:
+            as_of_ms: A time at which the own lease held, or at which a store
+                read was sent that showed the own record.
+        """
+        known_ms = self._known_member_at_ms
+        if known_ms is None or as_of_ms > known_ms:
+            self._known_member_at_ms = as_of_ms
+
+    def take_heartbeat(
+        self,
+        *,
+        heartbeat: messages.Heartbeat,
+        now_ms: int,
+        revisions: messages.Revisions,
+    ) -> messages.Promise:
+        """Answers a heartbeat, with a promise or a refusal.
+
+        Args:
+            heartbeat: The heartbeat.
+            now_ms: The current time, read after the heartbeat came.
+            revisions: What this node has of what is stored.
+
+        Returns:
+            The answer to send back.
+        """
+        is_granted = self._may_promise(heartbeat, now_ms)
+        if is_granted:
+            key = (heartbeat.member_id, heartbeat.granters_epoch)
+            self._ends_ms[key] = now_ms + self._duration_ms
+        return messages.Promise(
+            granter_id=self._member_id,
+            member_id=heartbeat.member_id,
+            granters_epoch=heartbeat.granters_epoch,
+            sequence=heartbeat.sequence,
+            sent_at_ms=heartbeat.sent_at_ms,
+            is_granted=is_granted,
+            duration_ms=self._lease.duration_ms,
+            revisions=revisions,
+        )
+
+    def follow_state(self, *, state: ownership.State, now_ms: int) -> None:
+        """Follows who names this member as granter.
+
+        A member that was never heard under its epoch gets a full duration from
+        now on. Members that are gone and epochs that have passed are forgotten:
+        heartbeats of those are refused by what the state says.
+
+        Args:
+            state: The newest state; an older one than before is ignored.
+            now_ms: The current time.
+        """
+        if state.revision < self._revision:
+            return
+        self._revision = state.revision
+        self._members = state.members
+        self._followed = {
+            (member.member_id, member.granters_epoch)
+            for member in state.members.values()
+            if self._member_id in member.granters
+        }
+        for key in self._followed:
+            self._ends_ms.setdefault(key, now_ms + self._duration_ms)
+        self._ends_ms = {
+            key: end_ms
+            for key, end_ms in self._ends_ms.items()
+            if key in self._followed or self._is_ahead(key)
+        }
+        self._lapsed &= self._followed
+
+    def list_lapses(self, *, now_ms: int) -> list[messages.Lapse]:
+        """Lists all lapses in force, and makes those that are due final.
+
+        After a pause of this process the heartbeats that came meanwhile are
+        still to be read; it states no new lapse until they can have been.
+
+        Args:
+            now_ms: The current time.
+
+        Returns:
+            A lapse for each member that this one will not promise to again.
+        """
+        if self._is_caught_up(now_ms):
+            self._lapsed.update(
+                key for key in self._followed if self._ends_ms[key] <= now_ms
+            )
+        return [
+            messages.Lapse(
+                granter_id=self._member_id,
+                member_id=member_id,
+                granters_epoch=granters_epoch,
+            )
+            for member_id, granters_epoch in sorted(self._lapsed)
+        ]
+
+    def _may_promise(self, heartbeat: messages.Heartbeat, now_ms: int) -> bool:
+        known_ms = self._known_member_at_ms
+        if known_ms is None or now_ms - known_ms > self._lease.authority_ms:
+            return False
+        if heartbeat.member_id == self._member_id:
+            return False
+        member = self._members.get(heartbeat.member_id)
+        if member is None:
+            return heartbeat.revisions.ownership > self._revision
+        if heartbeat.granters_epoch != member.granters_epoch:
+            return heartbeat.granters_epoch > member.granters_epoch
+        key = (heartbeat.member_id, heartbeat.granters_epoch)
+        return key in self._followed and key not in self._lapsed
+
+    def _is_ahead(self, key: tuple[str, int]) -> bool:
+        member_id, granters_epoch = key
+        member = self._members.get(member_id)
+        return member is not None and granters_epoch > member.granters_epoch
+
+    def _is_caught_up(self, now_ms: int) -> bool:
+        heartbeat_ms = self._lease.heartbeat_ms
+        listed_at_ms = self._listed_at_ms
+        self._listed_at_ms = now_ms
+        if listed_at_ms is not None and now_ms - listed_at_ms > heartbeat_ms:
+            self._resumed_at_ms = now_ms
+        if self._resumed_at_ms is None:
+            return True
+        return now_ms - self._resumed_at_ms >= heartbeat_ms
--- /dev/null
+++ b/src/rhubarblead/leases/holder.py
@@ -0,0 +1,315 @@
+"""The lease of one member, held by the promises of its granters."""
+
+import dataclasses
+
+from rhubarblead import membership
+from rhubarblead import messages
+from rhubarblead import settings
+from rhubarblead.leases import quorum
+
+_NEVER_MS = 0
+
+
+class CannotChangeGranters(Exception):
+    """A change of granters was begun or resolved out of turn."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Sent:
+    """One heartbeat that may still be answered."""
+
+    granter_id: str
+    granters_epoch: int
+    sent_at_ms: int
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Granting:
+    """The promises of the granters of one epoch."""
+
+    granters: tuple[str, ...]
+    granters_epoch: int
+    begun_at_ms: int | None = None
+    heartbeat_due_ms: int | None = None
+    ends_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    promised_at_ms: dict[str, int] = dataclasses.field(default_factory=dict)
+    refused: set[str] = dataclasses.field(default_factory=set)
+    store_end_ms: int = _NEVER_MS
+
+    def find_end_ms(self) -> int:
+        """Finds until when enough promises of this epoch hold."""
+        if not self.granters:
+            return self.store_end_ms
+        ends = sorted(self.ends_ms.values(), reverse=True)
+        needed = quorum.count_needed_promises(len(self.granters))
+        if len(ends) < needed:
+            return _NEVER_MS
+        return ends[needed - 1]
+
+
+class Holder:
+    """Keeps one member's lease; all times are on its monotonic clock.
+
+    While a change of granters is under way the store may hold the old record
+    or the new one. Until its fate is known the lease holds only as long as
+    the promises of both epochs do, or as long as it did when the change began:
+    no granter of the new epoch can state a lapse before that has passed.
+    """
+
+    __slots__ = (
+        "_floor_ms",
+        "_highest_epoch",
+        "_is_lost",
+        "_lease",
+        "_member_id",
+        "_pending",
+        "_record",
+        "_sent",
+        "_sequence",
+    )
+
+    def __init__(
+        self,
+        *,
+        member_id: str,
+        granters: tuple[str, ...],
+        granters_epoch: int,
+        lease: settings.Lease,
+    ) -> None:
+        self._member_id = member_id
+        self._lease = lease
+        self._record = _Granting(
+            granters=granters, granters_epoch=granters_epoch
+        )
+        self._pending: _Granting | None = None
+        self._highest_epoch = granters_epoch
+        self._floor_ms = _NEVER_MS
+        self._is_lost = False
+        self._sequence = 0
+        self._sent: dict[int, _Sent] = {}
+
+    @property
+    def granters(self) -> tuple[str, ...]:
+        """The granters in the stored record, as far as this member knows."""
+        return self._record.granters
+
+    @property
+    def is_changing(self) -> bool:
+        """Whether the fate of a change of granters is not yet known."""
+        return self._pending is not None
+
+    def find_next_epoch(self) -> int:
+        """Finds the epoch for the next change; no epoch is tried twice."""
+        return self._highest_epoch + 1
+
+    def change_granters(
+        self, *, granters: tuple[str, ...], granters_epoch: int
+    ) -> None:
+        """Begins a change of granters, before its transaction is sent.
+
+        Args:
+            granters: The granters to be.
+            granters_epoch: What `find_next_epoch` returned.
+
+        Raises:
+            CannotChangeGranters: Another change is unresolved, the epoch was
+                used before, or the member has no granters: then it waits to be
+                given some (`Taker.list_missing_granters`).
+        """
+        if self._pending is not None:
+            raise CannotChangeGranters("another change is not resolved yet")
+        if granters_epoch <= self._highest_epoch:
+            raise CannotChangeGranters(f"epoch {granters_epoch} was used")
+        if not self._record.granters:
+            raise CannotChangeGranters(
+                "a member without granters is given them"
+            )
+        self._floor_ms = self.find_lease_end_ms()
+        self._highest_epoch = granters_epoch
+        self._pending = _Granting(
+            granters=granters, granters_epoch=granters_epoch
+        )
+
+    def abandon_change(self) -> None:
+        """Takes note that the pending change certainly did not take effect."""
+        self._pending = None
+
+    def follow_record(self, *, record: membership.Member | None) -> None:
+        """Follows the member's own record in the newest state.
+
+        Args:
+            record: The record; `None` when the member is no member any more.
+        """
+        if record is None:
+            self._is_lost = True
+            return
+        if record.granters_epoch <= self._record.granters_epoch:
+            return
+        pending = self._pending
+        self._pending = None
+        self._highest_epoch = max(self._highest_epoch, record.granters_epoch)
+        if pending and pending.granters_epoch == record.granters_epoch:
+            self._record = pending
+            return
+        if not self._record.granters:
+            self._floor_ms = self._record.store_end_ms
+        self._record = _Granting(
+            granters=record.granters, granters_epoch=record.granters_epoch
+        )
+
+    def confirm_by_store(self, *, read_sent_at_ms: int) -> None:
+        """Counts a store read as the promise of a member without granters.
+
+        Args:
+            read_sent_at_ms: When the read was sent that showed the record
+                there, with the epoch known here and without granters.
+        """
+        if self._record.granters:
+            return
+        self._record.store_end_ms = max(
+            self._record.store_end_ms,
+            read_sent_at_ms + self._lease.duration_ms,
+        )
+
+    def list_heartbeats(
+        self, *, now_ms: int, revisions: messages.Revisions
+    ) -> list[tuple[str, messages.Heartbeat]]:
+        """Lists the heartbeats that are due, each with its granter.
+
+        Args:
+            now_ms: A time before the heartbeats are sent.
+            revisions: What this node has of what is stored. The ownership
+                revision must be that of the state that names the member.
+
+        Returns:
+            Pairs of granter id and heartbeat; none when none are due.
+        """
+        due = list(self._send(self._record, now_ms, revisions))
+        if self._pending is not None:
+            due.extend(self._send(self._pending, now_ms, revisions))
+        if due:
+            self._forget_sent(now_ms)
+        return due
+
+    def take_promise(self, *, promise: messages.Promise, now_ms: int) -> None:
+        """Takes the answer to a heartbeat; counts from when that was sent.
+
+        Args:
+            promise: The answer.
+            now_ms: The current time.
+        """
+        sent = self._sent.get(promise.sequence)
+        if sent is None or not self._is_answer(promise, sent):
+            return
+        granting = self._find_granting(sent.granters_epoch)
+        if granting is None:
+            return
+        granter_id = sent.granter_id
+        last_ms = granting.promised_at_ms.get(granter_id, sent.sent_at_ms)
+        if sent.sent_at_ms < last_ms:
+            return
+        if not promise.is_granted:
+            granting.refused.add(granter_id)
+            return
+        granting.refused.discard(granter_id)
+        duration_ms = min(promise.duration_ms, self._lease.duration_ms)
+        granting.promised_at_ms[granter_id] = sent.sent_at_ms
+        granting.ends_ms[granter_id] = sent.sent_at_ms + duration_ms
+
+    def find_lease_end_ms(self) -> int:
+        """Finds the first moment at which the lease doesn't hold; 0 if none."""
+        if self._is_lost:
+            return _NEVER_MS
+        end_ms = self._record.find_end_ms()
+        if self._pending is not None:
+            end_ms = min(end_ms, self._pending.find_end_ms())
+        return max(end_ms, self._floor_ms)
+
+    def is_held(self, *, now_ms: int) -> bool:
+        """Tells whether the lease holds."""
+        return now_ms < self.find_lease_end_ms()
+
+    def list_silent_granters(
+        self, *, now_ms: int, patience_ms: int
+    ) -> tuple[str, ...]:
+        """Lists the granters of the stored record that don't promise.
+
+        Args:
+            now_ms: The current time.
+            patience_ms: How long a granter may go without a promise.
+
+        Returns:
+            The granters that refused last, or gave no promise for so long.
+        """
+        record = self._record
+        begun_at_ms = (
+            now_ms if record.begun_at_ms is None else record.begun_at_ms
+        )
+        return tuple(
+            granter_id
+            for granter_id in record.granters
+            if granter_id in record.refused
+            or now_ms - record.promised_at_ms.get(granter_id, begun_at_ms)
+            >= patience_ms
+        )
+
+    def _send(
+        self,
+        granting: _Granting,
+        now_ms: int,
+        revisions: messages.Revisions,
+    ) -> list[tuple[str, messages.Heartbeat]]:
+        due_ms = granting.heartbeat_due_ms
+        if due_ms is not None and now_ms < due_ms:
+            return []
+        if granting.begun_at_ms is None:
+            granting.begun_at_ms = now_ms
+        granting.heartbeat_due_ms = now_ms + self._lease.heartbeat_ms
+        return [
+            (granter_id, self._make(granter_id, granting, now_ms, revisions))
+            for granter_id in granting.granters
+        ]
+
+    def _make(
+        self,
+        granter_id: str,
+        granting: _Granting,
+        now_ms: int,
+        revisions: messages.Revisions,
+    ) -> messages.Heartbeat:
+        self._sequence += 1
+        self._sent[self._sequence] = _Sent(
+            granter_id=granter_id,
+            granters_epoch=granting.granters_epoch,
+            sent_at_ms=now_ms,
+        )
+        return messages.Heartbeat(
+            member_id=self._member_id,
+            granters_epoch=granting.granters_epoch,
+            sequence=self._sequence,
+            sent_at_ms=now_ms,
+            revisions=revisions,
+        )
+
+    def _forget_sent(self, now_ms: int) -> None:
+        useless_before_ms = now_ms - self._lease.duration_ms
+        while self._sent:
+            sequence = next(iter(self._sent))
+            if self._sent[sequence].sent_at_ms > useless_before_ms:
+                return
+            del self._sent[sequence]
+
+    def _is_answer(self, promise: messages.Promise, sent: _Sent) -> bool:
+        return (
+            promise.member_id == self._member_id
+            and promise.granter_id == sent.granter_id
+            and promise.granters_epoch == sent.granters_epoch
+        )
+
+    def _find_granting(self, granters_epoch: int) -> _Granting | None:
+        if self._record.granters_epoch == granters_epoch:
+            return self._record
+        pending = self._pending
+        if pending is not None and pending.granters_epoch == granters_epoch:
+            return pending
+        return None
--- /dev/null
+++ b/src/rhubarblead/leases/selection.py
@@ -0,0 +1,137 @@
+"""Choice of members for duties, by hash, the same on every node."""
+
+import collections
+
+import xxhash
+
+from rhubarblead import membership
+from rhubarblead import ownership
+
+GRANTER_COUNT = 3
+TAKER_COUNT = 3
+_DUTIES_BOUND = 2
+
+
+def choose_granters(
+    *,
+    state: ownership.State,
+    member: membership.Member,
+    avoid: frozenset[str] = frozenset(),
+) -> tuple[str, ...]:
+    """Chooses the members that shall grant a lease to one.
+
+    They stand in different failure domains, the member's own last of all, as
+    far as there are enough. Among these come first those to be kept, those with
+    few duties and those of other pools.
+
+    Args:
+        state: The members to choose from, with their present duties.
+        member: Who needs granters; its present ones are kept where they can be.
+        avoid: Members to choose only when there is nobody else.
+
+    Returns:
+        At most three member ids; none when the member is alone.
+    """
+    candidates = [
+        other
+        for other in state.members.values()
+        if other.member_id != member.member_id
+    ]
+    overloaded = _list_overloaded(state, member)
+    weighed = sorted(
+        (
+            other.member_id in avoid,
+            other.failure_domain == member.failure_domain,
+            other.member_id not in member.granters,
+            other.member_id in overloaded,
+            other.pool == member.pool,
+            _weigh(member.member_id, other.member_id),
+            other.member_id,
+            other.failure_domain,
+        )
+        for other in candidates
+    )
+    return _spread([(item[-2], item[-1]) for item in weighed], avoid)
+
+
+def rank_takers(
+    *, state: ownership.State, member: membership.Member
+) -> tuple[str, ...]:
+    """Ranks the members that shall take over from a lost one.
+
+    Args:
+        state: The members to choose from.
+        member: The lost member. Members outside its failure domain come first.
+
+    Returns:
+        At most three member ids, the first choice first.
+    """
+    domain = member.failure_domain
+    ranked = sorted(
+        (
+            other.failure_domain == domain,
+            _weigh(domain, other.member_id),
+            other.member_id,
+        )
+        for other in state.members.values()
+        if other.member_id != member.member_id
+    )
+    return tuple(item[-1] for item in ranked[:TAKER_COUNT])
+
+
+def list_pollers(
+    *, state: ownership.State, failure_domain: str, count: int
+) -> tuple[str, ...]:
+    """Lists the members of one failure domain that poll the store for it.
+
+    Args:
+        state: The members to choose from.
+        failure_domain: The failure domain.
+        count: How many to choose at most.
+
+    Returns:
+        Member ids, the first choice first.
+    """
+    ranked = sorted(
+        (_weigh(failure_domain, member.member_id), member.member_id)
+        for member in state.members.values()
+        if member.failure_domain == failure_domain
+    )
+    return tuple(member_id for _, member_id in ranked[:count])
+
+
+def _weigh(subject: str, candidate: str) -> int:
+    return xxhash.xxh3_64_intdigest(f"{subject}\n{candidate}".encode())
+
+
+def _list_overloaded(
+    state: ownership.State, member: membership.Member
+) -> set[str]:
+    duties = collections.Counter(
+        granter_id
+        for other in state.members.values()
+        if other.member_id != member.member_id
+        for granter_id in other.granters
+    )
+    bound = _DUTIES_BOUND * GRANTER_COUNT
+    return {granter for granter, count in duties.items() if count >= bound}
+
+
+def _spread(
+    ranked: list[tuple[str, str]], avoid: frozenset[str]
+) -> tuple[str, ...]:
+    chosen: list[str] = []
+    domains: set[str] = set()
+    for member_id, domain in ranked:
+        if domain in domains or member_id in avoid:
+            continue
+        chosen.append(member_id)
+        domains.add(domain)
+        if len(chosen) == GRANTER_COUNT:
+            return tuple(chosen)
+    rest = (member_id for member_id, _ in ranked if member_id not in chosen)
+    for member_id in rest:
+        chosen.append(member_id)
+        if len(chosen) == GRANTER_COUNT:
+            break
+    return tuple(chosen)
