Run deployments as real processes, and load them with open-loop callers

The launcher's exit stack owns every process. Callers draw a Poisson process from a seed, count latency from the intended moment of sending, and check each answer to its last byte.

--- /dev/null
+++ b/tools/launch.py
@@ -0,0 +1,388 @@
+"""Runs a deployment as real processes on loopback.
+
+The launcher's exit stack owns every process that it starts: leaving it ends
+all of them, also frozen ones, by their process ids.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+import types
+from typing import Self
+from typing import TypeVar
+
+import msgspec
+
+from rhubarblead import status
+from tools import deployment
+from tools import http_json
+from tools import processes
+
+START_TIMEOUT_S = 60.0
+_Answer = TypeVar("_Answer")
+_PORTS_PER_INSTANCE = 4
+_POLL_S = 0.1
+_APPLY_TIMEOUT_S = 30.0
+_ACCEPTED = frozenset({200, 204})
+
+
+class PlatformMode(
+    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True
+):
+    """Which fault the platform stand-in shows, and towards whom."""
+
+    mode: str
+    delay_ms: int = 0
+    count: int | None = None
+    instances: tuple[str, ...] = ()
+
+
+STORE_UP = PlatformMode(mode="up")
+
+
+class CannotApply(Exception):
+    """The operators' tables were not accepted."""
+
+
+class Launcher:
+    """The processes of one deployment.
+
+    `nodes` and `upstreams` are by instance name. Files of a run (settings,
+    logs, records) are in `folder`.
+    """
+
+    def __init__(
+        self,
+        *,
+        described: deployment.Deployment,
+        folder: pathlib.Path | None = None,
+    ) -> None:
+        self._described = described
+        self._given_folder = folder
+        self._stack = contextlib.ExitStack()
+        self.nodes: dict[str, processes.Process] = {}
+        self.upstreams: dict[str, processes.Process] = {}
+
+    def __enter__(self) -> Self:
+        with contextlib.ExitStack() as stack:
+            self.folder = self._open_folder(stack)
+            self.deployment, upstream_ports = self._assign_ports()
+            self._define(stack, upstream_ports)
+            self._stack = stack.pop_all()
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        self._stack.close()
+
+    def start(self) -> None:
+        """Starts everything, and waits until every key is served.
+
+        Raises:
+            processes.CannotStart: It did not get ready in time.
+        """
+        self.platform.start()
+        self._wait("the platform", self._is_platform_ready)
+        for process in (*self.nodes.values(), *self.upstreams.values()):
+            process.start()
+        self._wait("the nodes", self._are_nodes_ready)
+        self.apply_tables(self.folder / "tables.json", author="launcher")
+        self._wait("the shards", self.is_settled)
+
+    def apply_tables(self, path: pathlib.Path, *, author: str) -> str:
+        """Applies tables as an operator does.
+
+        Args:
+            path: The file with both tables.
+            author: Who is recorded as the author.
+
+        Returns:
+            What the command printed.
+
+        Raises:
+            CannotApply: The command refused.
+        """
+        done = subprocess.run(
+            self.write_apply_command(path, author=author),
+            capture_output=True,
+            text=True,
+            timeout=_APPLY_TIMEOUT_S,
+            check=False,
+        )
+        if done.returncode:
+            raise CannotApply(done.stdout + done.stderr)
+        return done.stdout
+
+    def write_apply_command(
+        self, path: pathlib.Path, *, author: str
+    ) -> list[str]:
+        """Writes the command line with which an operator applies tables."""
+        return [
+            sys.executable,
+            "-m",
+            "rhubarblead",
+            "tables",
+            "apply",
+            str(path),
+            "--platform",
+            self.platform_authority,
+            "--author",
+            author,
+            "--comment",
+            "by a development tool",
+        ]
+
+    def set_platform_mode(self, mode: PlatformMode) -> None:
+        """Brings about or ends a fault of the platform."""
+        body = msgspec.json.encode(mode)
+        answer = http_json.exchange(
+            self.platform_authority, "PUT", "/-/mode", body=body
+        )
+        if answer.status not in _ACCEPTED:
+            raise http_json.CannotReach(f"PUT /-/mode: {answer.status}")
+
+    def find_authority(self, instance: str) -> str:
+        """Finds where a node serves HTTP, as `ip:port`."""
+        found = self.deployment.find_instance(instance)
+        return f"{found.ip_address}:{found.http_port}"
+
+    def list_authorities(self) -> list[str]:
+        """Lists where the nodes serve HTTP, in the order of the instances."""
+        return [self.find_authority(name) for name in self.nodes]
+
+    def find_instance_at(self, authority: str) -> str:
+        """Finds the instance whose node serves HTTP somewhere."""
+        for name in self.nodes:
+            if self.find_authority(name) == authority:
+                return name
+        return ""
+
+    def read_status(self, instance: str) -> status.Status:
+        """Asks a node what is in force on it.
+
+        Raises:
+            http_json.CannotReach: There was no such answer.
+        """
+        return self._read(instance, "/-/status", status.Status)
+
+    def read_map(self, instance: str, pool: str) -> status.ShardMap:
+        """Asks a node who owns the shards of a pool.
+
+        Raises:
+            http_json.CannotReach: There was no such answer.
+        """
+        return self._read(instance, f"/-/map?pool={pool}", status.ShardMap)
+
+    def read_owners(self, instance: str, pool: str) -> list[str]:
+        """Lists the owner of each shard as one node sees it.
+
+        Args:
+            instance: The node to ask.
+            pool: A keyed pool.
+
+        Returns:
+            Instance names by shard, empty where nobody owns the shard.
+
+        Raises:
+            http_json.CannotReach: There was no such answer.
+        """
+        found = self.read_map(instance, pool)
+        names = [self.find_instance_at(node) for node in found.nodes]
+        return [names[owner] if owner >= 0 else "" for owner in found.owners]
+
+    def list_record_paths(self) -> list[pathlib.Path]:
+        """Lists the record files of the upstreams."""
+        return [self._find_record_path(name) for name in self.upstreams]
+
+    def is_settled(self) -> bool:
+        """Tells whether all running nodes agree and every key has an owner."""
+        running = [
+            name for name, process in self.nodes.items() if process.is_running()
+        ]
+        keyed = [
+            pool.name
+            for pool in self.deployment.operators_tables.pools
+            if pool.kind == "keyed"
+        ]
+        try:
+            for pool in keyed:
+                maps = [self.read_owners(name, pool) for name in running]
+                if not maps[0] or "" in maps[0]:
+                    return False
+                if any(other != maps[0] for other in maps):
+                    return False
+                if not set(maps[0]) <= set(running):
+                    return False
+            return all(self._is_serving(name) for name in running)
+        except http_json.CannotReach:
+            return False
+
+    def wait_until_settled(self, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Waits for `is_settled`.
+
+        Raises:
+            processes.CannotStart: It took too long.
+        """
+        self._wait("the shards", self.is_settled, timeout_s)
+
+    def _is_serving(self, instance: str) -> bool:
+        found = self.read_status(instance)
+        is_beside_upstream = self.upstreams[instance].is_running()
+        return found.tables_revision > 0 and (
+            not is_beside_upstream or found.upstream.state == "serving"
+        )
+
+    def _read(self, instance: str, target: str, kind: type[_Answer]) -> _Answer:
+        answer = http_json.exchange(
+            self.find_authority(instance), "GET", target
+        )
+        try:
+            return status.decode(answer.body, kind)
+        except msgspec.DecodeError as error:
+            raise http_json.CannotReach(
+                f"{instance} {target}: {answer.status} {error}"
+            ) from error
+
+    def _open_folder(self, stack: contextlib.ExitStack) -> pathlib.Path:
+        if self._given_folder is not None:
+            self._given_folder.mkdir(parents=True, exist_ok=True)
+            return self._given_folder
+        return pathlib.Path(
+            stack.enter_context(
+                tempfile.TemporaryDirectory(prefix="rhubarblead-")
+            )
+        )
+
+    def _assign_ports(self) -> tuple[deployment.Deployment, Iterator[int]]:
+        count = len(self._described.instances)
+        ports = processes.list_free_ports(1 + _PORTS_PER_INSTANCE * count)
+        platform_port = next(ports)
+        self.platform_authority = f"{processes.LOOPBACK}:{platform_port}"
+        placed = deployment.assign_ports(
+            self._described, platform_port=platform_port, ports=ports
+        )
+        return placed, ports
+
+    def _define(
+        self, stack: contextlib.ExitStack, upstream_ports: Iterator[int]
+    ) -> None:
+        self.platform = self._own(
+            stack,
+            "platform",
+            processes.Role.PLATFORM,
+            "tools.standins.platform",
+            "--port",
+            self.platform_authority.rpartition(":")[2],
+        )
+        (self.folder / "tables.json").write_text(
+            self.deployment.operators_tables.model_dump_json(indent=2),
+            encoding="utf-8",
+        )
+        for instance in self.deployment.instances:
+            name = instance.instance
+            path = self.folder / f"settings-{name}.json"
+            path.write_text(
+                instance.model_dump_json(indent=2, exclude_none=True),
+                encoding="utf-8",
+            )
+            self.nodes[name] = self._own(
+                stack,
+                name,
+                processes.Role.NODE,
+                "rhubarblead",
+                "node",
+                "--settings",
+                str(path),
+            )
+            self.upstreams[name] = self._define_upstream(
+                stack, name, next(upstream_ports)
+            )
+
+    def _define_upstream(
+        self, stack: contextlib.ExitStack, name: str, port: int
+    ) -> processes.Process:
+        pool = self.deployment.pool_of(name)
+        return self._own(
+            stack,
+            name,
+            processes.Role.UPSTREAM,
+            "tools.standins.upstream",
+            "--server",
+            name,
+            "--port",
+            str(port),
+            "--node",
+            self.find_authority(name),
+            "--slots",
+            str(pool.slots),
+            "--connections",
+            str(pool.connections),
+            "--fenced" if pool.is_fenced else "--no-fenced",
+            "--records",
+            str(self._find_record_path(name)),
+        )
+
+    def _find_record_path(self, name: str) -> pathlib.Path:
+        return self.folder / f"upstream-{name}.jsonl"
+
+    def _own(
+        self,
+        stack: contextlib.ExitStack,
+        name: str,
+        role: processes.Role,
+        *arguments: str,
+    ) -> processes.Process:
+        process = processes.Process(
+            name=name, role=role, arguments=arguments, folder=self.folder
+        )
+        stack.callback(process.kill)
+        return process
+
+    def _is_platform_ready(self) -> bool:
+        try:
+            http_json.exchange(self.platform_authority, "GET", "/-/counts")
+        except http_json.CannotReach:
+            return False
+        return True
+
+    def _are_nodes_ready(self) -> bool:
+        try:
+            for name in self.nodes:
+                self.read_status(name)
+        except http_json.CannotReach:
+            return False
+        return True
+
+    def _wait(
+        self,
+        subject: str,
+        is_done: Callable[[], bool],
+        timeout_s: float = START_TIMEOUT_S,
+    ) -> None:
+        deadline_s = time.monotonic() + timeout_s
+        while not is_done():
+            ended = self._find_ended()
+            if ended is not None:
+                raise processes.CannotStart(
+                    f"{ended.role.value} {ended.name} ended:"
+                    f" {ended.read_log_tail()}"
+                )
+            if time.monotonic() > deadline_s:
+                raise processes.CannotStart(
+                    f"{subject} not ready after {timeout_s} s"
+                )
+            time.sleep(_POLL_S)
+
+    def _find_ended(self) -> processes.Process | None:
+        """Finds a process that was started and has ended by itself."""
+        owned = (self.platform, *self.nodes.values(), *self.upstreams.values())
+        return next((p for p in owned if p.has_ended_by_itself()), None)
--- /dev/null
+++ b/tools/load/measure.py
@@ -0,0 +1,173 @@
+"""What a load run measured, worked out from the callers' records."""
+
+import collections
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+from hdrh import histogram
+import msgspec
+
+from tools import records
+
+_NS_PER_US = 1_000
+_US_PER_MS = 1_000
+_US_PER_S = 1_000_000
+_HIGHEST_US = 120 * _US_PER_S
+_DIGITS = 3
+_CURVE_PERCENTILES = (0, 25, 50, 75, 90, 95, 99, 99.5, 99.9, 99.99, 100)
+
+
+class Parameters(msgspec.Struct, frozen=True, kw_only=True):
+    """What a load run was asked for."""
+
+    deployment: str
+    rate_per_s: float
+    seconds: float
+    caller_count: int = 2
+    thread_count: int = 48
+    entry: str = "blind"
+    seed: int = 1
+    post_share: float = 0.2
+    balanced_share: float = 0.3
+    key_count: int = 4096
+    keys_per_shard: int = 0
+    zipf_exponent: float = 0.9
+    hot_count: int = 0
+    hot_share: float = 0.0
+    answer_bytes: int = 256
+    body_bytes: int = 256
+    service_ms: int = 0
+    timeout_ms: int = 4_000
+    resend_count: int = 0
+    fault: str = ""
+    fault_at_s: float = 0.0
+
+
+class Latency(msgspec.Struct, frozen=True, kw_only=True):
+    """Time to right answers, counted from the intended moment of sending."""
+
+    count: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    max_ms: float
+    curve: tuple[tuple[float, float], ...]
+
+
+class RoleUsage(msgspec.Struct, frozen=True, kw_only=True):
+    """What the processes of one role used during the load."""
+
+    process_count: int
+    cpu_s: float
+    cpu_us_per_request: float
+    max_resident_bytes: int
+
+
+class PoolLoad(msgspec.Struct, frozen=True, kw_only=True):
+    """Right answers by server, and the greatest share over the mean."""
+
+    answers_by_server: dict[str, int]
+    imbalance: float
+
+
+class Result(msgspec.Struct, frozen=True, kw_only=True):
+    """All that a load run measured. Counts are of sends."""
+
+    parameters: Parameters
+    revision: str
+    processor_count: int
+    sent_count: int
+    request_count: int
+    correct_count: int
+    asked_per_s: float
+    reached_per_s: float
+    latency: Latency
+    latency_by_work: dict[str, Latency]
+    count_by_status: dict[str, int]
+    count_by_refusal: dict[str, int]
+    count_by_verdict: dict[str, int]
+    count_by_fault: dict[str, int]
+    answer_body_bytes: int
+    usage_by_role: dict[str, RoleUsage]
+    load_by_pool: dict[str, PoolLoad]
+    control: dict[str, float] = msgspec.field(default_factory=dict)
+
+
+def measure_latency(outcomes: Iterable[records.Outcome]) -> Latency:
+    """Measures the latency of the right answers among some outcomes."""
+    values = histogram.HdrHistogram(1, _HIGHEST_US, _DIGITS)
+    for item in outcomes:
+        if item.is_correct:
+            elapsed_us = (item.end_ns - item.intended_ns) // _NS_PER_US
+            values.record_value(max(1, elapsed_us))
+
+    def read(percentile: float) -> float:
+        return float(values.get_value_at_percentile(percentile) / _US_PER_MS)
+
+    return Latency(
+        count=values.get_total_count(),
+        p50_ms=read(50),
+        p99_ms=read(99),
+        p999_ms=read(99.9),
+        max_ms=read(100),
+        curve=tuple((p, read(p)) for p in _CURVE_PERCENTILES),
+    )
+
+
+def measure_pools(
+    outcomes: Iterable[records.Outcome],
+    servers_by_pool: Mapping[str, list[str]],
+) -> dict[str, PoolLoad]:
+    """Counts the right answers by server, also for servers with none."""
+    counts = collections.Counter(
+        (item.pool, item.server) for item in outcomes if item.is_correct
+    )
+    return {
+        pool: _measure_pool({name: counts[pool, name] for name in servers})
+        for pool, servers in servers_by_pool.items()
+    }
+
+
+def _measure_pool(answers: dict[str, int]) -> PoolLoad:
+    mean = sum(answers.values()) / max(1, len(answers))
+    highest = max(answers.values(), default=0)
+    return PoolLoad(
+        answers_by_server=answers,
+        imbalance=round(highest / mean, 3) if mean else 0.0,
+    )
+
+
+def count(values: Iterable[object]) -> dict[str, int]:
+    """Counts values by their text; empty ones are left out."""
+    texts = (str(value) for value in values if value != "")
+    return dict(sorted(collections.Counter(texts).items()))
+
+
+def find_gaps(
+    outcomes: Iterable[records.Outcome], pool: str
+) -> dict[int, tuple[float, int]]:
+    """Finds the longest time without a right answer, for each shard.
+
+    Args:
+        outcomes: What the callers were told.
+        pool: A keyed pool.
+
+    Returns:
+        By shard: the longest gap between two right answers, in ms, and when
+        it began, on the monotonic clock in ns.
+    """
+    ends = collections.defaultdict(list)
+    for item in outcomes:
+        if item.pool == pool and item.is_correct:
+            ends[item.shard].append(item.end_ns)
+    gaps = {}
+    for shard, moments in ends.items():
+        moments.sort()
+        gaps[shard] = max(
+            (
+                ((after - before) / _NS_PER_US / _US_PER_MS, before)
+                for before, after in zip(moments, moments[1:], strict=False)
+            ),
+            default=(0.0, 0),
+        )
+    return gaps
--- /dev/null
+++ b/tools/load/plan.py
@@ -0,0 +1,169 @@
+"""What one caller process is to send, worked out from a seed."""
+
+import bisect
+from collections.abc import Iterator
+import enum
+import itertools
+import random
+
+import msgspec
+
+from rhubarblead import ownership
+
+_NS_PER_S = 1_000_000_000
+
+
+class Entry(enum.Enum):
+    """Which node a caller sends a request to.
+
+    `BLIND` takes any node, so that most requests take one more hop. `LOCAL`
+    takes the owner that an earlier answer named.
+    """
+
+    BLIND = "blind"
+    LOCAL = "local"
+
+
+class Work(msgspec.Struct, frozen=True, kw_only=True):
+    """One kind of request, and its share of all requests.
+
+    `shard_count` is 0 for a balanced pool. `nodes` are the HTTP addresses of
+    the nodes beside the pool's servers.
+    """
+
+    method: str
+    pool: str
+    prefix: str
+    shard_count: int
+    weight: float
+    nodes: tuple[str, ...]
+
+
+class Keys(msgspec.Struct, frozen=True, kw_only=True):
+    """How keys are drawn.
+
+    `hot_share` of the requests go to the first `hot_count` keys, the others to
+    all keys by Zipf's law with `zipf_exponent` (0 makes all equally likely).
+    """
+
+    names: tuple[str, ...]
+    zipf_exponent: float
+    hot_count: int
+    hot_share: float
+
+
+class Plan(msgspec.Struct, frozen=True, kw_only=True):
+    """All that one caller process needs to know.
+
+    `start_ns` is on the machine's monotonic clock. After a send without an
+    answer, or refused as not run, up to `resend_count` further sends follow
+    at other nodes, under the same idempotency key.
+    """
+
+    seed: int
+    caller: int
+    start_ns: int
+    seconds: float
+    rate_per_s: float
+    threads: int
+    entry: Entry
+    nodes: tuple[str, ...]
+    works: tuple[Work, ...]
+    keys: Keys
+    answer_bytes: int
+    body_bytes: int
+    service_ms: int
+    timeout_ms: int
+    resend_count: int
+    log_path: str
+
+
+class Arrival(msgspec.Struct, frozen=True, kw_only=True):
+    """One request to be sent at a moment, in ns after the start."""
+
+    serial: int
+    after_ns: int
+    work: Work
+    key: str
+
+
+def list_arrivals(plan: Plan) -> Iterator[Arrival]:
+    """Draws the requests of one caller: a Poisson process in time.
+
+    Args:
+        plan: The plan; its seed and number decide all.
+
+    Returns:
+        The requests in the order of their moments.
+    """
+    chance = random.Random(f"{plan.seed}/{plan.caller}")
+    weights = [work.weight for work in plan.works]
+    draw = make_key_draw(plan.keys)
+    moment_s = 0.0
+    for serial in itertools.count():
+        moment_s += chance.expovariate(plan.rate_per_s)
+        if moment_s >= plan.seconds:
+            return
+        work = chance.choices(plan.works, weights)[0]
+        yield Arrival(
+            serial=serial,
+            after_ns=int(moment_s * _NS_PER_S),
+            work=work,
+            key=draw.next_key(chance),
+        )
+
+
+class KeyDraw:
+    """Draws keys by their likelihood."""
+
+    __slots__ = ("_cumulated", "_keys")
+
+    def __init__(self, *, keys: Keys, cumulated: list[float]) -> None:
+        self._keys = keys
+        self._cumulated = cumulated
+
+    def next_key(self, chance: random.Random) -> str:
+        """Draws one key."""
+        keys = self._keys
+        if keys.hot_count and chance.random() < keys.hot_share:
+            return keys.names[chance.randrange(keys.hot_count)]
+        at = chance.random() * self._cumulated[-1]
+        return keys.names[bisect.bisect_left(self._cumulated, at)]
+
+
+def make_key_draw(keys: Keys) -> KeyDraw:
+    """Prepares the drawing of keys."""
+    weights = (
+        1.0 / rank**keys.zipf_exponent for rank in range(1, len(keys.names) + 1)
+    )
+    return KeyDraw(keys=keys, cumulated=list(itertools.accumulate(weights)))
+
+
+def list_even_keys(shard_count: int, keys_per_shard: int) -> tuple[str, ...]:
+    """Finds keys of which every shard has equally many.
+
+    Args:
+        shard_count: A power of two.
+        keys_per_shard: How many keys each shard gets.
+
+    Returns:
+        The keys, in the order of their shards.
+    """
+    found: list[list[str]] = [[] for _ in range(shard_count)]
+    missing = shard_count * keys_per_shard
+    for number in itertools.count():
+        if not missing:
+            return tuple(itertools.chain.from_iterable(found))
+        name = f"key-{number:06}"
+        keys = found[find_shard(name, shard_count)]
+        if len(keys) < keys_per_shard:
+            keys.append(name)
+            missing -= 1
+    raise AssertionError("count never ends")
+
+
+def find_shard(key: str, shard_count: int) -> int:
+    """Finds the hashed shard of a key; -1 in a balanced pool."""
+    if not shard_count:
+        return -1
+    return ownership.hash_key(key) & (shard_count - 1)
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -17,6 +17,7 @@
 _PORTS = range(12_000, 20_000)
 _STOP_TIMEOUT_S = 10.0
 _LOG_TAIL_BYTES = 2_000
+_ENDING_SIGNALS = frozenset({signal.SIGKILL, signal.SIGTERM})
 
 
 class Role(enum.Enum):
@@ -46,7 +47,14 @@
     Log files are appended to, so that a restarted process continues them.
     """
 
-    __slots__ = ("_arguments", "_child", "log_path", "name", "role")
+    __slots__ = (
+        "_arguments",
+        "_child",
+        "_is_ending",
+        "log_path",
+        "name",
+        "role",
+    )
 
     def __init__(
         self,
@@ -61,6 +69,7 @@
         self.log_path = folder / f"{role.value}-{name}.log"
         self._arguments = arguments
         self._child: subprocess.Popen[bytes] | None = None
+        self._is_ending = False
 
     @property
     def pid(self) -> int:
@@ -71,6 +80,7 @@
         """Starts the process; a run that is still going is left alone."""
         if self.is_running():
             return
+        self._is_ending = False
         with self.log_path.open("ab") as log:
             self._child = subprocess.Popen(
                 [sys.executable, "-m", *self._arguments],
@@ -89,10 +99,18 @@
         """Tells whether the process runs (a frozen one does)."""
         return self._child is not None and self._child.poll() is None
 
+    def has_ended_by_itself(self) -> bool:
+        """Tells whether the process ended though nobody here ended it."""
+        has_ended = self._child is not None and self._child.poll() is not None
+        return has_ended and not self._is_ending
+
     def send_signal(self, number: signal.Signals) -> None:
         """Sends a signal, unless the process has ended."""
-        if self._child is not None:
-            self._child.send_signal(number)
+        if self._child is None:
+            return
+        if number in _ENDING_SIGNALS:
+            self._is_ending = True
+        self._child.send_signal(number)
 
     def kill(self) -> None:
         """Kills the process and waits for its end."""
