Add the client that sends work to an upstream

Cause: http.client takes malformed framing for good in several places, and spends most of a small request's processor time in the e-mail parser.

Change: an HTTPResponse subclass reads heads and bodies strictly; a connection with a timeout, a surplus byte, a foreign or missing request id or broken framing is closed.

--- /dev/null
+++ b/src/rhubarblead/upstream/__init__.py
@@ -0,0 +1,1 @@
+"""What a node needs to speak with the upstream beside it."""
--- /dev/null
+++ b/src/rhubarblead/upstream/client.py
@@ -0,0 +1,360 @@
+"""The client by which a node sends work to the upstream beside it."""
+
+import contextlib
+import dataclasses
+import http.client
+import time
+
+import result
+
+from rhubarblead import refusal
+from rhubarblead import verdict
+from rhubarblead.upstream import answers
+from rhubarblead.upstream import connections
+from rhubarblead.upstream import headers
+
+CANCEL_TIMEOUT_MS = 250
+CONTROL_PREFIX = "/-/"
+MAX_PROBE_BYTES = 65_536
+
+_NS_PER_MS = 1_000_000
+_REFUSING_STATUSES = frozenset({409, 503})
+_REFUSALS = {
+    "shed": refusal.Refusal.SHED,
+    "draining": refusal.Refusal.DRAINING,
+    "fence": refusal.Refusal.FENCED,
+    "expired": refusal.Refusal.FENCED,
+    "deadline": refusal.Refusal.DEADLINE,
+    "cancelled": refusal.Refusal.CANCELLED,
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamRequest:
+    """A request for the upstream.
+
+    `headers` are passed on but for those of one connection; the client adds
+    request id and deadline. The caller's own `Rhubarb-` headers have to be
+    removed before, as the upstream believes what stands in them.
+    """
+
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    request_id: str
+    timeout_ms: int
+    is_repeatable: bool
+    max_answer_bytes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamAnswer:
+    """A whole answer, whose framing and request id were checked."""
+
+    status: int
+    reason: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamFailure:
+    """Why there is no whole answer, and whether the request may have run.
+
+    `is_crash_suspected` says that the upstream ended the connection while the
+    request was running.
+    """
+
+    verdict: verdict.Verdict
+    refusal: refusal.Refusal
+    explanation: str
+    is_crash_suspected: bool = False
+    retry_after_ms: int = 0
+
+
+class UpstreamClient:
+    """Sends requests to one upstream from many threads.
+
+    An unrepeatable request always gets a fresh connection, so that it is never
+    the one to find out that a kept connection has gone silent.
+    """
+
+    def __init__(self, *, ip_address: str, port: int, connections: int) -> None:
+        self._ip_address = ip_address
+        self._port = port
+        self._authority = f"{ip_address}:{port}"
+        self._pool = _open_pool(ip_address, port, connections)
+
+    def send(
+        self, request: UpstreamRequest
+    ) -> result.Result[UpstreamAnswer, UpstreamFailure]:
+        """Sends a request and reads its whole answer.
+
+        Args:
+            request: The request; its time counts from now.
+
+        Returns:
+            The answer, or the failure with its verdict.
+        """
+        deadline_ns = time.monotonic_ns() + request.timeout_ms * _NS_PER_MS
+        try:
+            if not request.is_repeatable:
+                return self._send_fresh(request, deadline_ns)
+            kept = self._pool.take()
+            if kept is None:
+                return self._send_fresh(request, deadline_ns)
+            return self._send_kept(request, kept, deadline_ns)
+        except headers.CannotWrite as error:
+            return result.Err(
+                _fail_unsent(refusal.Refusal.MALFORMED, str(error))
+            )
+
+    def cancel(self, request_id: str) -> bool:
+        """Tells the upstream that the caller of a request has gone.
+
+        Args:
+            request_id: The request that was sent.
+
+        Returns:
+            Whether the upstream took the message.
+        """
+        sent = self.send(
+            UpstreamRequest(
+                method="POST",
+                target="/-/cancel",
+                headers=(),
+                body=b"",
+                request_id=request_id,
+                timeout_ms=CANCEL_TIMEOUT_MS,
+                is_repeatable=False,
+                max_answer_bytes=MAX_PROBE_BYTES,
+            )
+        )
+        return sent.is_ok()
+
+    def probe(
+        self, path: str, timeout_ms: int
+    ) -> result.Result[bytes, UpstreamFailure]:
+        """Reads a report of the upstream, on a fresh connection.
+
+        Args:
+            path: `/-/health` or `/-/load`.
+            timeout_ms: How long to wait.
+
+        Returns:
+            The body of the report, or the failure.
+        """
+        sent = self.send(
+            UpstreamRequest(
+                method="GET",
+                target=path,
+                headers=(),
+                body=b"",
+                request_id="",
+                timeout_ms=timeout_ms,
+                is_repeatable=False,
+                max_answer_bytes=MAX_PROBE_BYTES,
+            )
+        )
+        return sent.map(lambda answer: answer.body)
+
+    def close_idle(self) -> None:
+        """Closes the idle connections; later ones are kept again."""
+        self._pool.discard_idle()
+
+    def close(self) -> None:
+        """Closes idle connections now, and the others after their answer."""
+        self._pool.close()
+
+    def _send_fresh(
+        self, request: UpstreamRequest, deadline_ns: int
+    ) -> result.Result[UpstreamAnswer, UpstreamFailure]:
+        try:
+            connection = self._pool.open(deadline_ns)
+        except connections.CannotConnect as error:
+            return result.Err(
+                _fail_unsent(refusal.Refusal.UPSTREAM_FAILED, str(error))
+            )
+        except connections.NoConnectionLeft as error:
+            return result.Err(
+                _fail_unsent(refusal.Refusal.OVERLOADED, str(error))
+            )
+        return self._exchange(request, connection, deadline_ns, deadline_ns)
+
+    def _send_kept(
+        self,
+        request: UpstreamRequest,
+        connection: connections.Connection,
+        deadline_ns: int,
+    ) -> result.Result[UpstreamAnswer, UpstreamFailure]:
+        # Half of the time is kept for a second try, in case that this
+        # connection has gone silent.
+        now_ns = time.monotonic_ns()
+        first_byte_ns = now_ns + (deadline_ns - now_ns) // 2
+        first = self._exchange(request, connection, first_byte_ns, deadline_ns)
+        if first.is_ok() or connection.has_received:
+            return first
+        self._pool.discard_idle()
+        second = self._send_fresh(request, deadline_ns)
+        return second.map_err(lambda failure: _join(first, failure))
+
+    def _exchange(
+        self,
+        request: UpstreamRequest,
+        connection: connections.Connection,
+        first_byte_ns: int,
+        deadline_ns: int,
+    ) -> result.Result[UpstreamAnswer, UpstreamFailure]:
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._pool.discard, connection)
+            remaining_ms = (deadline_ns - time.monotonic_ns()) // _NS_PER_MS
+            if remaining_ms <= 0:
+                return result.Err(
+                    _fail_unsent(refusal.Refusal.DEADLINE, "the time is over")
+                )
+            head = self._write_head(request, remaining_ms)
+            try:
+                connection.send(head, request.body, first_byte_ns)
+                answer = connection.open_answer(
+                    request.method, first_byte_ns, deadline_ns
+                )
+                body = answer.read_whole(request.max_answer_bytes)
+            except (
+                OSError,
+                http.client.HTTPException,
+                headers.CannotRead,
+                answers.AnswerTooLarge,
+            ) as error:
+                return result.Err(_explain(error))
+            checked = _check(request, answer, body)
+            if _is_echoed(request, answer) and not answer.will_close:
+                stack.pop_all()
+                self._pool.give_back(connection)
+            return checked
+
+    def _write_head(self, request: UpstreamRequest, remaining_ms: int) -> bytes:
+        return headers.write_head(
+            method=request.method,
+            target=request.target,
+            authority=self._authority,
+            headers=request.headers,
+            request_id=request.request_id,
+            remaining_ms=remaining_ms,
+            body_size=len(request.body),
+        )
+
+
+def _open_pool(
+    ip_address: str, port: int, capacity: int
+) -> connections.ConnectionPool:
+    return connections.ConnectionPool(
+        ip_address=ip_address, port=port, capacity=capacity
+    )
+
+
+def _is_echoed(request: UpstreamRequest, answer: answers.Answer) -> bool:
+    """Tells whether an answer names the request that it belongs to.
+
+    Reports and cancellations aren't work and need no echo; they never use a
+    kept connection.
+    """
+    is_control = request.target.startswith(CONTROL_PREFIX)
+    return is_control or answer.fields.request_id == request.request_id
+
+
+def _check(
+    request: UpstreamRequest, answer: answers.Answer, body: bytes
+) -> result.Result[UpstreamAnswer, UpstreamFailure]:
+    fields = answer.fields
+    if not _is_echoed(request, answer):
+        return result.Err(
+            _fail_sent(
+                refusal.Refusal.ANSWER_BROKEN,
+                "the answer does not echo the request id",
+            )
+        )
+    if fields.refused and answer.status in _REFUSING_STATUSES:
+        return result.Err(_read_refusal(fields))
+    return result.Ok(
+        UpstreamAnswer(
+            status=answer.status,
+            reason=answer.reason,
+            headers=fields.passed,
+            body=body,
+        )
+    )
+
+
+def _read_refusal(fields: headers.AnswerHead) -> UpstreamFailure:
+    known = _REFUSALS.get(fields.refused)
+    if known is None:
+        return _fail_sent(
+            refusal.Refusal.UPSTREAM_FAILED,
+            f"the upstream refused for an unknown reason {fields.refused!r}",
+        )
+    return UpstreamFailure(
+        verdict=verdict.Verdict.NOT_RUN,
+        refusal=known,
+        explanation=f"the upstream refused: {fields.refused}",
+        retry_after_ms=fields.retry_after_ms,
+    )
+
+
+def _explain(error: Exception) -> UpstreamFailure:
+    match error:
+        case TimeoutError():
+            return _fail_sent(refusal.Refusal.DEADLINE, "no answer in time")
+        case answers.AnswerTooLarge():
+            return _fail_sent(
+                refusal.Refusal.ANSWER_TOO_LARGE, f"the answer has {error}"
+            )
+        case (
+            http.client.IncompleteRead()
+            | http.client.RemoteDisconnected()
+            | OSError()
+        ):
+            return _fail_sent(
+                refusal.Refusal.UPSTREAM_FAILED,
+                f"the connection ended: {error}",
+                is_crash_suspected=True,
+            )
+        case _:
+            return _fail_sent(refusal.Refusal.ANSWER_BROKEN, str(error))
+
+
+def _fail_unsent(reason: refusal.Refusal, explanation: str) -> UpstreamFailure:
+    return UpstreamFailure(
+        verdict=verdict.Verdict.NOT_RUN,
+        refusal=reason,
+        explanation=explanation,
+    )
+
+
+def _fail_sent(
+    reason: refusal.Refusal,
+    explanation: str,
+    *,
+    is_crash_suspected: bool = False,
+) -> UpstreamFailure:
+    return UpstreamFailure(
+        verdict=verdict.Verdict.MAY_HAVE_RUN,
+        refusal=reason,
+        explanation=explanation,
+        is_crash_suspected=is_crash_suspected,
+    )
+
+
+def _join(
+    first: result.Result[UpstreamAnswer, UpstreamFailure],
+    second: UpstreamFailure,
+) -> UpstreamFailure:
+    """Joins the failures of both tries of one request."""
+    earlier = first.unwrap_err()
+    return dataclasses.replace(
+        second,
+        verdict=verdict.join_verdicts(earlier.verdict, second.verdict),
+        is_crash_suspected=(
+            earlier.is_crash_suspected or second.is_crash_suspected
+        ),
+    )
--- /dev/null
+++ b/tests/steps/upstream_client.py
@@ -0,0 +1,416 @@
+"""Steps for the upstream client, against the stand-in and scripted sockets."""
+
+from collections.abc import Iterator
+import concurrent.futures
+import contextlib
+import http.client
+import itertools
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+import behave
+from behave import runner
+import result
+import xxhash
+
+from rhubarblead import clock
+from rhubarblead.upstream import client
+
+TIMEOUT_MS = 400
+SLOTS = 2
+FIRST_FENCE = 5
+SHARD = 7
+MAX_ANSWER_BYTES = 1_000
+START_TRIES = 500
+
+_ids = itertools.count()
+
+
+class StandIn:
+    """The process of one stand-in upstream."""
+
+    def __init__(self) -> None:
+        handle, name = tempfile.mkstemp(suffix=".jsonl")
+        os.close(handle)
+        self.records = pathlib.Path(name)
+        self.port = find_port()
+        self.process = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "tools.standins.upstream",
+                "--server=dispatch-1",
+                f"--port={self.port}",
+                f"--slots={SLOTS}",
+                f"--records={self.records}",
+            ]
+        )
+
+    def stop(self) -> None:
+        """Ends the process, also when it is frozen."""
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGCONT)
+            self.process.kill()
+        self.process.wait()
+        self.records.unlink(missing_ok=True)
+
+    def count_commits(self, request_id: str) -> int:
+        """Counts the runs of a request that took effect."""
+        runs = map(json.loads, self.records.read_text().splitlines())
+        return sum(
+            run["request_id"] == request_id and run["is_committed"]
+            for run in runs
+        )
+
+    def wait_for_run(self, upstream: client.UpstreamClient) -> None:
+        """Waits until the process runs something."""
+        for _ in range(START_TRIES):
+            report = upstream.probe("/-/load", TIMEOUT_MS)
+            if report.is_ok() and json.loads(report.unwrap())["in_flight"]:
+                return
+            time.sleep(0.01)
+        raise AssertionError("nothing runs")
+
+
+class Script:
+    """A server whose connections send given bytes after each request."""
+
+    def __init__(
+        self, connections: list[list[bytes]], *, is_dripping: bool = False
+    ) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        self.seen_count = 0
+        self._connections = connections
+        self._is_dripping = is_dripping
+        threading.Thread(target=self._serve, daemon=True).start()
+
+    def _serve(self) -> None:
+        for replies in self._connections:
+            with contextlib.suppress(OSError):
+                connection, _ = self.listener.accept()
+                self.seen_count += 1
+                with connection:
+                    self._reply(connection, replies)
+
+    def _reply(self, connection: socket.socket, replies: list[bytes]) -> None:
+        for reply in replies:
+            text = connection.recv(65_536)
+            request_id = _find_request_id(text)
+            for part in self._split(reply.replace(b"ID", request_id)):
+                connection.sendall(part)
+
+    def _split(self, reply: bytes) -> Iterator[bytes]:
+        if not self._is_dripping:
+            yield reply
+            return
+        for value in reply:
+            time.sleep(0.02)
+            yield bytes([value])
+
+
+def find_port() -> int:
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        return int(listener.getsockname()[1])
+
+
+def _find_request_id(text: bytes) -> bytes:
+    for line in text.split(b"\r\n"):
+        if line.startswith(b"Rhubarb-Request-Id"):
+            return line
+    return b""
+
+
+def unfold(text: str) -> bytes:
+    return text.replace("~", "\r\n").encode()
+
+
+def make_request(
+    *,
+    method: str = "POST",
+    target: str = "/confirm",
+    headers: tuple[tuple[str, str], ...] = (),
+    is_repeatable: bool = False,
+    timeout_ms: int = TIMEOUT_MS,
+) -> client.UpstreamRequest:
+    return client.UpstreamRequest(
+        method=method,
+        target=target,
+        headers=headers,
+        body=b"drop",
+        request_id=f"request-{next(_ids)}",
+        timeout_ms=timeout_ms,
+        is_repeatable=is_repeatable,
+        max_answer_bytes=MAX_ANSWER_BYTES,
+    )
+
+
+def send(context: runner.Context, request: client.UpstreamRequest) -> None:
+    context.request = request
+    context.outcome = context.client.send(request)
+
+
+def send_aside(
+    context: runner.Context, request: client.UpstreamRequest
+) -> "concurrent.futures.Future[result.Result[object, object]]":
+    executor = concurrent.futures.ThreadPoolExecutor(SLOTS)
+    context.add_cleanup(executor.shutdown)
+    return executor.submit(context.client.send, request)
+
+
+def open_client(context: runner.Context, port: int, count: int = 10) -> None:
+    context.client = client.UpstreamClient(
+        ip_address="127.0.0.1", port=port, connections=count
+    )
+    context.add_cleanup(context.client.close)
+
+
+@behave.given("a stand-in upstream")
+def start_stand_in(context: runner.Context) -> None:
+    context.stand_in = StandIn()
+    context.add_cleanup(context.stand_in.stop)
+    open_client(context, context.stand_in.port)
+    for _ in range(START_TRIES):
+        if context.client.probe("/-/health", TIMEOUT_MS).is_ok():
+            break
+        time.sleep(0.01)
+    grant = (("Rhubarb-Shard", str(SHARD)), ("Rhubarb-Fence", str(FIRST_FENCE)))
+    assert context.client.send(make_request(headers=grant)).is_ok()
+
+
+@behave.given('an upstream that answers with "{text}"')
+def start_script(context: runner.Context, text: str) -> None:
+    start(context, Script([[unfold(text)]]))
+
+
+@behave.given('an upstream that drips "{text}" one byte at a time')
+def start_dripping(context: runner.Context, text: str) -> None:
+    start(context, Script([[unfold(text)]], is_dripping=True))
+
+
+@behave.given(
+    "an upstream that ends its first connection at the second request"
+)
+def start_ending(context: runner.Context) -> None:
+    good = unfold("HTTP/1.1 200 OK~ID~Content-Length: 4~~body")
+    start(context, Script([[good, b""], [good]]))
+
+
+def start(context: runner.Context, script: Script) -> None:
+    context.script = script
+    context.add_cleanup(script.listener.close)
+    open_client(context, script.port)
+
+
+@behave.given("no upstream")
+def start_nothing(context: runner.Context) -> None:
+    open_client(context, find_port())
+
+
+@behave.given("the client kept connections that went silent")
+def silence(context: runner.Context) -> None:
+    for _ in range(2):
+        send(context, make_request(is_repeatable=True))
+    body = json.dumps({"is_black_holing": True})
+    connection = http.client.HTTPConnection("127.0.0.1", context.stand_in.port)
+    with contextlib.closing(connection):
+        connection.request("PUT", "/-/mode", body)
+        assert connection.getresponse().status == http.HTTPStatus.NO_CONTENT
+
+
+@behave.when(
+    'the client sends a request with {kind}, fault "{fault}" and headers'
+    ' "{headers}"'
+)
+@behave.when(
+    'the client sends a request with {kind}, fault "" and headers "{headers}"'
+)
+@behave.when(
+    'the client sends a request with {kind}, fault "{fault}" and headers ""'
+)
+@behave.when('the client sends a request with {kind}, fault "" and headers ""')
+def send_fault(
+    context: runner.Context, kind: str, fault: str = "", headers: str = ""
+) -> None:
+    pairs = [tuple(pair.split(":")) for pair in headers.split()]
+    if fault:
+        pairs.append(("Standin-Fault", fault))
+    request = make_request(
+        headers=tuple((name, value) for name, value in pairs),
+        is_repeatable=kind == "repeatable",
+    )
+    send(context, request)
+
+
+@behave.when("the client sends a request to it")
+def send_plain(context: runner.Context) -> None:
+    send(context, make_request())
+
+
+@behave.when("the client sends {count:d} repeatable requests to it")
+def send_repeatable(context: runner.Context, count: int) -> None:
+    for _ in range(count):
+        send(context, make_request(is_repeatable=True))
+
+
+@behave.when(
+    'the client sends {method} "{target}" with the header value "{value}"'
+)
+def send_malformed(
+    context: runner.Context, method: str, target: str, value: str
+) -> None:
+    request = make_request(
+        method=method.replace("~", "\r\n"),
+        target=target.replace("~", "\r\n"),
+        headers=(("Depot", value.replace("~", "\r\n")),),
+    )
+    send(context, request)
+
+
+@behave.when(
+    "a request waits in the stand-in's socket until its grant has expired"
+)
+def send_frozen(context: runner.Context) -> None:
+    context.stand_in.process.send_signal(signal.SIGSTOP)
+    expires_ms = clock.read_monotonic_ms() + 50
+    context.request = make_request(
+        headers=(
+            ("Rhubarb-Shard", str(SHARD)),
+            ("Rhubarb-Fence", str(FIRST_FENCE)),
+            ("Rhubarb-Expires-Ms", str(expires_ms)),
+        ),
+        timeout_ms=5_000,
+    )
+    sent = send_aside(context, context.request)
+    while clock.read_monotonic_ms() <= expires_ms:
+        time.sleep(0.01)
+    context.stand_in.process.send_signal(signal.SIGCONT)
+    context.outcome = sent.result()
+
+
+def start_run(
+    context: runner.Context, service_ms: int
+) -> "concurrent.futures.Future[result.Result[object, object]]":
+    request = make_request(
+        headers=(("Standin-Service-Ms", str(service_ms)),), timeout_ms=9_000
+    )
+    running = send_aside(context, request)
+    context.stand_in.wait_for_run(context.client)
+    context.request = request
+    return running
+
+
+@behave.when("a running request is cancelled")
+def cancel(context: runner.Context) -> None:
+    running = start_run(context, 8_000)
+    assert context.client.cancel(context.request.request_id)
+    context.outcome = running.result()
+
+
+@behave.when("a request meets a stand-in whose slots are taken")
+def send_beyond_slots(context: runner.Context) -> None:
+    running = [start_run(context, 8_000) for _ in range(SLOTS)]
+    for _ in range(START_TRIES):
+        load = json.loads(context.client.probe("/-/load", TIMEOUT_MS).unwrap())
+        if load["in_flight"] == SLOTS:
+            break
+        time.sleep(0.01)
+    send(context, make_request())
+    context.stand_in.stop()
+    assert all(run.result().is_err() for run in running)
+
+
+@behave.when("a request meets a stand-in that drains with one run in progress")
+def send_to_draining(context: runner.Context) -> None:
+    context.running = start_run(context, 500)
+    context.stand_in.process.terminate()
+    for _ in range(START_TRIES):
+        health = context.client.probe("/-/health", TIMEOUT_MS).unwrap()
+        if json.loads(health)["state"] == "draining":
+            break
+    send(context, make_request())
+
+
+@behave.when("a request is sent while the client's only connection is in use")
+def send_beyond_connections(context: runner.Context) -> None:
+    watcher = context.client
+    open_client(context, context.stand_in.port, count=1)
+    request = make_request(
+        headers=(("Standin-Service-Ms", "8000"),), timeout_ms=9_000
+    )
+    send_aside(context, request)
+    context.stand_in.wait_for_run(watcher)
+    send(context, make_request())
+    watcher.cancel(request.request_id)
+
+
+@behave.then('the client reports "{outcome}" and verdict "{verdict}"')
+def check_outcome(context: runner.Context, outcome: str, verdict: str) -> None:
+    if outcome == "answered":
+        answer = context.outcome.unwrap()
+        document = json.loads(answer.body)
+        assert document["digest"] == xxhash.xxh3_64_hexdigest(b"drop")
+        assert verdict == "ran"
+        return
+    failure = context.outcome.unwrap_err()
+    found = (failure.refusal.value, failure.verdict.value)
+    assert found == (outcome, verdict), failure
+
+
+@behave.then("the client suspects a crash: {answer}")
+def check_crash(context: runner.Context, answer: str) -> None:
+    outcome = context.outcome
+    is_suspected = outcome.is_err() and outcome.err_value.is_crash_suspected
+    assert is_suspected == (answer == "yes"), outcome
+
+
+@behave.then("the stand-in committed the request {count:d} times")
+def check_commits(context: runner.Context, count: int) -> None:
+    found = context.stand_in.count_commits(context.request.request_id)
+    assert found == count, found
+
+
+@behave.then("the next answer of the stand-in is whole")
+def check_next(context: runner.Context) -> None:
+    if context.stand_in.process.poll() is not None:
+        return
+    request = make_request(
+        method="GET", target="/map?bytes=900", is_repeatable=True
+    )
+    answer = context.client.send(request).unwrap()
+    digest = dict(answer.headers)["Standin-Digest"]
+    assert digest == xxhash.xxh3_64_hexdigest(answer.body)
+    assert len(answer.body) == 900
+
+
+@behave.then('the client has the answer "{body}"')
+def check_body(context: runner.Context, body: str) -> None:
+    assert context.outcome.unwrap().body == body.encode()
+
+
+@behave.then("the upstream saw {count:d} connections")
+def check_connections(context: runner.Context, count: int) -> None:
+    assert context.script.seen_count == count
+
+
+@behave.then("the client is told to come back after {retry_after_ms:d} ms")
+def check_retry_after(context: runner.Context, retry_after_ms: int) -> None:
+    assert context.outcome.unwrap_err().retry_after_ms == retry_after_ms
+
+
+@behave.then("the run in progress was answered")
+def check_running(context: runner.Context) -> None:
+    assert context.running.result().is_ok()
+
+
+@behave.then("the stand-in has exited")
+def check_exited(context: runner.Context) -> None:
+    assert context.stand_in.process.wait(5) == 0
