Add the command line and the time line of all processes

Operators had no way to see what is in force on every node. The commands ask any node for the members and then all nodes at the same time; exit codes tell scripts of bad input (2), silence (4) and nodes that lag (6). A command runs only when the whole command line was understood, so that a mistyped flag after `drain` drains nothing. Owners of a key over time follow the store's revisions. Missing processes and events that were dropped show as gaps.

--- /dev/null
+++ b/src/rhubarblead/events/filters.py
@@ -0,0 +1,95 @@
+"""Which events of a time line are wanted, also as a query of a URL."""
+
+from collections.abc import Mapping
+import dataclasses
+from typing import Any
+import urllib.parse
+
+import result
+
+from rhubarblead.events import record
+from rhubarblead.events import shards
+
+_NUMBERS = frozenset({"shard", "since_ms", "until_ms", "limit"})
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Filter:
+    """Which events are wanted; None means all.
+
+    With `pool` and `shard`, events about that shard are wanted besides those
+    about `key`. `since_ms` and `until_ms` are compared with the wall time of
+    the process that reported the event. `limit` bounds the answer to the
+    newest events; 0 means no bound.
+    """
+
+    key: str | None = None
+    pool: str | None = None
+    shard: int | None = None
+    request_id: str | None = None
+    instance: str | None = None
+    since_ms: int | None = None
+    until_ms: int | None = None
+    limit: int = 0
+
+    def is_wanted(self, item: record.Record) -> bool:
+        """Tells whether a record passes the filter, `limit` aside."""
+        return (
+            self._is_in_time(item)
+            and self.instance in (None, item.instance)
+            and self.request_id in (None, item.fields.get("request_id"))
+            and self._is_about_key(item)
+        )
+
+    def select(self, records: list[record.Record]) -> list[record.Record]:
+        """Selects the wanted records, at most the newest `limit`."""
+        wanted = [item for item in records if self.is_wanted(item)]
+        return wanted[-self.limit :] if self.limit else wanted
+
+    def format_query(self) -> str:
+        """Writes the filter as the query of a URL."""
+        return format_pairs(dataclasses.asdict(self))
+
+    def _is_in_time(self, item: record.Record) -> bool:
+        if self.since_ms is not None and item.wall_ms < self.since_ms:
+            return False
+        return self.until_ms is None or item.wall_ms <= self.until_ms
+
+    def _is_about_key(self, item: record.Record) -> bool:
+        if self.key is None and self.shard is None:
+            return self.pool in (None, item.fields.get("pool"))
+        if self.key is not None and item.fields.get("key") == self.key:
+            return True
+        if self.shard is None or item.fields.get("pool") != self.pool:
+            return False
+        return shards.has_shard(item.fields.get("shards"), self.shard)
+
+
+def format_pairs(pairs: Mapping[str, str | int | None]) -> str:
+    """Writes the query of a URL, without the pairs that have no value."""
+    return urllib.parse.urlencode(
+        {n: v for n, v in pairs.items() if v is not None and v != ""}
+    )
+
+
+def read_filter(query: str) -> result.Result[Filter, str]:
+    """Reads the query of a URL.
+
+    Args:
+        query: What `Filter.format_query` returned, or a person wrote.
+
+    Returns:
+        The filter, or what is wrong with the query.
+    """
+    names = {field.name for field in dataclasses.fields(Filter)}
+    given: dict[str, Any] = {}
+    for name, value in urllib.parse.parse_qsl(query):
+        if name not in names:
+            return result.Err(f"no filter is named {name!r}")
+        if name not in _NUMBERS:
+            given[name] = value
+        elif value.isdecimal():
+            given[name] = int(value)
+        else:
+            return result.Err(f"{name} must be a whole number, not {value!r}")
+    return result.Ok(Filter(**given))
--- a/src/rhubarblead/events/log.py
+++ b/src/rhubarblead/events/log.py
@@ -2,8 +2,6 @@
 
 import collections
 from collections.abc import Callable
-from collections.abc import Iterable
-import dataclasses
 import logging
 import sys
 import threading
@@ -13,6 +11,7 @@
 
 from rhubarblead import clock
 from rhubarblead.events import catalog
+from rhubarblead.events import filters
 from rhubarblead.events import record
 
 LOGGER_NAME = "rhubarblead"
@@ -21,34 +20,7 @@
 _Row: TypeAlias = tuple[catalog.Event, int, int, int, int, _Fields]
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Filter:
-    """Which events of a time line are wanted; None means all.
-
-    `since_ms` and `until_ms` are compared with the wall time of the process
-    that reported the event.
-    """
-
-    key: str | None = None
-    request_id: str | None = None
-    since_ms: int | None = None
-    until_ms: int | None = None
-
-    def is_wanted(self, item: record.Record) -> bool:
-        """Tells whether a record passes the filter."""
-        if self.since_ms is not None and item.wall_ms < self.since_ms:
-            return False
-        if self.until_ms is not None and item.wall_ms > self.until_ms:
-            return False
-        if self.key is not None and item.fields.get("key") != self.key:
-            return False
-        return (
-            self.request_id is None
-            or item.fields.get("request_id") == self.request_id
-        )
-
-
-_ALL = Filter()
+_ALL = filters.Filter()
 
 
 class EventLog:
@@ -138,12 +110,12 @@
         with self._lock:
             self._lamport = max(self._lamport, lamport)
 
-    def list_events(self, wanted: Filter = _ALL) -> list[record.Record]:
+    def list_events(self, wanted: filters.Filter = _ALL) -> list[record.Record]:
         """Lists the kept events that pass a filter, oldest first."""
         with self._lock:
             rows = [*self._requests, *self._others]
-        records = (self._make_record(row) for row in sorted(rows, key=_order))
-        return [item for item in records if wanted.is_wanted(item)]
+        rows.sort(key=_get_sequence)
+        return wanted.select([self._make_record(row) for row in rows])
 
     def _make_record(self, row: _Row) -> record.Record:
         event, sequence, lamport, wall_ms, monotonic_ms, fields = row
@@ -179,10 +151,5 @@
     logger.setLevel(level)
 
 
-def _order(row: _Row) -> int:
+def _get_sequence(row: _Row) -> int:
     return row[1]
-
-
-def find_lamport(records: Iterable[record.Record]) -> int:
-    """Finds the highest Lamport time among records; 0 for none."""
-    return max((item.lamport for item in records), default=0)
--- /dev/null
+++ b/src/rhubarblead/operate/__init__.py
@@ -0,0 +1,1 @@
+"""What operators do from the command line."""
--- /dev/null
+++ b/src/rhubarblead/operate/admin.py
@@ -0,0 +1,148 @@
+"""Questions to one node, over HTTP."""
+
+import contextlib
+import dataclasses
+import http
+import http.client
+import ipaddress
+from typing import TypeVar
+
+import msgspec
+import result
+
+from rhubarblead import status
+
+_T = TypeVar("_T")
+
+_MS_PER_S = 1_000
+_MAX_PORT = 65_535
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Unreachable:
+    """A node didn't answer; nothing is known of what it would say."""
+
+    authority: str
+    reason: str
+
+    def __str__(self) -> str:
+        return f"{self.authority}: {self.reason}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Rejected:
+    """A node refused the question."""
+
+    authority: str
+    status: int
+    explanation: str
+
+    def __str__(self) -> str:
+        return f"{self.authority}: {self.status} {self.explanation}"
+
+
+Failure = Unreachable | Rejected
+
+
+class AdminClient:
+    """Asks nodes; any thread may use it."""
+
+    __slots__ = ("_timeout_ms",)
+
+    def __init__(self, *, timeout_ms: int) -> None:
+        self._timeout_ms = timeout_ms
+
+    def fetch(
+        self, authority: str, path: str, *, method: str = "GET"
+    ) -> result.Result[bytes, Failure]:
+        """Sends one request.
+
+        Args:
+            authority: The node as `ip:port`.
+            path: Path and query.
+            method: The HTTP method.
+
+        Returns:
+            The body of a successful answer, or why there is none.
+        """
+        connection = http.client.HTTPConnection(
+            authority, timeout=self._timeout_ms / _MS_PER_S
+        )
+        with contextlib.closing(connection):
+            try:
+                connection.request(method, path)
+                answer = connection.getresponse()
+                body = answer.read()
+            except (OSError, http.client.HTTPException) as error:
+                reason = str(error) or type(error).__name__
+                return result.Err(
+                    Unreachable(authority=authority, reason=reason)
+                )
+        if answer.status >= http.HTTPStatus.BAD_REQUEST:
+            return result.Err(_read_rejection(authority, answer.status, body))
+        return result.Ok(body)
+
+    def ask(
+        self, authority: str, path: str, kind: type[_T]
+    ) -> result.Result[_T, Failure]:
+        """Fetches an answer of a known kind.
+
+        Args:
+            authority: The node as `ip:port`.
+            path: Path and query.
+            kind: The class of the answer.
+
+        Returns:
+            The answer, or why there is none.
+        """
+        return self.fetch(authority, path).and_then(
+            lambda body: _decode(authority, body, kind)
+        )
+
+
+def check_authority(text: str) -> result.Result[str, str]:
+    """Checks that a text is an IP number and a port.
+
+    Args:
+        text: What a person typed.
+
+    Returns:
+        The same text, or what is wrong with it.
+    """
+    if not text:
+        return result.Err("give any node as IP:PORT")
+    address, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(address.strip("[]"))
+    except ValueError:
+        return result.Err(f"{text!r} is not IP:PORT")
+    if not port.isdecimal() or not 1 <= int(port) <= _MAX_PORT:
+        return result.Err(f"{text!r} has no port between 1 and {_MAX_PORT}")
+    return result.Ok(text)
+
+
+def _decode(
+    authority: str, body: bytes, kind: type[_T]
+) -> result.Result[_T, Failure]:
+    try:
+        return result.Ok(status.decode(body, kind))
+    except msgspec.DecodeError as error:
+        return result.Err(
+            Unreachable(
+                authority=authority, reason=f"no readable answer: {error}"
+            )
+        )
+
+
+def _read_rejection(authority: str, code: int, body: bytes) -> Rejected:
+    try:
+        explanation = msgspec.json.decode(body, type=dict[str, object]).get(
+            "explanation", ""
+        )
+    except msgspec.DecodeError:
+        explanation = ""
+    return Rejected(
+        authority=authority,
+        status=code,
+        explanation=str(explanation) or http.HTTPStatus(code).phrase,
+    )
--- /dev/null
+++ b/src/rhubarblead/operate/lookups.py
@@ -0,0 +1,184 @@
+"""Members, the owner of a key, leases, and draining."""
+
+import urllib.parse
+
+import msgspec
+import result
+
+from rhubarblead import status
+from rhubarblead.operate import admin
+from rhubarblead.operate import fleet
+from rhubarblead.operate import outcome
+from rhubarblead.operate import text_table
+
+
+class LeaseLine(msgspec.Struct, frozen=True, kw_only=True):
+    """The lease of one member, as its own node sees it."""
+
+    instance: str
+    member_id: str
+    lease_left_ms: int
+    granters_epoch: int
+    granters: tuple[status.GranterView, ...]
+    fault: str = ""
+
+
+class Leases(msgspec.Struct, frozen=True, kw_only=True):
+    """The leases of all members."""
+
+    leases: tuple[LeaseLine, ...]
+
+
+class LookupCommands:
+    """Commands that ask and print."""
+
+    __slots__ = ("_fleet",)
+
+    def __init__(self, *, nodes: fleet.Fleet) -> None:
+        self._fleet = nodes
+
+    def list_members(self, *, is_json: bool) -> outcome.Outcome:
+        """Lists the members."""
+        match self._fleet.list_members():
+            case result.Err(failure):
+                return report_failure(failure)
+            case result.Ok(members):
+                pass
+        if is_json:
+            return outcome.Outcome(text=status.encode(members).decode())
+        rows = [
+            (
+                member.member_id,
+                member.instance,
+                member.region,
+                member.failure_domain,
+                member.pool,
+                fleet.format_authority(member),
+                member.shards_owned_count,
+                ",".join(member.granters),
+            )
+            for member in members.members
+        ]
+        heads = (
+            "member",
+            "instance",
+            "region",
+            "domain",
+            "pool",
+            "address",
+            "shards",
+            "granters",
+        )
+        table = text_table.format_table(heads, rows)
+        return outcome.Outcome(
+            text=f"{table}\n\nownership revision {members.ownership_revision}"
+        )
+
+    def find_owner(
+        self, *, pool: str, key: str, is_json: bool
+    ) -> outcome.Outcome:
+        """Finds who owns a key, and why."""
+        match self.ask_owner(pool=pool, key=key):
+            case result.Err(failure):
+                return report_failure(failure)
+            case result.Ok(found):
+                pass
+        if is_json:
+            return outcome.Outcome(text=status.encode(found).decode())
+        owner = (
+            f"{found.owner} at {found.authority}" if found.owner else "nobody"
+        )
+        return outcome.Outcome(
+            text=f"{owner}\nshard {found.shard}, fence {found.fence}, ownership"
+            f" revision {found.ownership_revision}\n{found.why}"
+        )
+
+    def ask_owner(
+        self, *, pool: str, key: str
+    ) -> result.Result[status.OwnerView, admin.Failure]:
+        """Asks the first node for the owner of a key."""
+        query = urllib.parse.urlencode({"pool": pool, "key": key})
+        return self._fleet.ask_first(f"/-/owner?{query}", status.OwnerView)
+
+    def list_leases(self, *, is_json: bool) -> outcome.Outcome:
+        """Lists the lease of each member with its granters."""
+        match self._fleet.list_members():
+            case result.Err(failure):
+                return report_failure(failure)
+            case result.Ok(members):
+                pass
+        answers = self._fleet.ask_each(
+            members.members, "/-/status", status.Status
+        )
+        lines = [_make_lease(answer) for answer in answers]
+        is_whole = not any(line.fault for line in lines)
+        code = outcome.ExitCode.OK if is_whole else outcome.ExitCode.UNREACHABLE
+        leases = Leases(leases=tuple(lines))
+        text = status.encode(leases).decode() if is_json else _format(lines)
+        return outcome.Outcome(text=text, exit_code=code)
+
+
+class DrainCommand:
+    """Asks one node to hand its shards over and take no new work."""
+
+    __slots__ = ("_client",)
+
+    def __init__(self, *, client: admin.AdminClient) -> None:
+        self._client = client
+
+    def run(self, authority: str) -> outcome.Outcome:
+        """Asks the node at `ip:port`."""
+        match self._client.fetch(authority, "/-/drain", method="POST"):
+            case result.Err(failure):
+                return report_failure(failure)
+        return outcome.Outcome(text=f"{authority} drains")
+
+
+def report_failure(failure: admin.Failure) -> outcome.Outcome:
+    """Makes the outcome of a question that got no useful answer."""
+    match failure:
+        case admin.Unreachable():
+            code = outcome.ExitCode.UNREACHABLE
+        case admin.Rejected():
+            code = outcome.ExitCode.BAD_INPUT
+    return outcome.Outcome(exit_code=code, complaints=(str(failure),))
+
+
+def _make_lease(answer: fleet.NodeAnswer[status.Status]) -> LeaseLine:
+    match answer.answer:
+        case result.Err(failure):
+            return LeaseLine(
+                instance=answer.member.instance,
+                member_id=answer.member.member_id,
+                lease_left_ms=0,
+                granters_epoch=answer.member.granters_epoch,
+                granters=(),
+                fault=str(failure),
+            )
+        case result.Ok(found):
+            return LeaseLine(
+                instance=found.instance,
+                member_id=found.member_id,
+                lease_left_ms=found.lease_left_ms,
+                granters_epoch=found.granters_epoch,
+                granters=found.granters,
+            )
+
+
+def _format(lines: list[LeaseLine]) -> str:
+    rows = [
+        (
+            line.instance,
+            line.member_id,
+            line.lease_left_ms,
+            line.granters_epoch,
+            ", ".join(
+                f"{g.member_id} ({g.promise_age_ms} ms ago)"
+                for g in line.granters
+            )
+            or line.fault,
+        )
+        for line in lines
+    ]
+    heads = ("instance", "member", "left ms", "epoch", "granters")
+    return text_table.format_table(heads, rows)
--- /dev/null
+++ b/src/rhubarblead/operate/outcome.py
@@ -0,0 +1,52 @@
+"""The outcome of a command, for people and for scripts."""
+
+from collections.abc import Callable
+import dataclasses
+import enum
+
+
+class ExitCode(enum.IntEnum):
+    """What the exit code of the program tells a script."""
+
+    OK = 0
+    BAD_INPUT = 2
+    UNREACHABLE = 4
+    LAGGING = 6
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Outcome:
+    """What a command prints, and the exit code.
+
+    `text` goes to stdout, each of `complaints` to stderr.
+    """
+
+    text: str = ""
+    exit_code: ExitCode = ExitCode.OK
+    complaints: tuple[str, ...] = ()
+
+
+def refuse(*complaints: str) -> Outcome:
+    """Makes the outcome of a command that was called wrongly."""
+    return Outcome(exit_code=ExitCode.BAD_INPUT, complaints=complaints)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Command:
+    """A command that was read from the command line, and not run yet.
+
+    It runs only once the whole command line has been understood. The field is
+    private because the command line would offer public ones as subcommands.
+    """
+
+    _run: Callable[[], Outcome | int]
+
+
+def run_command(command: Command) -> Outcome | int:
+    """Runs a command; returns its outcome or exit code."""
+    return command._run()
+
+
+def defer(run: Callable[[], Outcome | int]) -> Command:
+    """Makes a command out of what is to be run."""
+    return Command(_run=run)
--- /dev/null
+++ b/src/rhubarblead/operate/status_report.py
@@ -0,0 +1,233 @@
+"""What is in force on every node, and which nodes lag behind."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+
+import msgspec
+import result
+
+from rhubarblead import status
+from rhubarblead.operate import admin
+from rhubarblead.operate import fleet
+from rhubarblead.operate import outcome
+from rhubarblead.operate import text_table
+
+_PATH = "/-/status"
+_PAUSE_MS = 250
+
+_HEADS = (
+    "instance",
+    "domain",
+    "pool",
+    "state",
+    "lease ms",
+    "ownership",
+    "tables",
+    "digest",
+    "shards",
+    "in flight",
+    "upstream",
+    "note",
+)
+
+
+class NodeLine(msgspec.Struct, frozen=True, kw_only=True):
+    """One node in the report; `status` is None when it didn't answer."""
+
+    member_id: str
+    instance: str
+    failure_domain: str
+    pool: str
+    status: status.Status | None
+    is_lagging: bool
+    fault: str = ""
+
+
+class Report(msgspec.Struct, frozen=True, kw_only=True):
+    """The newest revisions that any node has, and each node's own."""
+
+    ownership_revision: int
+    tables_revision: int
+    nodes: tuple[NodeLine, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Target:
+    """The revisions that every node should have reached."""
+
+    ownership_revision: int
+    tables_revision: int
+
+    def is_met(self, found: status.Status) -> bool:
+        """Tells whether a node has reached both revisions."""
+        return (
+            found.ownership_revision >= self.ownership_revision
+            and found.tables_revision >= self.tables_revision
+        )
+
+
+def find_target(answers: Sequence[fleet.NodeAnswer[status.Status]]) -> Target:
+    """Finds the newest revisions among the nodes that answered."""
+    found = [answer.answer.ok() for answer in answers]
+    known = [item for item in found if item is not None]
+    return Target(
+        ownership_revision=max(
+            (s.ownership_revision for s in known), default=0
+        ),
+        tables_revision=max((s.tables_revision for s in known), default=0),
+    )
+
+
+def make_report(
+    answers: Sequence[fleet.NodeAnswer[status.Status]], target: Target
+) -> Report:
+    """Compares each node with the newest revisions."""
+    return Report(
+        ownership_revision=target.ownership_revision,
+        tables_revision=target.tables_revision,
+        nodes=tuple(_make_line(answer, target) for answer in answers),
+    )
+
+
+class StatusCommand:
+    """Asks all nodes, and lagging ones again for a time."""
+
+    __slots__ = ("_fleet", "_patience_ms", "_sleep_ms")
+
+    def __init__(
+        self,
+        *,
+        nodes: fleet.Fleet,
+        patience_ms: int,
+        sleep_ms: Callable[[int], None],
+    ) -> None:
+        """Makes the command.
+
+        Args:
+            nodes: All nodes.
+            patience_ms: How long a node may lag before it is reported.
+            sleep_ms: Waits for some milliseconds.
+        """
+        self._fleet = nodes
+        self._patience_ms = patience_ms
+        self._sleep_ms = sleep_ms
+
+    def run(self, *, is_json: bool) -> outcome.Outcome:
+        """Reports; the exit code tells whether all is in force."""
+        match self._fleet.list_members():
+            case result.Err(failure):
+                return outcome.Outcome(
+                    exit_code=outcome.ExitCode.UNREACHABLE,
+                    complaints=(str(failure),),
+                )
+            case result.Ok(members):
+                report = self._observe(members.members)
+        return outcome.Outcome(
+            text=format_report(report, is_json=is_json),
+            exit_code=_judge(report),
+        )
+
+    def _observe(self, members: Sequence[status.MemberView]) -> Report:
+        answers = self._fleet.ask_each(members, _PATH, status.Status)
+        target = find_target(answers)
+        report = make_report(answers, target)
+        for _ in range(0, self._patience_ms, _PAUSE_MS):
+            lagging = {n.member_id for n in report.nodes if n.is_lagging}
+            if not lagging:
+                return report
+            self._sleep_ms(_PAUSE_MS)
+            again = self._fleet.ask_each(
+                [m for m in members if m.member_id in lagging],
+                _PATH,
+                status.Status,
+            )
+            newer = {answer.member.member_id: answer for answer in again}
+            answers = [newer.get(a.member.member_id, a) for a in answers]
+            report = make_report(answers, target)
+        return report
+
+
+def format_report(report: Report, *, is_json: bool) -> str:
+    """Writes a report as JSON or as a table."""
+    if is_json:
+        return status.encode(report).decode()
+    table = text_table.format_table(
+        _HEADS, [_list_cells(line) for line in report.nodes]
+    )
+    lagging = sum(line.is_lagging for line in report.nodes)
+    silent = sum(line.status is None for line in report.nodes)
+    return (
+        f"{table}\n\ntables revision {report.tables_revision},"
+        f" ownership revision {report.ownership_revision}:"
+        f" {len(report.nodes)} nodes, {lagging} lagging, {silent} silent"
+    )
+
+
+def _make_line(
+    answer: fleet.NodeAnswer[status.Status], target: Target
+) -> NodeLine:
+    match answer.answer:
+        case result.Ok(found):
+            is_lagging = not target.is_met(found)
+            state: status.Status | None = found
+            fault = ""
+        case result.Err(failure):
+            is_lagging = False
+            state = None
+            fault = _explain(failure)
+    return NodeLine(
+        member_id=answer.member.member_id,
+        instance=answer.member.instance,
+        failure_domain=answer.member.failure_domain,
+        pool=answer.member.pool,
+        status=state,
+        is_lagging=is_lagging,
+        fault=fault,
+    )
+
+
+def _explain(failure: admin.Failure) -> str:
+    match failure:
+        case admin.Unreachable(reason=reason):
+            return f"unreachable: {reason}"
+        case admin.Rejected(explanation=explanation):
+            return f"refused: {explanation}"
+
+
+def _list_cells(line: NodeLine) -> tuple[object, ...]:
+    found = line.status
+    head = (line.instance, line.failure_domain, line.pool)
+    if found is None:
+        return (*head, "?", "?", "?", "?", "?", "?", "?", "?", line.fault)
+    return (
+        *head,
+        found.state,
+        found.lease_left_ms,
+        found.ownership_revision,
+        found.tables_revision,
+        found.tables_digest[:12],
+        found.shards_owned_count,
+        found.in_flight_count,
+        found.upstream.state or "-",
+        _note(line, found),
+    )
+
+
+def _note(line: NodeLine, found: status.Status) -> str:
+    notes = []
+    if line.is_lagging:
+        notes.append("lags")
+    if not found.lease_left_ms:
+        notes.append("no lease")
+    if not found.is_store_reachable:
+        notes.append("store unreachable")
+    return ", ".join(notes)
+
+
+def _judge(report: Report) -> outcome.ExitCode:
+    if any(line.status is None for line in report.nodes):
+        return outcome.ExitCode.UNREACHABLE
+    if any(line.is_lagging for line in report.nodes):
+        return outcome.ExitCode.LAGGING
+    return outcome.ExitCode.OK
--- /dev/null
+++ b/tests/rhubarblead/cli.feature
@@ -0,0 +1,73 @@
+Feature: The command line shows what is in force, with exit codes for scripts
+
+  Background:
+    Given the admin nodes
+      | name | state   | ownership | tables | lease_ms |
+      | a    | serving | 40        | 7      | 700      |
+      | b    | serving | 40        | 7      | 650      |
+
+  Scenario Outline: A command's exit code tells of <fault>
+    Given the admin node "b" has <fault>
+    When the command "<command>" is run
+    Then the command's exit code is <code>
+    And the command printed "<printed>"
+
+    Examples: faults
+      | fault            | command                         | code | printed                      |
+      | nothing          | status --node NODE              | 0    | 2 nodes, 0 lagging, 0 silent |
+      | older tables     | status --node NODE              | 6    | 2 nodes, 1 lagging, 0 silent |
+      | older ownership  | status --node NODE              | 6    | lags                         |
+      | caught up late   | status --node NODE              | 0    | 2 nodes, 0 lagging, 0 silent |
+      | no answer        | status --node NODE              | 4    | 0 lagging, 1 silent          |
+      | broken answer    | status --node NODE              | 4    | no readable answer           |
+      | no lease         | status --node NODE              | 0    | no lease                     |
+      | no answer        | lease --node NODE               | 4    | b-1 (20 ms ago)              |
+      | nothing          | lease --node NODE               | 0    | b-1 (20 ms ago)              |
+      | nothing          | members --node NODE             | 0    | ownership revision 40        |
+      | nothing          | members --node NODE --json      | 0    | "ownership_revision":40      |
+      | nothing          | owner --pool p --key 0042 --node NODE | 0 | 0042 is hashed             |
+      | nothing          | owner --pool q --key k --node NODE | 2 | no pool is named 'q'          |
+      | nothing          | drain --node NODE               | 0    | drains                       |
+      | nothing          | timeline --node NODE            | 0    | NODE_STARTED                 |
+      | no answer        | timeline --node NODE            | 4    | gap: b:                      |
+      | nothing          | timeline --node NODE --request r1 | 0  | request r1: given to an upstream 1 times |
+      | nothing          | timeline --node NODE --key 0042 --pool p | 0 | owner: a from revision 12 |
+      | nothing          | timeline --node NODE --key 0042 --pool q | 2 | no pool is named 'q'   |
+
+  Scenario Outline: A user's mistake is named without a traceback
+    When the command "<command>" is run
+    Then the command's exit code is <code>
+    And the command printed "<printed>"
+
+    Examples: mistakes
+      | command                         | code | printed                          |
+      | status                          | 2    | give any node as IP:PORT         |
+      | status --node localhost:80      | 2    | 'localhost:80' is not IP:PORT    |
+      | status --node 127.0.0.1:0       | 2    | no port between 1 and 65535      |
+      | members --node 127.0.0.1:1      | 4    | Connection refused               |
+      | owner --pool p                  | 2    | required argument: key           |
+      | drain --node NODE --surplus 1   | 2    | Could not consume arg: --surplus |
+      | nonsense                        | 2    | Could not consume arg: nonsense  |
+      | timeline --since-ms soon        | 2    | since_ms must be a whole number  |
+      | timeline missing.jsonl          | 2    | No such file or directory        |
+      | settings check missing.json     | 2    | a readable file                  |
+      | node --settings missing.json    | 2    | a readable file                  |
+
+  Scenario: A wrong command line runs nothing
+    When the command "drain --node NODE --surplus 1" is run
+    Then no admin node was told to drain
+
+  Scenario: Every fault of a settings file is named by the command
+    Given a command's file "s.json" with {"instance": "A!", "surplus": 1}
+    When the command "settings check s.json" is run
+    Then the command's exit code is 2
+    And the command printed "instance: "
+    And the command printed "surplus: "
+    And the command printed "http_port: "
+
+  Scenario: Collected logs are read by the timeline command
+    Given a command's file "a.jsonl" with a log of instance "x" and a broken line
+    When the command "timeline a.jsonl --instance x" is run
+    Then the command's exit code is 0
+    And the command printed "NODE_STARTED"
+    And the command printed "1 lines are no events and were skipped"
--- a/tests/steps/events.py
+++ b/tests/steps/events.py
@@ -9,6 +9,7 @@
 from behave import runner
 
 from rhubarblead.events import catalog
+from rhubarblead.events import filters
 from rhubarblead.events import log
 from rhubarblead.events import shards
 
@@ -90,7 +91,7 @@
 
 @behave.then("the event log lists {count:d} events for {wanted}")
 def check_filtered(context: runner.Context, count: int, wanted: str) -> None:
-    events = context.event_log.list_events(log.Filter(**json.loads(wanted)))
+    events = context.event_log.list_events(filters.Filter(**json.loads(wanted)))
     assert len(events) == count, events
 
 
