--- /dev/null
+++ b/src/rhubarblead/assignment/__init__.py
@@ -0,0 +1,1 @@
+"""Assignment of shards to members: plans, handovers and hot keys."""
--- /dev/null
+++ b/src/rhubarblead/charts/__init__.py
@@ -0,0 +1,1 @@
+"""State charts, kept in JSON files beside this module."""
--- /dev/null
+++ b/src/rhubarblead/charts/chart.py
@@ -0,0 +1,155 @@
+"""Loads state charts and says what follows on an event."""
+
+import functools
+from importlib import resources
+from typing import Annotated
+
+import pydantic
+import transitions
+
+from rhubarblead import faults
+from rhubarblead import tables
+
+_Identifier = Annotated[str, pydantic.Field(pattern=r"^[a-z][a-z_]*$")]
+
+
+class CannotHappen(Exception):
+    """An event came in a state whose chart has no transition for it."""
+
+    def __init__(self, *, chart: str, state: str, event: str) -> None:
+        self.chart = chart
+        self.state = state
+        self.event = event
+        super().__init__(f"{chart}: no {event!r} in state {state!r}")
+
+
+class Transition(tables.Strict):
+    """One arrow of a chart."""
+
+    event: _Identifier
+    source: _Identifier
+    dest: _Identifier
+
+
+class Document(tables.Strict):
+    """A chart file."""
+
+    name: _Identifier
+    initial: _Identifier
+    states: Annotated[tuple[_Identifier, ...], pydantic.Field(min_length=1)]
+    transitions: tuple[Transition, ...]
+
+    @pydantic.model_validator(mode="after")
+    def _check_states(self) -> "Document":
+        unknown = self._list_named() - set(self.states)
+        if unknown:
+            raise ValueError(f"unknown states: {sorted(unknown)}")
+        if len(set(self.states)) != len(self.states):
+            raise ValueError("a state may stand once")
+        return self
+
+    @pydantic.model_validator(mode="after")
+    def _check_arrows(self) -> "Document":
+        pairs = [(arrow.source, arrow.event) for arrow in self.transitions]
+        if len(set(pairs)) != len(pairs):
+            raise ValueError("a state may have one transition per event")
+        unreached = set(self.states) - self._list_reached()
+        if unreached:
+            raise ValueError(f"states never reached: {sorted(unreached)}")
+        return self
+
+    def _list_named(self) -> set[str]:
+        named = {self.initial}
+        for arrow in self.transitions:
+            named |= {arrow.source, arrow.dest}
+        return named
+
+    def _list_reached(self) -> set[str]:
+        return {self.initial} | {arrow.dest for arrow in self.transitions}
+
+
+class Chart:
+    """A checked chart, interpreted by the `transitions` library."""
+
+    __slots__ = ("_machine", "_next", "initial", "name")
+
+    def __init__(self, *, document: Document) -> None:
+        self.name = document.name
+        self.initial = document.initial
+        self._machine = transitions.Machine(
+            model=None,
+            states=list(document.states),
+            initial=document.initial,
+            auto_transitions=False,
+            transitions=[
+                {
+                    "trigger": arrow.event,
+                    "source": arrow.source,
+                    "dest": arrow.dest,
+                }
+                for arrow in document.transitions
+            ],
+        )
+        self._next: dict[tuple[str, str], str] = {
+            (found.source, event): found.dest
+            for event in self._machine.events
+            for found in self._machine.get_transitions(event)
+            if found.dest is not None
+        }
+
+    def follow(self, state: str, event: str) -> str:
+        """Finds the state after an event.
+
+        Args:
+            state: The state before.
+            event: What happened.
+
+        Returns:
+            The state after.
+
+        Raises:
+            CannotHappen: The chart has no such transition.
+        """
+        after = self._next.get((state, event))
+        if after is None:
+            raise CannotHappen(chart=self.name, state=state, event=event)
+        return after
+
+
+def parse_chart(text: bytes, *, subject: str) -> Chart:
+    """Checks the text of a chart file.
+
+    Args:
+        text: The JSON text.
+        subject: What to call it in errors.
+
+    Returns:
+        The chart.
+
+    Raises:
+        faults.CannotAccept: The text is no chart; wrong fields are named.
+    """
+    try:
+        document = Document.model_validate_json(text)
+    except pydantic.ValidationError as error:
+        raise faults.CannotAccept(
+            subject=subject, faults=faults.list_faults(error)
+        ) from error
+    return Chart(document=document)
+
+
+@functools.cache
+def load_chart(name: str) -> Chart:
+    """Loads one of the charts that come with the package.
+
+    Args:
+        name: The file's name without its suffix.
+
+    Returns:
+        The checked chart; the same object at each call.
+
+    Raises:
+        faults.CannotAccept: The file is no chart.
+    """
+    path = resources.files("rhubarblead.charts").joinpath(f"{name}.json")
+    return parse_chart(path.read_bytes(), subject=f"{name}.json")
--- a/src/rhubarblead/leases/granter.py
+++ b/src/rhubarblead/leases/granter.py
@@ -18,6 +18,7 @@
         "_duration_ms",
         "_ends_ms",
         "_followed",
+        "_is_retired",
         "_known_member_at_ms",
         "_lapsed",
         "_lease",
@@ -35,6 +36,7 @@
             duration_ms=lease.duration_ms, lease=lease
         )
         self._known_member_at_ms: int | None = None
+        self._is_retired = False
         self._members: dict[str, membership.Member] = {}
         self._revision = 0
         self._ends_ms: dict[tuple[str, int], int] = {}
@@ -54,6 +56,14 @@
         if known_ms is None or as_of_ms > known_ms:
             self._known_member_at_ms = as_of_ms
 
+    def retire(self) -> None:
+        """Ends all promising, before the member's own leave is sent.
+
+        A member that leaves does so while its lease holds, so that its lease
+        would no longer show that it is a member.
+        """
+        self._is_retired = True
+
     def take_heartbeat(
         self,
         *,
@@ -141,8 +151,7 @@
         ]
 
     def _may_promise(self, heartbeat: messages.Heartbeat, now_ms: int) -> bool:
-        known_ms = self._known_member_at_ms
-        if known_ms is None or now_ms - known_ms > self._lease.authority_ms:
+        if self._is_retired or not self._has_authority(now_ms):
             return False
         if heartbeat.member_id == self._member_id:
             return False
@@ -154,6 +163,12 @@
         key = (heartbeat.member_id, heartbeat.granters_epoch)
         return key in self._followed and key not in self._lapsed
 
+    def _has_authority(self, now_ms: int) -> bool:
+        known_ms = self._known_member_at_ms
+        if known_ms is None:
+            return False
+        return now_ms - known_ms <= self._lease.authority_ms
+
     def _is_ahead(self, key: tuple[str, int]) -> bool:
         member_id, granters_epoch = key
         member = self._members.get(member_id)
--- a/src/rhubarblead/leases/holder.py
+++ b/src/rhubarblead/leases/holder.py
@@ -5,10 +5,13 @@
 from rhubarblead import membership
 from rhubarblead import messages
 from rhubarblead import settings
+from rhubarblead.charts import chart
 from rhubarblead.leases import quorum
 
 _NEVER_MS = 0
 
+_CHART = chart.load_chart("lease")
+
 
 class CannotChangeGranters(Exception):
     """A change of granters was begun or resolved out of turn."""
@@ -59,10 +62,10 @@
     __slots__ = (
         "_floor_ms",
         "_highest_epoch",
-        "_is_lost",
         "_lease",
         "_member_id",
         "_pending",
+        "_phase",
         "_record",
         "_sent",
         "_sequence",
@@ -84,7 +87,7 @@
         self._pending: _Granting | None = None
         self._highest_epoch = granters_epoch
         self._floor_ms = _NEVER_MS
-        self._is_lost = False
+        self._phase = _CHART.initial
         self._sequence = 0
         self._sent: dict[int, _Sent] = {}
 
@@ -93,6 +96,11 @@
         """The granters in the stored record, as far as this member knows."""
         return self._record.granters
 
+    @property
+    def phase(self) -> str:
+        """The state of the lease in its chart, as of the last call."""
+        return self._phase
+
     @property
     def is_changing(self) -> bool:
         """Whether the fate of a change of granters is not yet known."""
@@ -141,7 +149,7 @@
             record: The record; `None` when the member is no member any more.
         """
         if record is None:
-            self._is_lost = True
+            self._phase = _CHART.follow(self._phase, "removed")
             return
         if record.granters_epoch <= self._record.granters_epoch:
             return
@@ -184,6 +192,7 @@
         Returns:
             Pairs of granter id and heartbeat; none when none are due.
         """
+        self._follow_clock(now_ms)
         due = list(self._send(self._record, now_ms, revisions))
         if self._pending is not None:
             due.extend(self._send(self._pending, now_ms, revisions))
@@ -215,10 +224,11 @@
         duration_ms = min(promise.duration_ms, self._lease.duration_ms)
         granting.promised_at_ms[granter_id] = sent.sent_at_ms
         granting.ends_ms[granter_id] = sent.sent_at_ms + duration_ms
+        self._follow_clock(now_ms)
 
     def find_lease_end_ms(self) -> int:
         """Finds the first moment at which the lease doesn't hold; 0 if none."""
-        if self._is_lost:
+        if self._phase == "lost":
             return _NEVER_MS
         end_ms = self._record.find_end_ms()
         if self._pending is not None:
@@ -253,6 +263,12 @@
             >= patience_ms
         )
 
+    def _follow_clock(self, now_ms: int) -> None:
+        is_held = self.is_held(now_ms=now_ms)
+        if is_held != (self._phase == "held"):
+            event = "promised" if is_held else "ran_out"
+            self._phase = _CHART.follow(self._phase, event)
+
     def _send(
         self,
         granting: _Granting,
--- /dev/null
+++ b/tests/rhubarblead/charts/charts.feature
@@ -0,0 +1,31 @@
+Feature: State charts are checked when loaded
+
+  Scenario Outline: A wrong chart is refused
+    When the chart <text> is parsed
+    Then the chart is refused
+
+    Examples: faults
+      | text                                                                                                                                                                             |
+      | {"name": "c", "initial": "b", "states": ["a"], "transitions": []}                                                                                                                |
+      | {"name": "c", "initial": "a", "states": ["a", "b"], "transitions": []}                                                                                                           |
+      | {"name": "c", "initial": "a", "states": ["a", "a"], "transitions": []}                                                                                                           |
+      | {"name": "c", "initial": "a", "states": ["a"], "transitions": [{"event": "e", "source": "a", "dest": "z"}]}                                                                       |
+      | {"name": "c", "initial": "a", "states": ["a"], "transitions": [{"event": "e", "source": "a", "dest": "a"}, {"event": "e", "source": "a", "dest": "a"}]}                           |
+      | {"name": "c", "initial": "a", "states": ["a"], "transitions": [], "surplus": 1}                                                                                                  |
+
+  Scenario Outline: Events follow the charts of the package
+    When the event "<event>" comes in state "<state>" of chart "<chart>"
+    Then the chart answers "<after>"
+
+    Examples: events
+      | chart  | state      | event    | after        |
+      | shard  | owned      | close    | draining     |
+      | shard  | draining   | reopen   | owned        |
+      | shard  | committing | in_doubt | committing   |
+      | shard  | committing | reopen   | CannotHappen |
+      | shard  | released   | reopen   | CannotHappen |
+      | shard  | owned      | commit   | CannotHappen |
+      | lease  | lapsed     | promised | held         |
+      | lease  | lost       | promised | CannotHappen |
+      | member | gone       | joined   | CannotHappen |
+      | member | serving    | no_such  | CannotHappen |
