--- /dev/null
+++ b/tests/steps/load.py
@@ -0,0 +1,238 @@
+"""Steps for the load tool, its measures and the report."""
+
+import collections
+import pathlib
+import tempfile
+
+import behave
+from behave import runner
+import msgspec
+
+from tools import faults
+from tools import records
+from tools import report
+from tools.load import measure
+from tools.load import plan as plans
+
+_NS_PER_MS = 1_000_000
+_SHARDS = 64
+
+
+def make_plan(rate: float, seconds: float, *, is_regular: bool) -> plans.Plan:
+    work = plans.Work(
+        method="GET",
+        pool="p",
+        prefix="/p",
+        shard_count=_SHARDS,
+        weight=1,
+        nodes=(),
+    )
+    return plans.Plan(
+        seed=1,
+        caller=0,
+        start_ns=0,
+        seconds=seconds,
+        rate_per_s=rate,
+        threads=1,
+        entry=plans.Entry.BLIND,
+        nodes=(),
+        works=(work,),
+        keys=plans.Keys(
+            names=plans.list_even_keys(_SHARDS, 1),
+            zipf_exponent=0.0,
+            hot_count=0,
+            hot_share=0.0,
+        ),
+        answer_bytes=0,
+        body_bytes=0,
+        service_ms=0,
+        timeout_ms=0,
+        resend_count=0,
+        is_regular=is_regular,
+        log_path="",
+    )
+
+
+def make_send(
+    *, end_ms: int = 0, status: int = 200, verdict: str = "ran", fault: str = ""
+) -> records.Outcome:
+    return records.Outcome(
+        node="n",
+        pool="p",
+        method="GET",
+        key="k",
+        shard=0,
+        idempotency_key="",
+        request_id="r",
+        attempt=1,
+        intended_ns=0,
+        sent_ns=0,
+        end_ns=end_ms * _NS_PER_MS,
+        status=status,
+        verdict=verdict,
+        refusal="",
+        server="s",
+        fault=fault,
+        body_bytes=0,
+    )
+
+
+@behave.given(
+    "a load plan of {rate:d} requests a second for {seconds:d} s that is {kind}"
+)
+def given_plan(
+    context: runner.Context, rate: int, seconds: int, kind: str
+) -> None:
+    context.plan = make_plan(rate, seconds, is_regular=kind == "regular")
+
+
+@behave.given(
+    "the load plan sends {share:g} of the requests to {count:d} hot key"
+)
+def given_hot(context: runner.Context, share: float, count: int) -> None:
+    keys = msgspec.structs.replace(
+        context.plan.keys, hot_share=share, hot_count=count
+    )
+    context.plan = msgspec.structs.replace(context.plan, keys=keys)
+
+
+@behave.when("the load plan is drawn twice")
+def draw(context: runner.Context) -> None:
+    context.arrivals = list(plans.list_arrivals(context.plan))
+    context.again = list(plans.list_arrivals(context.plan))
+
+
+@behave.then("the load plan gave the same requests both times")
+def check_same(context: runner.Context) -> None:
+    assert context.arrivals == context.again
+
+
+@behave.then(
+    "the load plan gave {rate:d} requests a second within {percent:d} percent"
+)
+def check_rate(context: runner.Context, rate: int, percent: int) -> None:
+    wanted = rate * context.plan.seconds
+    assert abs(len(context.arrivals) - wanted) <= wanted * percent / 100
+
+
+@behave.then("the load plan came to each of {shards:d} shards {times:d} times")
+def check_even(context: runner.Context, shards: int, times: int) -> None:
+    counts = collections.Counter(
+        plans.find_shard(item.key, shards) for item in context.arrivals
+    )
+    assert len(counts) == shards
+    assert set(counts.values()) <= {times, times - 1}, counts
+
+
+@behave.then(
+    "the load plan sent from {low:g} to {high:g} of the requests to one key"
+)
+def check_hot(context: runner.Context, low: float, high: float) -> None:
+    counts = collections.Counter(item.key for item in context.arrivals)
+    share = max(counts.values()) / len(context.arrivals)
+    assert low <= share <= high, share
+
+
+@behave.given('right answers of a shard at "{moments}" ms')
+def given_answers(context: runner.Context, moments: str) -> None:
+    context.sends = [make_send(end_ms=int(text)) for text in moments.split()]
+
+
+@behave.given('right answers of a shard at "" ms')
+def given_no_answers(context: runner.Context) -> None:
+    context.sends = []
+
+
+@behave.when("the gaps from {start:d} ms to {end:d} ms are measured")
+def measure_gaps(context: runner.Context, start: int, end: int) -> None:
+    context.gaps = measure.find_gaps(
+        context.sends,
+        pool="p",
+        shards=[0],
+        start_ns=start * _NS_PER_MS,
+        end_ns=end * _NS_PER_MS,
+    )
+
+
+@behave.then("the longest gap is {gap:d} ms")
+def check_gap(context: runner.Context, gap: int) -> None:
+    assert context.gaps == {0: gap}, context.gaps
+
+
+@behave.given(
+    'a send with status {status:d}, verdict "{verdict}" and fault "{fault}"'
+)
+@behave.given('a send with status {status:d}, verdict "{verdict}" and fault ""')
+@behave.given('a send with status {status:d}, verdict "" and fault "{fault}"')
+def given_send(
+    context: runner.Context, status: int, verdict: str = "", fault: str = ""
+) -> None:
+    context.sends = [make_send(status=status, verdict=verdict, fault=fault)]
+
+
+@behave.when("the sends that were cut off are counted")
+def count_cut_off(context: runner.Context) -> None:
+    context.cut_off = faults.count_cut_off(context.sends, 0)
+
+
+@behave.then("{count:d} of them was cut off")
+def check_cut_off(context: runner.Context, count: int) -> None:
+    assert context.cut_off == count
+
+
+def make_load_result() -> measure.Result:
+    sends = [make_send(end_ms=number) for number in range(1, 50)]
+    latency = measure.measure_latency(sends)
+    return measure.Result(
+        parameters=measure.Parameters(deployment="d", rate_per_s=1, seconds=1),
+        revision="r",
+        processor_count=1,
+        sent_count=49,
+        request_count=49,
+        correct_count=49,
+        asked_per_s=1,
+        reached_per_s=1,
+        latency=latency,
+        latency_by_work={"GET p": latency},
+        count_by_status={"200": 49},
+        count_by_refusal={},
+        count_by_verdict={"ran": 49},
+        count_by_fault={},
+        answer_body_bytes=0,
+        usage_by_role={
+            "node": measure.RoleUsage(
+                process_count=1,
+                cpu_s=1,
+                cpu_us_per_request=1,
+                max_resident_bytes=1,
+            )
+        },
+        load_by_pool=measure.measure_pools(sends, {"p": ["s", "t"]}),
+    )
+
+
+@behave.given("two results of a {kind} run")
+def given_results(context: runner.Context, kind: str) -> None:
+    temporary = tempfile.TemporaryDirectory()
+    context.add_cleanup(temporary.cleanup)
+    context.folder = pathlib.Path(temporary.name)
+    made = (
+        make_load_result()
+        if kind == "load"
+        else [faults.make_report("kill-node", "d", [])]
+    )
+    context.path = context.folder / "result.json"
+    context.path.write_bytes(msgspec.json.encode(made))
+
+
+@behave.when("the report of them is written")
+def write_report(context: runner.Context) -> None:
+    path = str(context.path)
+    assert report.report(path, path, out=str(context.folder)) == 0
+
+
+@behave.then('the report shows "{text}" and the plots "{plots}"')
+def check_report(context: runner.Context, text: str, plots: str) -> None:
+    assert text in (context.folder / "README.md").read_text(encoding="utf-8")
+    for name in plots.split():
+        assert (context.folder / name).stat().st_size > 0
--- /dev/null
+++ b/tools/injection.py
@@ -0,0 +1,324 @@
+"""Faults that are brought about in a running deployment."""
+
+import contextlib
+import dataclasses
+import enum
+import pathlib
+import random
+import signal
+import subprocess
+import time
+from typing import TypeAlias
+
+from tools import launch
+from tools import processes
+
+_NS_PER_S = 1_000_000_000
+_FREEZE_S = 3.0
+_STORE_CUT_S = 8.0
+_STORE_LOSS_S = 6.0
+_LOSS_AFTER_S = 1.0
+_SLOW_MS = 200
+_ANSWERS_LOST_COUNT = 3
+_APPLY_TIMEOUT_S = 30.0
+_TARGET_MS = 2_000
+_NODE = (processes.Role.NODE,)
+_UPSTREAM = (processes.Role.UPSTREAM,)
+_BOTH = (*_NODE, *_UPSTREAM)
+
+
+class Fault(enum.Enum):
+    """The faults, by the names that the command line takes."""
+
+    KILL_NODE = "kill-node"
+    KILL_UPSTREAM = "kill-upstream"
+    KILL_BOTH = "kill-both"
+    FREEZE_NODE = "freeze-node"
+    FREEZE_UPSTREAM = "freeze-upstream"
+    FREEZE_BOTH = "freeze-both"
+    STORE_DOWN = "store-down"
+    STORE_DOWN_WITH_LOSS = "store-down-with-loss"
+    STORE_SLOW = "store-slow"
+    STORE_ANSWER_LOST = "store-answer-lost"
+    STORE_CUT_ONE = "store-cut-one"
+    TWO_LOSSES = "two-losses"
+    DOMAIN_LOSS = "domain-loss"
+    RESTART_SAME_ADDRESS = "restart-same-address"
+    STOP_NODE = "planned-stop-node"
+    STOP_UPSTREAM = "planned-stop-upstream"
+    TWO_OPERATORS = "two-operators"
+
+
+_PLANNED = frozenset({Fault.STOP_NODE, Fault.STOP_UPSTREAM})
+
+
+class Victims(enum.Enum):
+    """Whom a fault strikes."""
+
+    NOBODY = 0
+    ONE = 1
+    TWO = 2
+    DOMAIN = 3
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Lose:
+    """Processes of the given roles are killed, and perhaps started again."""
+
+    roles: tuple[processes.Role, ...] = _BOTH
+    is_restarted: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Stop:
+    """Processes of the given roles are told to end."""
+
+    roles: tuple[processes.Role, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Freeze:
+    """Processes of the given roles halt for a while."""
+
+    roles: tuple[processes.Role, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CutStore:
+    """The store is away, for all or only for the victims.
+
+    `seconds` is 0 where the caller of the injector decides. `has_loss` says
+    that the victims are lost a second later.
+    """
+
+    seconds: float = 0.0
+    is_for_victims: bool = False
+    has_loss: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HamperStore:
+    """The store misbehaves while the victims are lost."""
+
+    mode: launch.PlatformMode
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class EditTwice:
+    """Two operators change the tables at the same moment."""
+
+
+Action: TypeAlias = Lose | Stop | Freeze | CutStore | HamperStore | EditTwice
+
+_SLOW = launch.PlatformMode(mode="slow", delay_ms=_SLOW_MS)
+_ANSWERS_LOST = launch.PlatformMode(
+    mode="answer-lost", count=_ANSWERS_LOST_COUNT
+)
+_ACTIONS: dict[Fault, tuple[Victims, Action]] = {
+    Fault.KILL_NODE: (Victims.ONE, Lose(roles=_NODE)),
+    Fault.KILL_UPSTREAM: (Victims.ONE, Lose(roles=_UPSTREAM)),
+    Fault.KILL_BOTH: (Victims.ONE, Lose()),
+    Fault.TWO_LOSSES: (Victims.TWO, Lose()),
+    Fault.DOMAIN_LOSS: (Victims.DOMAIN, Lose()),
+    Fault.RESTART_SAME_ADDRESS: (Victims.ONE, Lose(is_restarted=True)),
+    Fault.FREEZE_NODE: (Victims.ONE, Freeze(roles=_NODE)),
+    Fault.FREEZE_UPSTREAM: (Victims.ONE, Freeze(roles=_UPSTREAM)),
+    Fault.FREEZE_BOTH: (Victims.ONE, Freeze(roles=_BOTH)),
+    Fault.STOP_NODE: (Victims.ONE, Stop(roles=_NODE)),
+    Fault.STOP_UPSTREAM: (Victims.ONE, Stop(roles=_UPSTREAM)),
+    Fault.STORE_DOWN: (Victims.NOBODY, CutStore()),
+    Fault.STORE_CUT_ONE: (
+        Victims.ONE,
+        CutStore(seconds=_STORE_CUT_S, is_for_victims=True),
+    ),
+    Fault.STORE_DOWN_WITH_LOSS: (
+        Victims.ONE,
+        CutStore(seconds=_STORE_LOSS_S, has_loss=True),
+    ),
+    Fault.STORE_SLOW: (Victims.ONE, HamperStore(mode=_SLOW)),
+    Fault.STORE_ANSWER_LOST: (Victims.ONE, HamperStore(mode=_ANSWERS_LOST)),
+    Fault.TWO_OPERATORS: (Victims.NOBODY, EditTwice()),
+}
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Bound:
+    """What callers may see of a fault.
+
+    `unavailable_ms` counts from the loss; where the store is down as well, from
+    its return.
+    """
+
+    unavailable_ms: int = _TARGET_MS
+    is_cut_off_allowed: bool = True
+
+
+def find_bound(fault: Fault) -> Bound:
+    """Finds what callers may see of a fault."""
+    return Bound(
+        is_cut_off_allowed=fault not in (*_PLANNED, Fault.TWO_OPERATORS)
+    )
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Injected:
+    """What was done, and to whom.
+
+    `counted_from_ns` is when the store was back, for a loss while it was down;
+    0 otherwise. `notes` holds what went against the rules for operators.
+    """
+
+    victims: tuple[str, ...]
+    at_ns: int = 0
+    counted_from_ns: int = 0
+    notes: list[str] = dataclasses.field(default_factory=list)
+
+
+class Injector:
+    """Brings about one fault, at instances drawn from a seed."""
+
+    def __init__(
+        self, *, launcher: launch.Launcher, fault: Fault, seed: int
+    ) -> None:
+        self._launcher = launcher
+        self._fault = fault
+        self._chance = random.Random(f"{fault.value}/{seed}")
+        self.injected = Injected(victims=self._choose_victims())
+
+    def bring_about(self, after_ns: int, store_down_s: float) -> None:
+        """Brings the fault about, and ends what ends by itself.
+
+        Args:
+            after_ns: When, on the monotonic clock.
+            store_down_s: How long the store is down in `STORE_DOWN`.
+        """
+        time.sleep(max(0.0, (after_ns - time.monotonic_ns()) / _NS_PER_S))
+        self.injected.at_ns = time.monotonic_ns()
+        match _ACTIONS[self._fault][1]:
+            case Lose(roles=roles, is_restarted=is_restarted):
+                self._lose(roles)
+                for process in self._list_victims(roles):
+                    if is_restarted:
+                        process.start()
+            case Stop(roles=roles):
+                for process in self._list_victims(roles):
+                    process.stop()
+            case Freeze(roles=roles):
+                self._freeze(roles)
+            case CutStore() as action:
+                self._cut_store(action, action.seconds or store_down_s)
+            case HamperStore(mode=mode):
+                self._launcher.set_platform_mode(mode)
+                self._lose(_BOTH)
+                time.sleep(_STORE_LOSS_S)
+                self._launcher.set_platform_mode(launch.STORE_UP)
+            case EditTwice():
+                self._edit_twice()
+
+    def _choose_victims(self) -> tuple[str, ...]:
+        described = self._launcher.deployment
+        servers = described.list_servers(described.find_pool("keyed").name)
+        kind = _ACTIONS[self._fault][0]
+        if kind is not Victims.DOMAIN:
+            return tuple(self._chance.sample(servers, kind.value))
+        first = described.find_instance(self._chance.choice(servers))
+        return tuple(
+            item.instance
+            for item in described.instances
+            if item.failure_domain == first.failure_domain
+        )
+
+    def _list_victims(
+        self, roles: tuple[processes.Role, ...]
+    ) -> list[processes.Process]:
+        owned = (
+            *self._launcher.nodes.values(),
+            *self._launcher.upstreams.values(),
+        )
+        return [
+            process
+            for process in owned
+            if process.role in roles and process.name in self.injected.victims
+        ]
+
+    def _lose(self, roles: tuple[processes.Role, ...]) -> None:
+        self.injected.at_ns = time.monotonic_ns()
+        for process in self._list_victims(roles):
+            process.send_signal(signal.SIGKILL)
+        for process in self._list_victims(roles):
+            process.kill()
+
+    def _freeze(self, roles: tuple[processes.Role, ...]) -> None:
+        with contextlib.ExitStack() as stack:
+            for process in self._list_victims(roles):
+                stack.callback(process.thaw)
+                process.freeze()
+            time.sleep(_FREEZE_S)
+
+    def _cut_store(self, action: CutStore, seconds: float) -> None:
+        instances = self.injected.victims if action.is_for_victims else ()
+        self._launcher.set_platform_mode(
+            launch.PlatformMode(mode="down", instances=instances)
+        )
+        if action.has_loss:
+            time.sleep(_LOSS_AFTER_S)
+            self._lose(_BOTH)
+        time.sleep(seconds)
+        self._launcher.set_platform_mode(launch.STORE_UP)
+        if action.has_loss:
+            self.injected.counted_from_ns = time.monotonic_ns()
+
+    def _edit_twice(self) -> None:
+        """Lets two operators edit at once.
+
+        One of them must be refused, or both edits be made one after the other;
+        within 5 s every node must have the same tables in force.
+        """
+        commands = [
+            self._launcher.write_apply_command(
+                self._write_edit(timeout_ms), author=f"operator-{timeout_ms}"
+            )
+            for timeout_ms in (1_900, 1_950)
+        ]
+        children = [
+            subprocess.Popen(
+                command,
+                env=processes.make_environment(),
+                stdout=subprocess.DEVNULL,
+                stderr=subprocess.DEVNULL,
+            )
+            for command in commands
+        ]
+        codes = [child.wait(_APPLY_TIMEOUT_S) for child in children]
+        if all(codes):
+            self.injected.notes.append(f"both edits refused: {codes}")
+        self._check_same_tables()
+
+    def _write_edit(self, timeout_ms: int) -> pathlib.Path:
+        tables = self._launcher.deployment.operators_tables
+        routes = tuple(
+            route.model_copy(update={"timeout_ms": timeout_ms})
+            for route in tables.routes
+        )
+        path = self._launcher.folder / f"tables-{timeout_ms}.json"
+        path.write_text(
+            tables.model_copy(update={"routes": routes}).model_dump_json(),
+            encoding="utf-8",
+        )
+        return path
+
+    def _check_same_tables(self) -> None:
+        deadline_ns = time.monotonic_ns() + 5 * _NS_PER_S
+        while True:
+            found = {
+                (item.tables_revision, item.tables_digest)
+                for item in map(
+                    self._launcher.read_status, self._launcher.nodes
+                )
+            }
+            if len(found) == 1:
+                return
+            if time.monotonic_ns() > deadline_ns:
+                self.injected.notes.append(f"tables in force differ: {found}")
+                return
+            time.sleep(0.1)
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -113,6 +113,7 @@
         """
         done = subprocess.run(
             self.write_apply_command(path, author=author),
+            env=processes.make_environment(),
             capture_output=True,
             text=True,
             timeout=_APPLY_TIMEOUT_S,
--- a/tools/load/measure.py
+++ b/tools/load/measure.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
+import itertools
 
 from hdrh import histogram
 import msgspec
@@ -39,6 +40,7 @@
     service_ms: int = 0
     timeout_ms: int = 4_000
     resend_count: int = 0
+    is_regular: bool = False
     fault: str = ""
     fault_at_s: float = 0.0
 
@@ -144,30 +146,35 @@
 
 
 def find_gaps(
-    outcomes: Iterable[records.Outcome], pool: str
-) -> dict[int, tuple[float, int]]:
+    outcomes: Iterable[records.Outcome],
+    *,
+    pool: str,
+    shards: Iterable[int],
+    start_ns: int,
+    end_ns: int,
+) -> dict[int, float]:
     """Finds the longest time without a right answer, for each shard.
 
     Args:
         outcomes: What the callers were told.
         pool: A keyed pool.
+        shards: The shards to look at.
+        start_ns: From when on, on the monotonic clock.
+        end_ns: Until when.
 
     Returns:
-        By shard: the longest gap between two right answers, in ms, and when
-        it began, on the monotonic clock in ns.
+        The gap of each shard in ms.
     """
-    ends = collections.defaultdict(list)
+    moments = {shard: [start_ns, end_ns] for shard in shards}
     for item in outcomes:
-        if item.pool == pool and item.is_correct:
-            ends[item.shard].append(item.end_ns)
-    gaps = {}
-    for shard, moments in ends.items():
-        moments.sort()
-        gaps[shard] = max(
-            (
-                ((after - before) / _NS_PER_US / _US_PER_MS, before)
-                for before, after in zip(moments, moments[1:], strict=False)
-            ),
-            default=(0.0, 0),
-        )
-    return gaps
+        is_within = start_ns <= item.end_ns <= end_ns
+        if item.pool == pool and item.is_correct and is_within:
+            moments.get(item.shard, []).append(item.end_ns)
+    return {
+        shard: _find_longest(sorted(ends)) / _NS_PER_US / _US_PER_MS
+        for shard, ends in moments.items()
+    }
+
+
+def _find_longest(moments: list[int]) -> int:
+    return max(after - before for before, after in itertools.pairwise(moments))
--- a/tools/load/plan.py
+++ b/tools/load/plan.py
@@ -57,7 +57,9 @@
 
     `start_ns` is on the machine's monotonic clock. After a send without an
     answer, or refused as not run, up to `resend_count` further sends follow
-    at other nodes, under the same idempotency key.
+    at other nodes, under the same idempotency key. With `is_regular` requests
+    are evenly spaced and take the keys in turn, so that a gap in the answers
+    shows when a key was not served.
     """
 
     seed: int
@@ -75,6 +77,7 @@
     service_ms: int
     timeout_ms: int
     resend_count: int
+    is_regular: bool
     log_path: str
 
 
@@ -88,7 +91,7 @@
 
 
 def list_arrivals(plan: Plan) -> Iterator[Arrival]:
-    """Draws the requests of one caller: a Poisson process in time.
+    """Draws the requests of one caller.
 
     Args:
         plan: The plan; its seed and number decide all.
@@ -99,17 +102,29 @@
     chance = random.Random(f"{plan.seed}/{plan.caller}")
     weights = [work.weight for work in plan.works]
     draw = make_key_draw(plan.keys)
-    moment_s = 0.0
-    for serial in itertools.count():
-        moment_s += chance.expovariate(plan.rate_per_s)
-        if moment_s >= plan.seconds:
+    turn = itertools.cycle(plan.keys.names)
+    end_ns = int(plan.seconds * _NS_PER_S)
+    for serial, after_ns in enumerate(_list_moments(plan, chance)):
+        if after_ns >= end_ns:
             return
         work = chance.choices(plan.works, weights)[0]
+        is_in_turn = plan.is_regular and work.shard_count
         yield Arrival(
             serial=serial,
-            after_ns=int(moment_s * _NS_PER_S),
+            after_ns=after_ns,
             work=work,
-            key=draw.next_key(chance),
+            key=next(turn) if is_in_turn else draw.next_key(chance),
+        )
+
+
+def _list_moments(plan: Plan, chance: random.Random) -> Iterator[int]:
+    """Lists moments: evenly spaced, or a Poisson process."""
+    mean_ns = _NS_PER_S / plan.rate_per_s
+    moment_ns = mean_ns * chance.random()
+    while True:
+        yield int(moment_ns)
+        moment_ns += (
+            mean_ns if plan.is_regular else chance.expovariate(1 / mean_ns)
         )
 
 
--- a/tools/load/run.py
+++ b/tools/load/run.py
@@ -121,6 +121,7 @@
             service_ms=parameters.service_ms,
             timeout_ms=parameters.timeout_ms,
             resend_count=parameters.resend_count,
+            is_regular=parameters.is_regular,
             log_path=str(folder / f"caller-{number}.jsonl"),
         )
         for number in range(count)
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -85,10 +85,7 @@
             self._child = subprocess.Popen(
                 [sys.executable, "-m", *self._arguments],
                 cwd=_ROOT,
-                env={
-                    **os.environ,
-                    "PYTHONPATH": f"{_ROOT / 'src'}{os.pathsep}{_ROOT}",
-                },
+                env=make_environment(),
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
@@ -162,6 +159,14 @@
 _NO_USAGE = Usage(cpu_s=0.0, resident_bytes=0)
 
 
+def make_environment() -> dict[str, str]:
+    """Makes the environment in which the modules of this tree are found."""
+    return {
+        **os.environ,
+        "PYTHONPATH": f"{_ROOT / 'src'}{os.pathsep}{_ROOT}",
+    }
+
+
 def read_usage(pid: int) -> Usage:
     """Reads the processor time and resident memory of a process."""
     try:
