Add the ownership log

Cause: members and shard owners have to be agreed through one row of the table service, also when the answer to a write is lost.

--- /dev/null
+++ b/src/rhubarblead/platform/ownership_log.py
@@ -0,0 +1,412 @@
+"""The ownership row: a log of entries since a snapshot in the object store.
+
+The row's revision is that of its last entry, as each transaction writes
+exactly one. A writer that would let the row grow over its limits stores a
+snapshot first, and keeps only the newest entries, so that readers that are a
+little behind need no snapshot.
+"""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import dataclasses
+from typing import TypeAlias
+
+import result
+
+from rhubarblead import clock
+from rhubarblead import membership
+from rhubarblead import ownership
+from rhubarblead.platform import ownership_row
+from rhubarblead.platform import store
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reading:
+    """What a read brought.
+
+    `entries` lead from the snapshot, or without one from the reader's state,
+    to `state`. `snapshot_digest` is empty when no snapshot was needed.
+    """
+
+    state: ownership.State
+    entries: tuple[membership.Entry, ...] = ()
+    snapshot_digest: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Appended:
+    """The entry stands in the log."""
+
+    entry: membership.Entry
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Lost:
+    """Another writer came first, the entry will never stand in the log.
+
+    The caller reads again and plans again. `revision` is the row's.
+    """
+
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NotDone:
+    """The entry was certainly not written; the caller may try again."""
+
+    explanation: str
+
+
+AppendError: TypeAlias = Lost | NotDone | store.InDoubt
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Write:
+    write_id: str
+    expected_revision: int
+    changes: tuple[membership.Change, ...]
+
+    @property
+    def revision(self) -> int:
+        return self.expected_revision + 1
+
+
+class OwnershipLog:
+    """Reads and extends the log; any thread may use it."""
+
+    __slots__ = ("_author", "_read_wall_ms", "_row", "_store")
+
+    def __init__(
+        self,
+        *,
+        store: store.Store,
+        author: str,
+        read_wall_ms: Callable[[], int] = clock.read_wall_ms,
+    ) -> None:
+        """Prepares reads and writes.
+
+        Args:
+            store: The platform's services.
+            author: The name that entries are written under.
+            read_wall_ms: The wall clock, for the time in entries.
+        """
+        self._store = store
+        self._author = author
+        self._read_wall_ms = read_wall_ms
+        # The row as last seen. It is replaced as a whole, so that threads
+        # need no lock, and its revision is checked before each use.
+        self._row = ownership_row.Row()
+
+    def read(
+        self, *, state: ownership.State
+    ) -> result.Result[Reading, store.StoreError]:
+        """Reads what was written after a state.
+
+        Args:
+            state: The reader's state.
+
+        Returns:
+            The newest state and how it came about, or an error.
+        """
+        answer = self._store.read_row(
+            name=ownership_row.NAME, known_revision=state.revision
+        )
+        match answer:
+            case result.Err():
+                return answer
+            case result.Ok(store.Row() as row):
+                return _decode_row(row).and_then(
+                    lambda row: self._catch_up(row, state)
+                )
+        return result.Ok(Reading(state=state))
+
+    def read_snapshot(
+        self, *, digest: str
+    ) -> result.Result[ownership.State, store.StoreError]:
+        """Reads the state that a snapshot holds.
+
+        Args:
+            digest: The digest of the snapshot.
+
+        Returns:
+            The state, or an error.
+        """
+        return self._load(digest).map(
+            lambda snapshot: ownership.State(
+                revision=snapshot.revision,
+                members=snapshot.members,
+                assignments=snapshot.assignments,
+            )
+        )
+
+    def learn(self, *, entries: Sequence[membership.Entry]) -> None:
+        """Takes in committed entries that came by another way.
+
+        The next append then needs no read before it.
+
+        Args:
+            entries: Entries that follow one another without a gap.
+        """
+        row = self._row
+        for entry in entries:
+            if entry.revision == row.revision + 1:
+                row = ownership_row.extend_row(row, entry)
+        is_bounded = len(row.entries) <= ownership_row.ENTRIES
+        self._row = row if is_bounded else ownership_row.Row()
+
+    def append(
+        self,
+        *,
+        state: ownership.State,
+        changes: Sequence[membership.Change],
+        write_id: str,
+    ) -> result.Result[Appended, AppendError]:
+        """Writes one entry that rests on a state.
+
+        Args:
+            state: The state that the changes were planned on.
+            changes: The changes of the entry.
+            write_id: An id that was never used for a write before.
+
+        Returns:
+            The entry, or why it isn't known to stand in the log. A write in
+            doubt must be brought to an end by `resolve`.
+
+        Raises:
+            ownership.CannotApply: The changes contradict the state.
+        """
+        write = _Write(
+            write_id=write_id,
+            expected_revision=state.revision,
+            changes=tuple(changes),
+        )
+        row = self._row
+        if row.revision != state.revision:
+            answer = self._read_row()
+            if isinstance(answer, result.Err):
+                return result.Err(_make_not_done(answer.err_value))
+            row = answer.ok_value
+        if row.revision > state.revision:
+            return self._settle(row, write)
+        if row.revision < state.revision:
+            return result.Err(
+                NotDone(explanation=f"the row is at {row.revision} only")
+            )
+        prepared = self._prepare(row, state, write)
+        if isinstance(prepared, result.Err):
+            return result.Err(_make_not_done(prepared.err_value))
+        return self._commit(prepared.ok_value, write)
+
+    def resolve(
+        self,
+        *,
+        write_id: str,
+        expected_revision: int,
+        changes: Sequence[membership.Change],
+    ) -> result.Result[Appended, AppendError]:
+        """Tries once to find out what became of a write in doubt.
+
+        The write is repeated unless the row has moved on, as the first one
+        may still be on its way.
+
+        Args:
+            write_id: The id of the write.
+            expected_revision: The revision of the state that it rested on.
+            changes: The changes of the entry.
+
+        Returns:
+            `Appended` or `Lost` when that is certain, else `InDoubt`; the
+            caller then tries again later.
+
+        Raises:
+            ownership.CannotApply: The changes contradict the state.
+        """
+        write = _Write(
+            write_id=write_id,
+            expected_revision=expected_revision,
+            changes=tuple(changes),
+        )
+        answer = self._read_row()
+        if isinstance(answer, result.Err):
+            return result.Err(_make_in_doubt(answer.err_value))
+        row = answer.ok_value
+        if row.revision == expected_revision:
+            return self._repeat(row, write)
+        return self._settle(row, write)
+
+    def _repeat(
+        self, row: ownership_row.Row, write: _Write
+    ) -> result.Result[Appended, AppendError]:
+        reading = self._catch_up(row, ownership.State())
+        if isinstance(reading, result.Err):
+            return result.Err(_make_in_doubt(reading.err_value))
+        prepared = self._prepare(row, reading.ok_value.state, write)
+        if isinstance(prepared, result.Err):
+            return result.Err(_make_in_doubt(prepared.err_value))
+        outcome = self._commit(prepared.ok_value, write)
+        match outcome:
+            case result.Err(NotDone(explanation=explanation)):
+                # Only the repetition was certainly not done.
+                return result.Err(store.InDoubt(explanation=explanation))
+        return outcome
+
+    def _read_row(self) -> result.Result[ownership_row.Row, store.StoreError]:
+        match self._store.read_row(name=ownership_row.NAME):
+            case result.Ok(store.Row() as row):
+                return _decode_row(row)
+            case result.Err(error):
+                return result.Err(error)
+        return result.Err(store.Corrupt(explanation="no row was answered"))
+
+    def _catch_up(
+        self, row: ownership_row.Row, state: ownership.State
+    ) -> result.Result[Reading, store.StoreError]:
+        if row.revision < state.revision:
+            return result.Err(
+                store.Corrupt(
+                    explanation=f"the row went back from {state.revision} to"
+                    f" {row.revision}"
+                )
+            )
+        self._row = row
+        if row.revision == state.revision:
+            return result.Ok(Reading(state=state))
+        if row.is_reaching(state.revision):
+            return _apply(row.entries, state, "")
+        digest = row.base_digest
+        return self.read_snapshot(digest=digest).and_then(
+            lambda base: _apply(row.entries, base, digest)
+        )
+
+    def _prepare(
+        self, row: ownership_row.Row, state: ownership.State, write: _Write
+    ) -> result.Result[ownership_row.Row, store.StoreError]:
+        """Builds the row after a write; stores a snapshot when it is full."""
+        entry = self._make_entry(write)
+        after = ownership.apply_entries(state, (entry,))
+        extended = ownership_row.extend_row(row, entry)
+        if extended.is_fitting():
+            return result.Ok(extended)
+        content = ownership_row.encode_snapshot(extended, after)
+        return self._store.put_object(content=content).map(
+            lambda digest: ownership_row.compact_row(extended, digest=digest)
+        )
+
+    def _commit(
+        self, after: ownership_row.Row, write: _Write
+    ) -> result.Result[Appended, AppendError]:
+        put = store.Put(
+            name=ownership_row.NAME,
+            expected_revision=write.expected_revision,
+            value=ownership_row.encode_row(after),
+        )
+        answer = self._store.commit(
+            transaction=store.Transaction(write_id=write.write_id, puts=(put,))
+        )
+        match answer:
+            case result.Ok():
+                return self._settle(after, write)
+            case result.Err(store.Conflict(rows=rows)):
+                return self._settle_conflict(rows, write)
+            case result.Err(store.InDoubt() as error):
+                return result.Err(error)
+            case result.Err(error):
+                return result.Err(_make_not_done(error))
+
+    def _settle_conflict(
+        self, rows: tuple[store.Row, ...], write: _Write
+    ) -> result.Result[Appended, AppendError]:
+        for row in rows:
+            if row.name == ownership_row.NAME:
+                decoded = _decode_row(row).map_err(_make_in_doubt)
+                return decoded.and_then(lambda row: self._settle(row, write))
+        return result.Err(
+            store.InDoubt(explanation="the conflict names another row")
+        )
+
+    def _settle(
+        self, row: ownership_row.Row, write: _Write
+    ) -> result.Result[Appended, AppendError]:
+        """Finds out whose entry stands where a write would have put its own."""
+        if row.revision < write.revision:
+            return result.Err(
+                store.InDoubt(explanation=f"the row is at {row.revision} only")
+            )
+        self._row = row
+        match self._find_write_id(row, write.revision):
+            case result.Err(error):
+                return result.Err(_make_in_doubt(error))
+            case result.Ok(write_id) if write_id != write.write_id:
+                return result.Err(Lost(revision=row.revision))
+        entry = row.find_entry(write.revision) or self._make_entry(write)
+        return result.Ok(Appended(entry=entry))
+
+    def _find_write_id(
+        self, row: ownership_row.Row, revision: int
+    ) -> result.Result[str, store.StoreError]:
+        found = row.find_write_id(revision)
+        digest = row.base_digest
+        while found is None:
+            loaded = self._load(digest)
+            if isinstance(loaded, result.Err):
+                return loaded
+            snapshot = loaded.ok_value
+            found = snapshot.find_write_id(revision)
+            digest = snapshot.previous_digest
+        return result.Ok(found)
+
+    def _make_entry(self, write: _Write) -> membership.Entry:
+        return membership.Entry(
+            revision=write.revision,
+            write_id=write.write_id,
+            author=self._author,
+            written_at_ms=self._read_wall_ms(),
+            changes=write.changes,
+        )
+
+    def _load(
+        self, digest: str
+    ) -> result.Result[ownership_row.Snapshot, store.StoreError]:
+        if not digest:
+            return result.Err(store.Corrupt(explanation="entries are missing"))
+        answer = self._store.read_object(digest=digest)
+        if isinstance(answer, result.Err):
+            return answer
+        try:
+            snapshot = ownership_row.decode_snapshot(answer.ok_value)
+        except ownership_row.CannotDecode as error:
+            return result.Err(store.Corrupt(explanation=str(error)))
+        return result.Ok(snapshot)
+
+
+def _decode_row(
+    row: store.Row,
+) -> result.Result[ownership_row.Row, store.StoreError]:
+    try:
+        decoded = ownership_row.decode_row(row.value, revision=row.revision)
+    except ownership_row.CannotDecode as error:
+        return result.Err(store.Corrupt(explanation=str(error)))
+    return result.Ok(decoded)
+
+
+def _apply(
+    entries: tuple[membership.Entry, ...],
+    state: ownership.State,
+    digest: str,
+) -> result.Result[Reading, store.StoreError]:
+    newer = tuple(e for e in entries if e.revision > state.revision)
+    try:
+        after = ownership.apply_entries(state, newer)
+    except (ownership.CannotApply, IndexError) as error:
+        return result.Err(store.Corrupt(explanation=f"entries: {error}"))
+    return result.Ok(
+        Reading(state=after, entries=newer, snapshot_digest=digest)
+    )
+
+
+def _make_not_done(error: store.StoreError) -> NotDone:
+    return NotDone(explanation=str(error))
+
+
+def _make_in_doubt(error: store.StoreError) -> AppendError:
+    return store.InDoubt(explanation=str(error))
--- /dev/null
+++ b/tests/rhubarblead/platform/ownership_log.feature
@@ -0,0 +1,133 @@
+Feature: The ownership log keeps each entry once, whatever happens to answers
+
+  Background:
+    Given a platform stand-in
+    And an ownership log of "writer" with a timeout of 300 ms
+
+  Scenario Outline: A write in trouble is brought to an end
+    Given the log has 3 entries
+    And the platform's <fault> is <setting>
+    When the log appends a move
+    Then the append is "<appended>"
+    When the platform is well and the write in doubt is resolved
+    Then the append is "<resolved>"
+    And entry 4 was written once by "writer"
+
+    Examples: faults
+      | fault  | setting                                       | appended | resolved |
+      | mode   | {"mode": "up"}                                | Appended | Appended |
+      | mode   | {"mode": "down"}                              | InDoubt  | Appended |
+      | mode   | {"mode": "slow", "delay_ms": 700, "count": 1} | InDoubt  | Appended |
+      | mode   | {"mode": "answer-lost", "count": 1}           | InDoubt  | Appended |
+      | budget | {"writes_per_s": 0}                           | NotDone  | Appended |
+
+  Scenario Outline: A lost answer is resolved although others wrote since
+    Given the log has 3 entries
+    And the platform's mode is <mode>
+    When the log appends a move
+    Then the append is "InDoubt"
+    When <others> entries are written by others
+    And the platform is well and the write in doubt is resolved
+    Then the append is "<resolved>"
+
+    Examples: ids still in the row, and ids only in snapshots
+      | mode                                | others | resolved |
+      | {"mode": "answer-lost", "count": 1} | 1      | Appended |
+      | {"mode": "answer-lost", "count": 1} | 255    | Appended |
+      | {"mode": "answer-lost", "count": 1} | 256    | Appended |
+      | {"mode": "answer-lost", "count": 1} | 450    | Appended |
+      | {"mode": "down"}                    | 1      | Lost     |
+      | {"mode": "down"}                    | 256    | Lost     |
+      | {"mode": "down"}                    | 450    | Lost     |
+
+  Scenario Outline: A write stays in doubt while the platform is in trouble
+    Given the log has 3 entries
+    And the platform's mode is {"mode": "answer-lost", "count": 1}
+    When the log appends a move
+    Given the platform's <fault> is <setting>
+    When the write in doubt is resolved
+    Then the append is "InDoubt"
+
+    Examples: troubles
+      | fault  | setting                              |
+      | mode   | {"mode": "down"}                     |
+      | mode   | {"mode": "slow", "delay_ms": 700}    |
+      | budget | {"reads_per_s": 0}                   |
+
+  Scenario: A write whose repetition is refused stays in doubt
+    Given the log has 3 entries
+    And the platform's mode is {"mode": "down"}
+    When the log appends a move
+    Given the platform's mode is {"mode": "up"}
+    And the platform's budget is {"writes_per_s": 0}
+    When the write in doubt is resolved
+    Then the append is "InDoubt"
+
+  Scenario: A write that rests on an old state is lost
+    Given the log has 3 entries
+    When 1 entries are written by others
+    And the log appends a move
+    Then the append is "Lost"
+
+  Scenario: Of writers at the same time one wins each revision
+    Given the log has 1 entries
+    When 6 writers append 5 moves each and re-plan what they lose
+    Then the log holds 31 entries, each with another write id
+
+  Scenario Outline: Readers need a snapshot only when far behind
+    Given the log has <entries> entries
+    When a reader at revision <reader> reads the log
+    Then the reader has the state of all entries
+    And it got <read> entries, and a snapshot: <has_snapshot>
+
+    Examples: around the first compaction
+      | entries | reader | read | has_snapshot |
+      | 0       | 0      | 0    | no           |
+      | 1       | 0      | 1    | no           |
+      | 256     | 0      | 256  | no           |
+      | 256     | 256    | 0    | no           |
+      | 257     | 256    | 1    | no           |
+      | 257     | 193    | 64   | no           |
+      | 257     | 192    | 0    | yes          |
+      | 259     | 0      | 2    | yes          |
+
+  Scenario: An entry that is too large for the row goes into a snapshot
+    Given the log has 3 entries
+    When the log appends 20000 moves at once
+    Then the append is "Appended"
+    When a reader at revision 3 reads the log
+    Then the reader has the state of all entries
+    And it got 0 entries, and a snapshot: yes
+
+  Scenario: The row isn't changed when its snapshot can't be stored
+    Given the log has 256 entries
+    And the platform's budget is {"writes_per_s": 0}
+    When the log appends a move
+    Then the append is "NotDone"
+    When the platform is well and a reader at revision 0 reads the log
+    Then the reader has the state of all entries
+
+  Scenario Outline: A log that can't be right is refused
+    Given the log has 257 entries
+    And the ownership row is replaced by <row>
+    When a reader at revision <reader> reads the log
+    Then the reader is refused with "Corrupt"
+
+    Examples: rows
+      | row                                                       | reader |
+      | "text"                                                    | 0      |
+      | {"entries": []}                                           | 0      |
+      | {"base_revision": 258, "base_digest": "00"}               | 0      |
+      | {"base_revision": 258, "base_digest": ""}                 | 0      |
+      | {"base_revision": 258, "base_digest": ""}                 | 300    |
+
+  Scenario: Changes that contradict the state are never written
+    Given the log has 3 entries
+    When the log appends the eviction of a stranger
+    Then the append was refused, and the log holds 3 entries
+
+  Scenario: Entries that came by another way save a read
+    Given the log has 3 entries
+    When 2 entries are written by others, and the log learns them
+    And the log appends a move without reading the row
+    Then the append is "Appended"
