--- a/tests/steps/load.py
+++ b/tests/steps/load.py
@@ -207,6 +207,7 @@
                 max_resident_bytes=1,
             )
         },
+        platform_per_s={},
         load_by_pool=measure.measure_pools(sends, {"p": ["s", "t"]}),
     )
 
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -151,6 +151,11 @@
         if answer.status not in _ACCEPTED:
             raise http_json.CannotReach(f"PUT /-/mode: {answer.status}")
 
+    def read_platform_counts(self) -> dict[str, int]:
+        """Reads what the platform stand-in has served so far, by kind."""
+        answer = http_json.exchange(self.platform_authority, "GET", "/-/counts")
+        return msgspec.json.decode(answer.body, type=dict[str, int])
+
     def find_authority(self, instance: str) -> str:
         """Finds where a node serves HTTP, as `ip:port`."""
         found = self.deployment.find_instance(instance)
--- a/tools/load/__main__.py
+++ b/tools/load/__main__.py
@@ -111,6 +111,7 @@
             f" {usage.cpu_us_per_request} us/request,"
             f" {usage.max_resident_bytes >> 20} MiB"
         )
+    print(f"platform, 1/s: {result.platform_per_s}")
     for pool, shares in result.load_by_pool.items():
         print(f"{pool}: imbalance {shares.imbalance}")
     findings = checker.check(measured.runs, measured.outcomes)
--- a/tools/load/measure.py
+++ b/tools/load/measure.py
@@ -73,7 +73,10 @@
 
 
 class Result(msgspec.Struct, frozen=True, kw_only=True):
-    """All that a load run measured. Counts are of sends."""
+    """All that a load run measured. Counts are of sends.
+
+    `platform_per_s` is what the platform served, of each kind, in a second.
+    """
 
     parameters: Parameters
     revision: str
@@ -92,7 +95,7 @@
     answer_body_bytes: int
     usage_by_role: dict[str, RoleUsage]
     load_by_pool: dict[str, PoolLoad]
-    control: dict[str, float] = msgspec.field(default_factory=dict)
+    platform_per_s: dict[str, float]
 
 
 def measure_latency(outcomes: Iterable[records.Outcome]) -> Latency:
--- a/tools/load/run.py
+++ b/tools/load/run.py
@@ -66,10 +66,12 @@
         callers = [_start_caller(stack, plan, folder) for plan in plan_list]
         _sleep_until(start_ns)
         before = _read_usages(launcher)
+        counts_before = launcher.read_platform_counts()
         if during is not None:
             during(start_ns)
         _sleep_until(start_ns + int(parameters.seconds * _NS_PER_S))
         after = _read_usages(launcher)
+        counts_after = launcher.read_platform_counts()
         for caller in callers:
             _wait_for(caller)
         outcomes = records.read_records(
@@ -78,7 +80,17 @@
         )
     runs = records.read_records(launcher.list_record_paths(), records.Run)
     return Measured(
-        result=_work_out(launcher, parameters, outcomes, before, after),
+        result=msgspec.structs.replace(
+            _work_out(launcher, parameters, outcomes, before, after),
+            platform_per_s={
+                name: round(
+                    (counts_after[name] - counts_before[name])
+                    / parameters.seconds,
+                    2,
+                )
+                for name in counts_after
+            },
+        ),
         outcomes=outcomes,
         runs=runs,
         start_ns=start_ns,
@@ -266,6 +278,7 @@
                 processes.Role.UPSTREAM,
             )
         },
+        platform_per_s={},
         load_by_pool=measure.measure_pools(
             correct,
             {pool: launcher.deployment.list_servers(pool) for pool in pools},
