Add a routing client to embed in callers

Callers that know the owner save the hop through another node. The client fetches a pool's shard map from any node, sends to the owner's node over kept connections, learns from answers, and sends again only what did not run or may be repeated, within one deadline. A body whose end can't be told from a broken connection counts as no answer.

--- /dev/null
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Examples of using the package."""
--- /dev/null
+++ b/examples/embedding/__init__.py
@@ -0,0 +1,1 @@
+"""Examples of embedding parts of the package in other programs."""
--- /dev/null
+++ b/examples/embedding/route_requests.py
@@ -0,0 +1,46 @@
+"""Sends a request that must not run twice straight to the owner of a key.
+
+Run it as: python -m examples.embedding.route_requests POOL KEY PATH IP:PORT...
+"""
+
+import sys
+
+import result
+
+from rhubarblead.client import exchange
+from rhubarblead.client import routing
+
+
+def confirm(client: routing.RoutingClient, key: str, path: str) -> int:
+    """Sends one request and tells what became of it.
+
+    Args:
+        client: A client for the pool.
+        key: The key that the path names.
+        path: The path.
+
+    Returns:
+        0 when an upstream answered, 1 otherwise.
+    """
+    request = exchange.Request(method="POST", path=path, key=key, body=b"{}")
+    match client.send(request):
+        case result.Ok(answer):
+            print(f"{answer.status} from {answer.server}")
+            return 0
+        case result.Err(failure):
+            print(
+                f"{failure.verdict.value}: {failure.explanation}; ask again"
+                f" with the key {failure.idempotency_key}"
+            )
+    return 1
+
+
+def main(arguments: list[str]) -> int:
+    """Runs the example."""
+    pool, key, path, *nodes = arguments
+    with routing.RoutingClient(pool=pool, nodes=tuple(nodes)) as client:
+        return confirm(client, key, path)
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/src/rhubarblead/client/connections.py
@@ -0,0 +1,162 @@
+"""Connections kept open to nodes."""
+
+import collections
+import dataclasses
+import http.client
+import select
+import threading
+
+import result
+
+from rhubarblead import clock
+from rhubarblead.client import exchange
+
+_MS_PER_S = 1_000
+_MAX_IDLE_MS = 2_000
+_MAX_IDLE_COUNT = 8
+_MIN_TIMEOUT_S = 0.001
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """What a node sent back."""
+
+    status: int
+    headers: exchange.Headers
+    body: bytes
+
+    def get(self, name: str) -> str:
+        """Gets a header; empty when it isn't there."""
+        wanted = name.lower()
+        return next(
+            (value for key, value in self.headers if key.lower() == wanted), ""
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NoReply:
+    """Why nothing came back, and whether the request may have arrived."""
+
+    has_sent: bool
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Idle:
+    connection: http.client.HTTPConnection
+    since_ms: int
+
+
+class Connections:
+    """Sends requests to nodes; any thread may use it."""
+
+    __slots__ = ("_idle", "_is_closed", "_lock")
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._is_closed = False
+        self._idle: dict[str, collections.deque[_Idle]] = (
+            collections.defaultdict(collections.deque)
+        )
+
+    def send(
+        self,
+        authority: str,
+        request: exchange.Request,
+        headers: exchange.Headers,
+        timeout_ms: int,
+    ) -> result.Result[Reply, NoReply]:
+        """Sends one request and waits for what comes back.
+
+        Args:
+            authority: The node as `ip:port`.
+            request: The request.
+            headers: All headers to send.
+            timeout_ms: How long each wait for bytes may last.
+
+        Returns:
+            The reply, or why there is none.
+        """
+        timeout_s = max(_MIN_TIMEOUT_S, timeout_ms / _MS_PER_S)
+        connection = self._take(authority)
+        has_sent = False
+        try:
+            _prepare(connection, timeout_s)
+            has_sent = True
+            connection.request(
+                request.method, request.path, request.body, dict(headers)
+            )
+            answer = connection.getresponse()
+            reply = Reply(
+                status=answer.status,
+                headers=tuple(answer.getheaders()),
+                body=_read_body(answer),
+            )
+        except (OSError, http.client.HTTPException) as error:
+            connection.close()
+            reason = str(error) or type(error).__name__
+            return result.Err(NoReply(has_sent=has_sent, reason=reason))
+        self._give_back(authority, connection, answer.will_close)
+        return result.Ok(reply)
+
+    def close(self) -> None:
+        """Closes all connections; later ones are closed after use."""
+        with self._lock:
+            self._is_closed = True
+            idle = [item for items in self._idle.values() for item in items]
+            self._idle.clear()
+        for item in idle:
+            item.connection.close()
+
+    def _take(self, authority: str) -> http.client.HTTPConnection:
+        oldest_ms = clock.read_monotonic_ms() - _MAX_IDLE_MS
+        while True:
+            with self._lock:
+                items = self._idle[authority]
+                item = items.pop() if items else None
+            if item is None:
+                return http.client.HTTPConnection(authority)
+            if item.since_ms >= oldest_ms and _is_quiet(item.connection):
+                return item.connection
+            item.connection.close()
+
+    def _give_back(
+        self,
+        authority: str,
+        connection: http.client.HTTPConnection,
+        is_ended: bool,
+    ) -> None:
+        item = _Idle(connection=connection, since_ms=clock.read_monotonic_ms())
+        with self._lock:
+            items = self._idle[authority]
+            is_kept = not (
+                is_ended or self._is_closed or len(items) >= _MAX_IDLE_COUNT
+            )
+            if is_kept:
+                items.append(item)
+        if not is_kept:
+            connection.close()
+
+
+def _prepare(connection: http.client.HTTPConnection, timeout_s: float) -> None:
+    connection.timeout = timeout_s
+    if connection.sock is None:
+        connection.connect()
+    else:
+        connection.sock.settimeout(timeout_s)
+
+
+def _read_body(answer: http.client.HTTPResponse) -> bytes:
+    """Reads a body whose end can be told from a broken connection."""
+    if answer.length is None and not answer.chunked:
+        raise http.client.HTTPException("the answer states no length")
+    return answer.read()
+
+
+def _is_quiet(connection: http.client.HTTPConnection) -> bool:
+    """Tells whether the other end has sent nothing, and has not closed."""
+    if connection.sock is None:
+        return False
+    poller = select.poll()
+    poller.register(connection.sock, select.POLLIN)
+    return not poller.poll(0)
--- /dev/null
+++ b/src/rhubarblead/client/decision.py
@@ -0,0 +1,114 @@
+"""Whether to send a request again, and when."""
+
+import dataclasses
+from typing import TypeAlias
+
+from rhubarblead import refusal
+from rhubarblead import verdict
+
+MAX_TRIES = 8
+BACKOFF_MS = 25
+MAX_BACKOFF_MS = 400
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Answered:
+    """An upstream's answer came."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Refused:
+    """A node refused the request.
+
+    `retry_after_ms` is 0 when the node named no time.
+    """
+
+    refusal: str
+    verdict: verdict.Verdict
+    retry_after_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Silent:
+    """No answer came; `has_sent` says whether the request may have arrived."""
+
+    has_sent: bool
+
+
+Attempt: TypeAlias = Answered | Refused | Silent
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GiveUp:
+    """The outcome goes to the caller as it is."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SendAgain:
+    """The request is sent again after `after_ms`."""
+
+    after_ms: int
+
+
+Decision: TypeAlias = GiveUp | SendAgain
+
+
+def decide(
+    attempt: Attempt,
+    *,
+    is_repeatable: bool,
+    tries_count: int,
+    remaining_ms: int,
+    jitter: float,
+) -> Decision:
+    """Decides on a request after one try.
+
+    Args:
+        attempt: What became of the try.
+        is_repeatable: Whether running twice does no harm.
+        tries_count: Tries so far, this one among them.
+        remaining_ms: Time left for the request.
+        jitter: A random number between 0 and 1.
+
+    Returns:
+        Whether to send again; never when the request may have run and is not
+        repeatable.
+    """
+    if isinstance(attempt, Answered) or tries_count >= MAX_TRIES:
+        return GiveUp()
+    if not (is_repeatable or find_verdict(attempt).is_safe_to_repeat):
+        return GiveUp()
+    after_ms = _find_delay_ms(attempt, tries_count, jitter)
+    if after_ms is None or after_ms >= remaining_ms:
+        return GiveUp()
+    return SendAgain(after_ms=after_ms)
+
+
+def find_verdict(attempt: Attempt) -> verdict.Verdict:
+    """Finds what one try says of the execution of the request."""
+    match attempt:
+        case Answered():
+            return verdict.Verdict.RAN
+        case Refused():
+            return attempt.verdict
+        case Silent(has_sent=True):
+            return verdict.Verdict.MAY_HAVE_RUN
+        case Silent():
+            return verdict.Verdict.NOT_RUN
+
+
+def _find_delay_ms(
+    attempt: Attempt, tries_count: int, jitter: float
+) -> int | None:
+    backoff_ms = min(MAX_BACKOFF_MS, BACKOFF_MS << (tries_count - 1))
+    jittered_ms = int(backoff_ms * (0.5 + jitter / 2))
+    match attempt:
+        case Refused(retry_after_ms=wanted_ms) if wanted_ms:
+            return wanted_ms + int(jittered_ms * jitter)
+        case Refused(refusal=refusal.Refusal.NOT_OWNER.value):
+            return 0 if tries_count == 1 else jittered_ms
+        case Refused():
+            return None
+        case Silent():
+            return 0 if tries_count == 1 else jittered_ms
+    return None
--- /dev/null
+++ b/tests/steps/client_decision.py
@@ -0,0 +1,164 @@
+"""Steps for the decisions of the routing client."""
+
+import random
+import uuid
+
+import behave
+from behave import runner
+
+from rhubarblead import status
+from rhubarblead import verdict
+from rhubarblead.client import decision
+from rhubarblead.client import idempotency
+from rhubarblead.client import routes
+
+_JITTER = 0.5
+
+
+def _read_attempt(text: str) -> decision.Attempt:
+    match text:
+        case "an answer":
+            return decision.Answered()
+        case "silence before sending":
+            return decision.Silent(has_sent=False)
+        case "silence after sending":
+            return decision.Silent(has_sent=True)
+    name, stated, delay_ms = text.split("/")
+    return decision.Refused(
+        refusal=name,
+        verdict=verdict.Verdict(stated),
+        retry_after_ms=int(delay_ms),
+    )
+
+
+@behave.when(
+    "the routing client weighs {attempt} of a {kind} request on try {tries:d}"
+    " with {left_ms:d} ms left"
+)
+def weigh(
+    context: runner.Context, attempt: str, kind: str, tries: int, left_ms: int
+) -> None:
+    context.decision = decision.decide(
+        _read_attempt(attempt),
+        is_repeatable=kind == "repeatable",
+        tries_count=tries,
+        remaining_ms=left_ms,
+        jitter=_JITTER,
+    )
+
+
+@behave.then("the routing client gives up")
+def check_end(context: runner.Context) -> None:
+    assert context.decision == decision.GiveUp(), context.decision
+
+
+@behave.then("the routing client sends after {after_ms:d} ms")
+def check_again(context: runner.Context, after_ms: int) -> None:
+    wanted = decision.SendAgain(after_ms=after_ms)
+    assert context.decision == wanted, context.decision
+
+
+@behave.when(
+    "the routing client makes {count:d} idempotency keys at {now_ms:d} ms"
+)
+def make_keys(context: runner.Context, count: int, now_ms: int) -> None:
+    chance = random.Random(1)
+    context.now_ms = now_ms
+    context.keys = [idempotency.make_key(now_ms, chance) for _ in range(count)]
+
+
+@behave.then(
+    "the idempotency keys differ, have version 7 and begin with the time"
+)
+def check_keys(context: runner.Context) -> None:
+    found = [uuid.UUID(key) for key in context.keys]
+    assert len(set(found)) == len(found)
+    assert {(key.version, key.variant) for key in found} == {(7, uuid.RFC_4122)}
+    assert {key.int >> 80 for key in found} == {context.now_ms}
+
+
+def _make_map(revision: int, nodes: str, shards: int = 4) -> status.ShardMap:
+    names = tuple(nodes.split())
+    return status.ShardMap(
+        pool="p",
+        revision=revision,
+        shard_count=shards,
+        nodes=names,
+        owners=tuple(shard % len(names) for shard in range(shards)),
+    )
+
+
+@behave.given(
+    "a routing client's map of revision {revision:d} with {shards:d} shards"
+    ' over "{nodes}"'
+)
+def given_map(
+    context: runner.Context, revision: int, shards: int, nodes: str
+) -> None:
+    context.routes = routes.KeyRoutes(
+        nodes=tuple(nodes.split()), chance=random.Random(1)
+    )
+    context.map = _make_map(revision, nodes, shards)
+    context.routes.replace_map(context.map)
+
+
+@behave.when('the routing client learns that key "{key}" is at "{node}"')
+def learn(context: runner.Context, key: str, node: str) -> None:
+    context.routes.learn_owner(key, node)
+
+
+@behave.when(
+    "the routing client gets a map of revision {revision:d} with owners over"
+    ' "{nodes}"'
+)
+def get_map(context: runner.Context, revision: int, nodes: str) -> None:
+    context.routes.replace_map(_make_map(revision, nodes))
+
+
+@behave.when('the routing client avoids "{node}" until {until_ms:d} ms')
+def avoid(context: runner.Context, node: str, until_ms: int) -> None:
+    context.routes.avoid(node, until_ms)
+
+
+@behave.when('the routing client\'s map has key "{key}" split out to "{node}"')
+def split(context: runner.Context, key: str, node: str) -> None:
+    index = context.map.nodes.index(node)
+    context.routes.replace_map(
+        status.ShardMap(
+            pool="p",
+            revision=context.map.revision + 1,
+            shard_count=context.map.shard_count,
+            nodes=context.map.nodes,
+            owners=(*context.map.owners, index),
+            splits={key: len(context.map.owners)},
+        )
+    )
+
+
+@behave.when("the routing client's map has no owners")
+def disown(context: runner.Context) -> None:
+    context.routes.replace_map(
+        status.ShardMap(
+            pool="p",
+            revision=context.map.revision + 1,
+            shard_count=context.map.shard_count,
+            nodes=context.map.nodes,
+            owners=(-1,) * context.map.shard_count,
+        )
+    )
+
+
+@behave.then('the routing client sends key "{key}" to "{node}"')
+def check_node(context: runner.Context, key: str, node: str) -> None:
+    found = {context.routes.choose(key, 0) for _ in range(20)}
+    assert found == {node}, found
+
+
+@behave.then(
+    'at {now_ms:d} ms the routing client sends key "{key}" to one of "{nodes}"'
+)
+def check_nodes(
+    context: runner.Context, now_ms: int, key: str, nodes: str
+) -> None:
+    found = {context.routes.choose(key, now_ms) for _ in range(50)}
+    assert found == set(nodes.split()), found
--- /dev/null
+++ b/tests/steps/client_routing.py
@@ -0,0 +1,237 @@
+"""Steps for the routing client, with stand-ins for nodes."""
+
+import contextlib
+import dataclasses
+import http.server
+import io
+import json
+import random
+import threading
+
+import behave
+from behave import runner
+import result
+
+from examples.embedding import route_requests
+from rhubarblead import status
+from rhubarblead.client import exchange
+from rhubarblead.client import routing
+
+_TRY_TIMEOUT_MS = 150
+_REFUSALS = {
+    "not-owner": ("not-run", 0),
+    "no-owner": ("not-run", 5),
+    "poison": ("not-run", 0),
+}
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class RoutedNode:
+    """A stand-in for a node and the upstream beside it."""
+
+    name: str
+    fault: str = "serve"
+    faults_left: int = 0
+    runs_count: int = 0
+    keys: set[str] = dataclasses.field(default_factory=set)
+    shard_map: status.ShardMap | None = None
+    owner: str = ""
+    authority: str = ""
+    sockets: list[object] = dataclasses.field(default_factory=list)
+    released: threading.Event = dataclasses.field(
+        default_factory=threading.Event
+    )
+
+    def take_fault(self) -> str:
+        """Tells what to do with the next request."""
+        if not self.faults_left:
+            return "serve"
+        self.faults_left -= 1
+        return self.fault
+
+
+class Handler(http.server.BaseHTTPRequestHandler):
+    """Answers for one stand-in."""
+
+    protocol_version = "HTTP/1.1"
+    node: RoutedNode
+
+    def setup(self) -> None:
+        """Notes the connection."""
+        super().setup()
+        self.node.sockets.append(self.connection)
+
+    def do_GET(self) -> None:  # noqa: N802
+        """Answers with the shard map."""
+        assert self.node.shard_map is not None
+        self._send(200, status.encode(self.node.shard_map), {})
+
+    def do_POST(self) -> None:  # noqa: N802
+        """Serves work, or commits the fault."""
+        self.rfile.read(int(self.headers["Content-Length"] or 0))
+        self.node.keys.add(self.headers["Idempotency-Key"])
+        fault = self.node.take_fault()
+        if fault in _REFUSALS:
+            self._refuse(fault)
+            return
+        self.node.runs_count += fault not in ("hang up", "stay silent")
+        match fault:
+            case "serve":
+                self._send(200, b"done", {"Rhubarb-Server": self.node.name})
+            case "cut the body":
+                self._send(200, b"done", {"Content-Length": "9"})
+                self.close_connection = True
+            case "no length":
+                self.wfile.write(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+                self.close_connection = True
+            case "stay silent":
+                self.node.released.wait(10)
+                self.close_connection = True
+            case _:
+                self.close_connection = True
+
+    def _refuse(self, name: str) -> None:
+        stated, delay_ms = _REFUSALS[name]
+        headers = {"Rhubarb-Refusal": name, "Rhubarb-Verdict": stated}
+        if delay_ms:
+            headers["Rhubarb-Retry-After-Ms"] = str(delay_ms)
+        if name == "not-owner":
+            headers["Rhubarb-Owner"] = self.node.owner
+        body = json.dumps({"explanation": name}).encode()
+        self._send(503, body, headers)
+
+    def _send(self, code: int, body: bytes, headers: dict) -> None:
+        self.send_response(code)
+        length = {"Content-Length": str(len(body))}
+        for name, value in {**length, **headers}.items():
+            self.send_header(name, value)
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_: object) -> None:
+        """Prints nothing."""
+
+
+def _start(context: runner.Context, node: RoutedNode) -> None:
+    handler = type("NodeHandler", (Handler,), {"node": node})
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
+    server.daemon_threads = True
+    thread = threading.Thread(
+        target=server.serve_forever, kwargs={"poll_interval": 0.01}
+    )
+    thread.start()
+    context.add_cleanup(thread.join)
+    context.add_cleanup(server.server_close)
+    context.add_cleanup(server.shutdown)
+    context.add_cleanup(node.released.set)
+    node.authority = f"127.0.0.1:{server.server_address[1]}"
+    context.servers[node.name] = server
+
+
+@behave.given(
+    'two routed nodes "{first}" and "{second}" of which "{owner}" owns all keys'
+)
+def given_nodes(
+    context: runner.Context, first: str, second: str, owner: str
+) -> None:
+    context.servers = {}
+    context.routed = {n: RoutedNode(name=n) for n in (first, second)}
+    for node in context.routed.values():
+        _start(context, node)
+    nodes = tuple(node.authority for node in context.routed.values())
+    index = list(context.routed).index(owner)
+    for node in context.routed.values():
+        node.owner = nodes[1 - index]
+        node.shard_map = status.ShardMap(
+            pool="p",
+            revision=1,
+            shard_count=4,
+            nodes=nodes,
+            owners=(index,) * 4,
+        )
+    context.client = routing.RoutingClient(
+        pool="p",
+        nodes=(nodes[1 - index],),
+        options=routing.Options(try_timeout_ms=_TRY_TIMEOUT_MS),
+        chance=random.Random(1),
+    )
+    context.add_cleanup(context.client.close)
+
+
+@behave.given('the routed node "{name}" does "{fault}" {times:d} times')
+def given_fault(
+    context: runner.Context, name: str, fault: str, times: int
+) -> None:
+    context.routed[name].fault = fault
+    context.routed[name].faults_left = times
+
+
+@behave.given('the routed node "{name}" has gone')
+def given_gone(context: runner.Context, name: str) -> None:
+    context.servers[name].shutdown()
+    context.servers[name].server_close()
+
+
+@behave.when('the routed node "{name}" closes its idle connections')
+def close_idle(context: runner.Context, name: str) -> None:
+    for sock in context.routed[name].sockets:
+        sock.shutdown(2)
+
+
+@behave.when("a {kind} routed request is sent")
+def send(context: runner.Context, kind: str) -> None:
+    context.outcome = context.client.send(
+        exchange.Request(
+            method="POST",
+            path="/drops/depot-7",
+            key="depot-7",
+            body=b"drop",
+            is_repeatable=kind == "repeatable",
+        )
+    )
+
+
+@behave.then(
+    "the routed request is answered by {server:w} after {tries:d} tries"
+)
+def check_answer(context: runner.Context, server: str, tries: int) -> None:
+    match context.outcome:
+        case result.Ok(answer):
+            found = (answer.server, answer.tries_count, answer.body)
+            assert found == (server, tries, b"done"), answer
+        case failure:
+            raise AssertionError(failure)
+
+
+@behave.then("the routed request is {verdict} after {tries:d} tries")
+def check_failure(context: runner.Context, verdict: str, tries: int) -> None:
+    failure = context.outcome.unwrap_err()
+    found = (failure.verdict.value, failure.tries_count)
+    assert found == (verdict, tries), failure
+
+
+@behave.then("upstreams of routed nodes ran it {count:d} times")
+def check_runs(context: runner.Context, count: int) -> None:
+    found = sum(node.runs_count for node in context.routed.values())
+    assert found == count, found
+
+
+@behave.then("the routed nodes saw {count:d} idempotency key")
+def check_key_count(context: runner.Context, count: int) -> None:
+    seen = set().union(*(node.keys for node in context.routed.values()))
+    assert len(seen) == count, seen
+
+
+@behave.when("the embedding example sends a routed request")
+def run_example(context: runner.Context) -> None:
+    nodes = [node.authority for node in context.routed.values()]
+    printed = io.StringIO()
+    with contextlib.redirect_stdout(printed):
+        context.code = route_requests.main(["p", "depot-7", "/drops", *nodes])
+    context.example_text = printed.getvalue()
+
+
+@behave.then('the embedding example prints "{text}" and ends with {code:d}')
+def check_example(context: runner.Context, text: str, code: int) -> None:
+    found = context.example_text
+    assert (text in found, context.code) == (True, code), found
