Write the reference pages from the source, and check that they match

Pages kept by hand go stale. Each setting now has a meaning beside it, which the JSON schema shows too.

--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -94,7 +94,7 @@
     MEMBER_JOINED = _define(
         1200,
         _INFO,
-        "member_id pool revision granters granters_epoch",
+        "member_id member_instance pool revision granters granters_epoch",
         "A member joined; it owns no shard yet.",
     )
     GRANTERS_CHOSEN = _define(
@@ -326,7 +326,7 @@
     REQUEST_RETRIED = _define(
         2002,
         _DEBUG,
-        "request_id key pool shard attempt refusal verdict owner",
+        "request_id key pool shard attempt refusal verdict owner reason",
         "A request that did not run, or may be repeated, was sent again.",
     )
     REQUEST_FORWARDED = _define(
--- a/src/rhubarblead/settings.py
+++ b/src/rhubarblead/settings.py
@@ -17,7 +17,9 @@
     """An IP number and a port."""
 
     ip_address: pydantic.IPvAnyAddress
+    """IP number."""
     port: Port
+    """Port."""
 
     @property
     def authority(self) -> str:
@@ -34,20 +36,30 @@
     """
 
     duration_ms: Duration = 900
+    """How long a lease holds after a heartbeat that is promised to."""
     heartbeat_ms: Duration = 200
+    """Time between two heartbeats to a granter."""
     drift_per_mille: Annotated[int, pydantic.Field(ge=0, le=100)] = 10
+    """Bound on how much two monotonic clocks differ in rate."""
     authority_ms: Duration = 4_000
+    """How long a granter promises after it last knew that it was a member."""
     tick_ms: Duration = 50
+    """Time between two looks at what is due."""
 
 
 class Platform(tables.Strict):
     """Where the table service and object store are."""
 
     table_service: Address
+    """Where the table service is."""
     object_store: Address
+    """Where the object store is."""
     timeout_ms: Duration = 1_000
+    """How long one call to the platform may take."""
     poll_ms: Duration = 250
+    """Time between two reads of the rows by a polling node."""
     pollers_per_domain: Annotated[int, pydantic.Field(ge=1, le=16)] = 2
+    """Nodes of each failure domain that poll the platform."""
 
 
 class Upstream(tables.Strict):
@@ -57,27 +69,39 @@
     """
 
     probe_ms: Duration = 200
+    """Time between two probes of the upstream."""
     probe_timeout_ms: Duration = 300
+    """How long a probe may take."""
     probe_failures: Annotated[int, pydantic.Field(ge=1, le=100)] = 3
+    """Failed probes in a row after which the upstream counts as frozen."""
 
 
 class Limits(tables.Strict):
     """Bounds on what one node holds at a time."""
 
     threads: Annotated[int, pydantic.Field(ge=2, le=512)] = 32
+    """Threads for requests of callers."""
     peer_threads: Annotated[int, pydantic.Field(ge=2, le=512)] = 24
+    """Threads for requests that other nodes pass on."""
     request_bytes: Annotated[int, pydantic.Field(ge=1024, le=2**30)] = 2**26
+    """Bodies that the node holds at a time."""
     ledger_entries: Annotated[int, pydantic.Field(ge=16, le=10**7)] = 50_000
+    """Unrepeatable requests that the node remembers."""
     retry_per_mille: Annotated[int, pydantic.Field(ge=0, le=1000)] = 100
+    """Retries allowed, as a share of the requests."""
     ack_timeout_ms: Duration = 150
+    """How long another node may take to confirm that it has a request."""
     drain_ms: Duration = 5_000
+    """How long a stop waits for requests in progress."""
 
 
 class Metrics(tables.Strict):
     """Where metrics go, by the statsd protocol over UDP."""
 
     server: Address
+    """Where the statsd server is."""
     prefix: str = "rhubarblead"
+    """Begins the name of each metric."""
 
 
 class Logs(tables.Strict):
@@ -86,25 +110,40 @@
     level: Annotated[
         str, pydantic.Field(pattern="^(DEBUG|INFO|WARNING|ERROR)$")
     ] = "INFO"
+    """Lowest level of the events that are logged."""
     timeline_events: Annotated[int, pydantic.Field(ge=16, le=10**6)] = 20_000
+    """Events that the time line of the process keeps."""
 
 
 class Settings(tables.Strict):
     """All that one node reads at its start."""
 
     instance: tables.Name
+    """Name of the instance; pools name their servers by it."""
     region: tables.Name
+    """Region of the instance."""
     failure_domain: tables.Name
+    """Failure domain of the instance."""
     ip_address: pydantic.IPvAnyAddress
+    """IP number that the node listens on and others reach it by."""
     http_port: Port
+    """Port for callers, operators and the upstream's announcements."""
     data_port: Port
+    """Port for requests from other nodes."""
     control_port: Port
+    """Port for heartbeats and news from other nodes."""
     platform: Platform
+    """The platform's services."""
     lease: Lease = Lease()
+    """Leases."""
     upstream: Upstream = Upstream()
+    """The upstream beside the node."""
     limits: Limits = Limits()
+    """Bounds on what the node holds."""
     logs: Logs = Logs()
+    """Logs and the time line."""
     metrics: Metrics | None = None
+    """Metrics; none are sent when this is absent."""
 
     @pydantic.model_validator(mode="after")
     def _check_lease(self) -> "Settings":
--- a/src/rhubarblead/tables.py
+++ b/src/rhubarblead/tables.py
@@ -20,7 +20,10 @@
     """A checked record that refuses fields it doesn't know."""
 
     model_config = pydantic.ConfigDict(
-        frozen=True, extra="forbid", strict=False
+        frozen=True,
+        extra="forbid",
+        strict=False,
+        use_attribute_docstrings=True,
     )
 
 
--- /dev/null
+++ b/tools/reference.py
@@ -0,0 +1,199 @@
+"""Writes the reference pages in docs/ from the source.
+
+Run it as: ./run python -m tools.reference
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterator
+import logging
+import pathlib
+import sys
+from typing import Any
+
+from rhubarblead import metrics
+from rhubarblead import settings
+from rhubarblead.events import catalog
+
+DOCS = pathlib.Path(__file__).resolve().parent.parent / "docs"
+
+_COMMAND = "./run python -m tools.reference"
+_UNITS = {
+    "_ms": "ms",
+    "_bytes": "bytes",
+    "_per_mille": "thousandths",
+    "port": "port number",
+}
+_RANGES = {
+    10: "Node life",
+    11: "Settings",
+    12: "Membership and leases",
+    13: "Assignment and handover",
+    14: "Store",
+    15: "Tables",
+    20: "Requests",
+    21: "Upstream",
+    22: "Peers",
+    23: "Ledger",
+    24: "Poison requests",
+    90: "Internal",
+}
+_Schema = dict[str, Any]
+
+
+def write_events() -> str:
+    """Writes the page of the event catalogue."""
+    lines = _begin(
+        "Events",
+        "Every event has a number that never changes its meaning. Each is one"
+        " JSON object on a line of stderr, which the platform's log collector"
+        " takes: `number`, `name`, `level`, `instance`, `incarnation`,"
+        " `sequence` (within the process), `lamport` (orders events of"
+        " different processes), `wall_ms`, `monotonic_ms`, and `fields`."
+        " Events of level DEBUG are kept in the process's time line and logged"
+        " only when `logs.level` is DEBUG. `rhubarblead timeline` merges the"
+        " time lines of all processes.",
+    )
+    groups = collections.defaultdict(list)
+    for event in catalog.Event:
+        groups[event.number // 100].append(event)
+    for hundred, events in groups.items():
+        lines += ["", f"## {_RANGES[hundred]}", ""]
+        lines += _make_table(
+            ("Number", "Name", "Level", "Fields", "Meaning", "What to do"),
+            [_list_event_cells(event) for event in events],
+        )
+    return _end(lines)
+
+
+def write_settings() -> str:
+    """Writes the page of the settings."""
+    lines = _begin(
+        "Settings",
+        "A node reads one JSON file when it starts. Unknown fields are"
+        " refused. `rhubarblead settings check FILE` names every wrong field,"
+        " `rhubarblead settings schema` prints the JSON schema.",
+    )
+    schema = settings.Settings.model_json_schema()
+    lines += [""]
+    lines += _make_table(
+        ("Field", "Type", "Unit", "Default", "Meaning"),
+        [tuple(row) for row in _list_settings(schema, schema, "")],
+    )
+    return _end(lines)
+
+
+def write_metrics() -> str:
+    """Writes the page of the metrics."""
+    lines = _begin(
+        "Metrics",
+        "With `metrics` in the settings, a node sends these by the statsd"
+        " protocol over UDP once a second; each name follows the prefix.",
+    )
+    for kind, heading in (
+        (metrics.Counter, "Counters"),
+        (metrics.Timer, "Timers (ms)"),
+        (metrics.Gauge, "Gauges"),
+    ):
+        lines += ["", f"## {heading}", ""]
+        lines += _make_table(
+            ("Name", "Meaning"),
+            [(f"`{m.value}`", metrics.MEANINGS[m]) for m in kind],
+        )
+    return _end(lines)
+
+
+PAGES: dict[str, Callable[[], str]] = {
+    "EVENTS.md": write_events,
+    "SETTINGS.md": write_settings,
+    "METRICS.md": write_metrics,
+}
+
+
+def main() -> int:
+    """Writes all pages."""
+    for name, write in PAGES.items():
+        (DOCS / name).write_text(write(), encoding="utf-8")
+    return 0
+
+
+def _begin(title: str, text: str) -> list[str]:
+    return [f"# {title}", "", f"Written by `{_COMMAND}`.", "", text]
+
+
+def _end(lines: list[str]) -> str:
+    return "\n".join(lines) + "\n"
+
+
+def _make_table(
+    heads: tuple[str, ...], rows: list[tuple[str, ...]]
+) -> list[str]:
+    ruler = tuple("---" for _ in heads)
+    return [f"| {' | '.join(row)} |" for row in (heads, ruler, *rows)]
+
+
+def _list_event_cells(event: catalog.Event) -> tuple[str, ...]:
+    definition = event.value
+    return (
+        str(event.number),
+        event.name,
+        logging.getLevelName(event.level),
+        ", ".join(f"`{field}`" for field in definition.fields),
+        definition.meaning,
+        definition.action,
+    )
+
+
+def _list_settings(
+    schema: _Schema, root: _Schema, prefix: str
+) -> Iterator[list[str]]:
+    required = schema.get("required", [])
+    for name, field in schema["properties"].items():
+        path = f"{prefix}{name}"
+        inner = _find_object(field, root)
+        if inner is not None:
+            is_optional = "anyOf" in field
+            default = "absent" if is_optional else ""
+            meaning = field["description"]
+            yield [f"`{path}`", "object", "", default, meaning]
+            yield from _list_settings(inner, root, f"{path}.")
+            continue
+        default = "required" if name in required else f"`{field['default']}`"
+        yield [
+            f"`{path}`",
+            _describe_type(field),
+            _find_unit(name),
+            default,
+            field["description"],
+        ]
+
+
+def _find_object(field: _Schema, root: _Schema) -> _Schema | None:
+    choices = [field, *field.get("anyOf", ())]
+    reference = next((c["$ref"] for c in choices if "$ref" in c), None)
+    if reference is None:
+        return None
+    found: _Schema = root["$defs"][reference.rpartition("/")[2]]
+    return found
+
+
+def _describe_type(field: _Schema) -> str:
+    if field.get("format") == "ipvanyaddress":
+        return "IP number"
+    if "minimum" in field:
+        return f"{field['type']}, {field['minimum']} to {field['maximum']}"
+    if "pattern" in field:
+        pattern = field["pattern"].replace("|", "\\|")
+        return f"{field['type']}, `{pattern}`"
+    kind: str = field["type"]
+    return kind
+
+
+def _find_unit(name: str) -> str:
+    return next(
+        (unit for suffix, unit in _UNITS.items() if name.endswith(suffix)), ""
+    )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
