Add the operators' tables with history, and their commands

Cause: two operators may edit the tables at once, and the answer to a change may be lost. Change: the tables row holds the tables in force; each version is an object that names the one before, with its author, comment and write id, so that a change in doubt is settled by applying it again, and a conflict is shown with both sides. Changes of kind or shard count, of all servers of a pool at once, and removals of pools that routes use are refused. The commands ask every member's node until the revision is in force. Two exit codes are new: 3 for a conflict, 5 for a change in doubt.

--- a/src/rhubarblead/cli.py
+++ b/src/rhubarblead/cli.py
@@ -24,6 +24,7 @@
 from rhubarblead.operate import outcome
 from rhubarblead.operate import settings_command
 from rhubarblead.operate import status_report
+from rhubarblead.operate import tables
 from rhubarblead.operate import timeline_command
 
 _TIMEOUT_MS = 2_000
@@ -48,6 +49,7 @@
 
     def __init__(self) -> None:
         self.settings = settings_command.SettingsCommand()
+        self.tables = tables.TablesCommand
 
     @_keep_text("settings")
     def node(self, settings: str) -> outcome.Command:  # noqa: A002
--- /dev/null
+++ b/src/rhubarblead/operate/in_force.py
@@ -0,0 +1,112 @@
+"""Whether every node works by a revision of the tables."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+
+import msgspec
+import result
+
+from rhubarblead import membership
+from rhubarblead import status
+from rhubarblead.operate import admin
+from rhubarblead.operate import fleet
+
+_PATH = "/-/status"
+_PAUSE_MS = 100
+_UNKNOWN = -1
+
+
+class LaggingNode(msgspec.Struct, frozen=True, kw_only=True):
+    """A node that isn't known to work by the revision.
+
+    `tables_revision` is -1 when the node didn't answer; `fault` says why.
+    """
+
+    instance: str
+    authority: str
+    tables_revision: int
+    fault: str = ""
+
+
+def wait_in_force(
+    members: Sequence[membership.Member],
+    *,
+    revision: int,
+    wait_ms: int,
+    client: admin.AdminClient,
+    read_now_ms: Callable[[], int],
+    sleep_ms: Callable[[int], None],
+) -> tuple[LaggingNode, ...]:
+    """Asks the nodes until all work by a revision, or the time is over.
+
+    Args:
+        members: Whose nodes to ask; only those that lag are asked again.
+        revision: The revision of the tables.
+        wait_ms: How long to go on asking.
+        client: Asks single nodes.
+        read_now_ms: The monotonic clock.
+        sleep_ms: Waits for some milliseconds.
+
+    Returns:
+        The nodes that lag; none when the revision is in force.
+    """
+    deadline_ms = read_now_ms() + wait_ms
+    views = [_make_view(member) for member in members]
+    while True:
+        lagging = _ask(views, revision, client)
+        if not lagging or read_now_ms() >= deadline_ms:
+            return tuple(lagging.values())
+        views = [view for view in views if view.member_id in lagging]
+        sleep_ms(_PAUSE_MS)
+
+
+def _ask(
+    views: Sequence[status.MemberView],
+    revision: int,
+    client: admin.AdminClient,
+) -> dict[str, LaggingNode]:
+    nodes = fleet.Fleet(client=client, start="")
+    lagging = {}
+    for found in nodes.ask_each(views, _PATH, status.Status):
+        node = _judge(found, revision)
+        if node is not None:
+            lagging[found.member.member_id] = node
+    return lagging
+
+
+def _judge(
+    found: fleet.NodeAnswer[status.Status], revision: int
+) -> LaggingNode | None:
+    match found.answer:
+        case result.Ok(answer):
+            if answer.tables_revision >= revision:
+                return None
+            tables_revision, fault = answer.tables_revision, ""
+        case result.Err(failure):
+            tables_revision, fault = _UNKNOWN, _describe(failure)
+    return LaggingNode(
+        instance=found.member.instance,
+        authority=fleet.format_authority(found.member),
+        tables_revision=tables_revision,
+        fault=fault,
+    )
+
+
+def _describe(failure: admin.Failure) -> str:
+    match failure:
+        case admin.Unreachable(reason=reason):
+            return reason
+        case admin.Rejected(status=code, explanation=explanation):
+            return f"{code} {explanation}"
+
+
+def _make_view(member: membership.Member) -> status.MemberView:
+    return status.MemberView(
+        member_id=member.member_id,
+        instance=member.instance,
+        failure_domain=member.failure_domain,
+        region=member.region,
+        pool=member.pool,
+        ip_address=member.ip_address,
+        http_port=member.http_port,
+    )
--- a/src/rhubarblead/operate/outcome.py
+++ b/src/rhubarblead/operate/outcome.py
@@ -10,7 +10,9 @@
 
     OK = 0
     BAD_INPUT = 2
+    CONFLICT = 3
     UNREACHABLE = 4
+    IN_DOUBT = 5
     LAGGING = 6
 
 
--- /dev/null
+++ b/src/rhubarblead/operate/table_calls.py
@@ -0,0 +1,277 @@
+"""Reads and changes of the tables, each as a report."""
+
+import pathlib
+import time
+import uuid
+
+import msgspec
+import result
+
+from rhubarblead import clock
+from rhubarblead import faults
+from rhubarblead import ownership
+from rhubarblead import tables
+from rhubarblead.operate import admin
+from rhubarblead.operate import in_force
+from rhubarblead.operate import table_reports
+from rhubarblead.platform import ownership_log
+from rhubarblead.platform import store
+from rhubarblead.platform import table_changes
+from rhubarblead.platform import table_log
+
+INSTANCE = "operator"
+_NODE_TIMEOUT_MS = 1_000
+_MS_PER_S = 1_000
+
+
+class Change:
+    """One application of a file."""
+
+    __slots__ = (
+        "_author",
+        "_comment",
+        "_expected_revision",
+        "_file",
+        "_is_repeated",
+        "_wait_ms",
+        "_write_id",
+    )
+
+    def __init__(
+        self,
+        *,
+        file: str,
+        author: str,
+        comment: str,
+        expected_revision: int,
+        wait_ms: int,
+        write_id: str,
+    ) -> None:
+        """Describes what is to be applied.
+
+        Args:
+            file: Path of a JSON file with routes and pools.
+            author: Who changes the tables.
+            comment: Why.
+            expected_revision: The revision that the file was edited from.
+            wait_ms: How long nodes may take until they are reported.
+            write_id: The id of an earlier try that was left in doubt, or "".
+        """
+        self._file = file
+        self._author = author
+        self._comment = comment
+        self._expected_revision = expected_revision
+        self._wait_ms = wait_ms
+        self._is_repeated = bool(write_id)
+        self._write_id = write_id or str(uuid.uuid4())
+
+    def apply(self, calls: store.Store) -> table_reports.Report:
+        """Applies the file and waits until it is in force."""
+        invalid = _check_texts(author=self._author, comment=self._comment)
+        if invalid is not None:
+            return invalid
+        try:
+            wanted = _read_file(self._file)
+        except faults.CannotAccept as error:
+            return make_invalid(error)
+        state = _read_state(calls)
+        if isinstance(state, result.Err):
+            return self._explain_failure(store.describe_error(state.err_value))
+        unsafe = table_changes.check_shards(state.ok_value, wanted)
+        if unsafe:
+            return _refuse(self._file, unsafe)
+        answer = table_log.TableLog(store=calls).apply(
+            tables=wanted,
+            expected_revision=self._expected_revision,
+            author=self._author,
+            comment=self._comment,
+            write_id=self._write_id,
+        )
+        match answer:
+            case result.Ok(applied):
+                return self._wait(applied, state.ok_value)
+            case result.Err(problem):
+                return self._explain(problem)
+
+    def _wait(
+        self, applied: table_log.Applied, state: ownership.State
+    ) -> table_reports.Report:
+        lagging = in_force.wait_in_force(
+            list(state.members.values()),
+            revision=applied.version.revision,
+            wait_ms=self._wait_ms,
+            client=admin.AdminClient(timeout_ms=_NODE_TIMEOUT_MS),
+            read_now_ms=clock.read_monotonic_ms,
+            sleep_ms=_sleep,
+        )
+        return table_reports.Applied(
+            version=applied.version,
+            is_changed=applied.is_changed,
+            is_in_force=not lagging,
+            lagging=lagging,
+        )
+
+    def _explain(self, error: table_log.ApplyError) -> table_reports.Report:
+        match error:
+            case table_log.Refused(faults=found):
+                return _refuse(self._file, found)
+            case table_log.TablesConflict():
+                return table_reports.Conflicting(
+                    revision=error.revision,
+                    changed_by=error.changed_by,
+                    yours=error.yours,
+                    theirs=error.theirs,
+                )
+            case table_log.NotDone(explanation=explanation):
+                return self._explain_failure(explanation)
+            case store.InDoubt(explanation=explanation):
+                return table_reports.InDoubt(
+                    write_id=self._write_id, explanation=explanation
+                )
+
+    def _explain_failure(self, explanation: str) -> table_reports.Report:
+        if self._is_repeated:
+            # That this try was not done tells nothing about the earlier one.
+            return table_reports.InDoubt(
+                write_id=self._write_id, explanation=explanation
+            )
+        return table_reports.Unavailable(explanation=explanation)
+
+
+def show(calls: store.Store) -> table_reports.Report:
+    """Reads the tables in force."""
+    match table_log.TableLog(store=calls).read_tables():
+        case result.Ok(table_log.Reading() as reading):
+            return table_reports.Shown(
+                version=reading.version,
+                tables=msgspec.Raw(reading.document),
+            )
+        case result.Err(problem):
+            return _make_unavailable(problem)
+    return table_reports.Unavailable(explanation="no tables were answered")
+
+
+def check(file: str) -> table_reports.Report:
+    """Checks a file by itself."""
+    try:
+        _read_file(file)
+    except faults.CannotAccept as error:
+        return make_invalid(error)
+    return table_reports.Valid(file=str(file))
+
+
+def diff(calls: store.Store, file: str) -> table_reports.Report:
+    """Compares a file with the tables in force."""
+    try:
+        wanted = _read_file(file)
+    except faults.CannotAccept as error:
+        return make_invalid(error)
+    match table_log.TableLog(store=calls).read_tables():
+        case result.Ok(table_log.Reading() as reading):
+            unsafe = table_changes.check_change(reading.tables, wanted)
+            return table_reports.Differing(
+                revision=reading.revision,
+                differences=table_changes.find_differences(
+                    reading.tables, wanted
+                ),
+                unsafe=table_reports.make_faults(unsafe),
+            )
+        case result.Err(problem):
+            return _make_unavailable(problem)
+    return table_reports.Unavailable(explanation="no tables were answered")
+
+
+def list_history(calls: store.Store, limit: int) -> table_reports.Report:
+    """Reads the newest changes, with their differences."""
+    log = table_log.TableLog(store=calls)
+    answer = log.read_history(limit)
+    if isinstance(answer, result.Err):
+        return _make_unavailable(answer.err_value)
+    lines = []
+    for entry in answer.ok_value:
+        line = _make_history_line(log, entry)
+        if isinstance(line, result.Err):
+            return _make_unavailable(line.err_value)
+        lines.append(line.ok_value)
+    return table_reports.History(changes=tuple(lines))
+
+
+def _make_history_line(
+    log: table_log.TableLog, entry: table_log.HistoryEntry
+) -> result.Result[table_reports.HistoryLine, store.StoreError]:
+    before = log.read_document(entry.before_digest)
+    if isinstance(before, result.Err):
+        return before
+    after = log.read_document(entry.version.tables_digest)
+    if isinstance(after, result.Err):
+        return after
+    return result.Ok(
+        table_reports.HistoryLine(
+            revision=entry.version.revision,
+            author=entry.version.author,
+            written_at_ms=entry.version.written_at_ms,
+            comment=entry.version.comment,
+            before_digest=entry.before_digest,
+            after_digest=entry.version.tables_digest,
+            differences=table_changes.find_differences(
+                before.ok_value, after.ok_value
+            ),
+        )
+    )
+
+
+def _read_state(
+    calls: store.Store,
+) -> result.Result[ownership.State, store.StoreError]:
+    log = ownership_log.OwnershipLog(store=calls, author=INSTANCE)
+    return log.read(state=ownership.State()).map(lambda found: found.state)
+
+
+def _read_file(file: str) -> tables.Tables:
+    path = pathlib.Path(str(file))
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        raise faults.CannotAccept(
+            subject=str(path),
+            faults=(
+                faults.Fault(
+                    path="(file)",
+                    expected=f"a readable file: {error.strerror}",
+                ),
+            ),
+        ) from error
+    return tables.read_tables(text)
+
+
+def _check_texts(**texts: str) -> table_reports.Invalid | None:
+    empty = [name for name, text in texts.items() if not text.strip()]
+    if not empty:
+        return None
+    return _refuse(
+        "command line",
+        tuple(
+            faults.Fault(path=f"--{name}", expected="a text") for name in empty
+        ),
+    )
+
+
+def make_invalid(error: faults.CannotAccept) -> table_reports.Invalid:
+    """Reports input that was refused."""
+    return _refuse(error.subject, error.faults)
+
+
+def _make_unavailable(error: store.StoreError) -> table_reports.Unavailable:
+    return table_reports.Unavailable(explanation=store.describe_error(error))
+
+
+def _refuse(
+    subject: str, found: tuple[faults.Fault, ...]
+) -> table_reports.Invalid:
+    return table_reports.Invalid(
+        subject=str(subject), faults=table_reports.make_faults(found)
+    )
+
+
+def _sleep(duration_ms: int) -> None:
+    time.sleep(duration_ms / _MS_PER_S)
--- /dev/null
+++ b/src/rhubarblead/operate/tables.py
@@ -0,0 +1,168 @@
+"""The commands with which operators read and change the tables."""
+
+from collections.abc import Callable
+import contextlib
+import pathlib
+from typing import Any
+
+import pydantic
+
+from rhubarblead import faults
+from rhubarblead import settings
+from rhubarblead.operate import outcome
+from rhubarblead.operate import table_calls
+from rhubarblead.operate import table_reports
+from rhubarblead.platform import store
+
+_WAIT_MS = 5_000
+_HISTORY_LIMIT = 20
+
+
+class TablesCommand:
+    """Shows, checks and changes the operators' tables.
+
+    Exit codes: 0 all is well, 2 bad input, 3 others changed the tables first,
+    4 the platform is unreachable and nothing was done, 5 the change may have
+    taken effect, 6 the change is stored but not in force on all nodes.
+    """
+
+    def __init__(self, *, platform: str = "", settings: str = "") -> None:
+        """Names the platform, in one of two ways.
+
+        Args:
+            platform: Table service and object store, as IP:PORT or as
+                IP:PORT,IP:PORT.
+            settings: Path of a node's settings file, which names them.
+        """
+        self._platform = platform
+        self._settings = settings
+
+    def show(self, *, json: bool = False) -> outcome.Command:
+        """Shows the tables in force.
+
+        Args:
+            json: Whether to print JSON.
+        """
+        return self._defer(table_calls.show, is_json=json)
+
+    def check(self, file: str, *, json: bool = False) -> outcome.Command:
+        """Checks a file by itself and names every fault.
+
+        Args:
+            file: Path of a JSON file with routes and pools.
+            json: Whether to print JSON.
+        """
+        return outcome.defer(
+            lambda: table_reports.make_outcome(
+                table_calls.check(file), is_json=json
+            )
+        )
+
+    def diff(self, file: str, *, json: bool = False) -> outcome.Command:
+        """Shows how a file differs from the tables in force.
+
+        Args:
+            file: Path of a JSON file with routes and pools.
+            json: Whether to print JSON.
+        """
+        return self._defer(
+            lambda store: table_calls.diff(store, file), is_json=json
+        )
+
+    def apply(
+        self,
+        file: str,
+        *,
+        author: str,
+        comment: str,
+        expected_revision: int,
+        wait_ms: int = _WAIT_MS,
+        write_id: str = "",
+        json: bool = False,
+    ) -> outcome.Command:
+        """Replaces the tables, and waits until they are in force.
+
+        Args:
+            file: Path of a JSON file with routes and pools.
+            author: Who changes them.
+            comment: Why.
+            expected_revision: The revision that the file was edited from.
+            wait_ms: How long nodes may take until they are reported.
+            write_id: The id of an earlier try that was left in doubt.
+            json: Whether to print JSON.
+        """
+        change = table_calls.Change(
+            file=file,
+            author=str(author),
+            comment=str(comment),
+            expected_revision=expected_revision,
+            wait_ms=wait_ms,
+            write_id=str(write_id),
+        )
+        return self._defer(change.apply, is_json=json)
+
+    def history(
+        self, *, limit: int = _HISTORY_LIMIT, json: bool = False
+    ) -> outcome.Command:
+        """Lists the newest changes.
+
+        Args:
+            limit: How many.
+            json: Whether to print JSON.
+        """
+        return self._defer(
+            lambda store: table_calls.list_history(store, limit), is_json=json
+        )
+
+    def _defer(
+        self,
+        run: Callable[[store.Store], table_reports.Report],
+        *,
+        is_json: bool,
+    ) -> outcome.Command:
+        return outcome.defer(
+            lambda: table_reports.make_outcome(self._run(run), is_json=is_json)
+        )
+
+    def _run(
+        self, run: Callable[[store.Store], table_reports.Report]
+    ) -> table_reports.Report:
+        try:
+            platform = _find_platform(self._platform, self._settings)
+        except faults.CannotAccept as error:
+            return table_calls.make_invalid(error)
+        calls = store.Store(platform=platform, instance=table_calls.INSTANCE)
+        with contextlib.closing(calls):
+            return run(calls)
+
+
+def _find_platform(platform: str, path: str) -> settings.Platform:
+    if platform and path or not (platform or path):
+        raise faults.CannotAccept(
+            subject="command line",
+            faults=(
+                faults.Fault(
+                    path="--platform",
+                    expected="either this or --settings, and not both",
+                ),
+            ),
+        )
+    if path:
+        return settings.read_settings(pathlib.Path(str(path))).platform
+    table_service, _, object_store = str(platform).partition(",")
+    try:
+        return settings.Platform.model_validate(
+            {
+                "table_service": _split_authority(table_service),
+                "object_store": _split_authority(object_store or table_service),
+            }
+        )
+    except pydantic.ValidationError as error:
+        raise faults.CannotAccept(
+            subject="--platform", faults=faults.list_faults(error)
+        ) from error
+
+
+def _split_authority(text: str) -> dict[str, Any]:
+    address, _, port = text.strip().rpartition(":")
+    return {"ip_address": address.strip("[]"), "port": port}
--- a/src/rhubarblead/platform/ownership_log.py
+++ b/src/rhubarblead/platform/ownership_log.py
@@ -405,8 +405,8 @@
 
 
 def _make_not_done(error: store.StoreError) -> NotDone:
-    return NotDone(explanation=str(error))
+    return NotDone(explanation=store.describe_error(error))
 
 
 def _make_in_doubt(error: store.StoreError) -> AppendError:
-    return store.InDoubt(explanation=str(error))
+    return store.InDoubt(explanation=store.describe_error(error))
--- a/src/rhubarblead/platform/store.py
+++ b/src/rhubarblead/platform/store.py
@@ -99,6 +99,22 @@
 StoreError: TypeAlias = Unavailable | InDoubt | Conflict | TooBusy | Corrupt
 
 
+def describe_error(error: StoreError) -> str:
+    """Describes an error for people."""
+    match error:
+        case Conflict(rows=rows):
+            found = ", ".join(f"{row.name} at {row.revision}" for row in rows)
+            return f"conflict: {found}"
+        case Unavailable(explanation=explanation):
+            return f"unavailable: {explanation}"
+        case InDoubt(explanation=explanation):
+            return f"in doubt: {explanation}"
+        case TooBusy(explanation=explanation):
+            return f"too busy: {explanation}"
+        case Corrupt(explanation=explanation):
+            return f"corrupt: {explanation}"
+
+
 class _RowReply(msgspec.Struct, frozen=True, kw_only=True):
     revision: int
     value: msgspec.Raw
--- /dev/null
+++ b/src/rhubarblead/platform/table_log.py
@@ -0,0 +1,450 @@
+"""The operators' tables in the table service, with their history.
+
+The row holds the tables in force and the description of their version. Older
+descriptions are objects, each of which names the one before.
+"""
+
+from collections.abc import Callable
+import dataclasses
+from typing import TypeAlias
+
+import msgspec
+import pydantic
+import result
+
+from rhubarblead import clock
+from rhubarblead import faults
+from rhubarblead import tables
+from rhubarblead.platform import store
+from rhubarblead.platform import table_changes
+
+ROW_NAME = "tables"
+_RESOLVE_TRIES = 3
+
+
+class Version(msgspec.Struct, frozen=True, kw_only=True):
+    """Who changed the tables, when and why.
+
+    `tables_digest` names the object with the tables as JSON,
+    `previous_digest` that with the version before, and is empty for the first.
+    """
+
+    revision: int = 0
+    write_id: str = ""
+    author: str = ""
+    written_at_ms: int = 0
+    comment: str = ""
+    tables_digest: str = ""
+    previous_digest: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reading:
+    """The tables in force; `document` is their JSON text."""
+
+    version: Version
+    tables: tables.Tables
+    document: bytes
+
+    @property
+    def revision(self) -> int:
+        """The revision of the row, 0 when there are no tables yet."""
+        return self.version.revision
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HistoryEntry:
+    """One change; `before_digest` names the tables that it replaced."""
+
+    version: Version
+    before_digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Applied:
+    """The tables are in the row; without `is_changed` they were before."""
+
+    version: Version
+    is_changed: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Refused:
+    """The tables are invalid, or the change is unsafe."""
+
+    faults: tuple[faults.Fault, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TablesConflict:
+    """Others changed the tables first; both sides from where they parted.
+
+    `changed_by` lists the versions since, the newest first.
+    """
+
+    revision: int
+    changed_by: tuple[Version, ...]
+    yours: tuple[table_changes.Difference, ...]
+    theirs: tuple[table_changes.Difference, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NotDone:
+    """The tables were certainly not changed."""
+
+    explanation: str
+
+
+ApplyError: TypeAlias = Refused | TablesConflict | NotDone | store.InDoubt
+
+
+class _Row(msgspec.Struct, frozen=True, kw_only=True):
+    version: Version
+    tables: msgspec.Raw
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Write:
+    write_id: str
+    expected_revision: int
+    author: str
+    comment: str
+    tables: tables.Tables
+
+    @property
+    def revision(self) -> int:
+        return self.expected_revision + 1
+
+
+class TableLog:
+    """Reads and changes the tables; any thread may use it."""
+
+    __slots__ = ("_read_wall_ms", "_store")
+
+    def __init__(
+        self,
+        *,
+        store: store.Store,
+        read_wall_ms: Callable[[], int] = clock.read_wall_ms,
+    ) -> None:
+        """Prepares reads and changes.
+
+        Args:
+            store: The platform's services.
+            read_wall_ms: The wall clock, for the time in versions.
+        """
+        self._store = store
+        self._read_wall_ms = read_wall_ms
+
+    def read_tables(
+        self, known_revision: int | None = None
+    ) -> result.Result[Reading | store.NotModified, store.StoreError]:
+        """Reads the tables in force.
+
+        Args:
+            known_revision: The revision that the reader has, or None.
+
+        Returns:
+            The tables, or that they still have the known revision.
+        """
+        answer = self._store.read_row(
+            name=ROW_NAME, known_revision=known_revision
+        )
+        match answer:
+            case result.Ok(store.Row() as row):
+                return _decode_row(row)
+            case result.Err(error):
+                return result.Err(error)
+        return result.Ok(store.NotModified())
+
+    def read_history(
+        self, limit: int
+    ) -> result.Result[tuple[HistoryEntry, ...], store.StoreError]:
+        """Reads the newest changes.
+
+        Args:
+            limit: At most this many.
+
+        Returns:
+            The changes, the newest first.
+        """
+        answer = self._read_current()
+        if isinstance(answer, result.Err):
+            return answer
+        newest = answer.ok_value.version
+        # The version before the last one tells what that one replaced.
+        walked = self._walk(newest, max(0, newest.revision - limit - 1))
+        if isinstance(walked, result.Err):
+            return walked
+        older = [*walked.ok_value[1:], Version()]
+        pairs = zip(walked.ok_value, older, strict=True)
+        entries = tuple(
+            HistoryEntry(version=version, before_digest=before.tables_digest)
+            for version, before in pairs
+        )
+        return result.Ok(entries[:limit])
+
+    def read_document(
+        self, digest: str
+    ) -> result.Result[tables.Tables, store.StoreError]:
+        """Reads the tables of an earlier version.
+
+        Args:
+            digest: The version's `tables_digest`; empty for no tables.
+
+        Returns:
+            The tables, or an error.
+        """
+        if not digest:
+            return result.Ok(tables.Tables())
+        return self._store.read_object(digest=digest).and_then(_decode_tables)
+
+    def apply(
+        self,
+        *,
+        tables: tables.Tables,
+        expected_revision: int,
+        author: str,
+        comment: str,
+        write_id: str,
+    ) -> result.Result[Applied, ApplyError]:
+        """Replaces the tables, and follows up on a lost answer.
+
+        Calling it again with the same id finds out what became of a change
+        in doubt.
+
+        Args:
+            tables: All routes and pools.
+            expected_revision: The revision that they were edited from.
+            author: Who changes them.
+            comment: Why.
+            write_id: An id that no other change has.
+
+        Returns:
+            The new version, or why there is none or that it is in doubt.
+        """
+        write = _Write(
+            write_id=write_id,
+            expected_revision=expected_revision,
+            author=author,
+            comment=comment,
+            tables=tables,
+        )
+        outcome = self._attempt(write)
+        for _ in range(_RESOLVE_TRIES):
+            match outcome:
+                case result.Err(store.InDoubt()):
+                    outcome = _keep_doubt(self._attempt(write))
+        return outcome
+
+    def _attempt(self, write: _Write) -> result.Result[Applied, ApplyError]:
+        answer = self._read_current()
+        if isinstance(answer, result.Err):
+            return result.Err(_make_not_done(answer.err_value))
+        reading = answer.ok_value
+        if reading.revision < write.expected_revision:
+            return result.Err(
+                NotDone(explanation=f"the tables are at {reading.revision}")
+            )
+        if reading.revision > write.expected_revision:
+            return self._settle(reading, write)
+        if reading.tables == write.tables:
+            return result.Ok(Applied(version=reading.version, is_changed=False))
+        found = table_changes.check_change(reading.tables, write.tables)
+        if found:
+            return result.Err(Refused(faults=found))
+        return self._commit(reading, write)
+
+    def _commit(
+        self, current: Reading, write: _Write
+    ) -> result.Result[Applied, ApplyError]:
+        stored = self._store_version(current, write)
+        if isinstance(stored, result.Err):
+            return result.Err(_make_not_done(stored.err_value))
+        version = stored.ok_value
+        row = _Row(
+            version=version,
+            tables=msgspec.Raw(encode_tables(write.tables)),
+        )
+        put = store.Put(
+            name=ROW_NAME,
+            expected_revision=write.expected_revision,
+            value=msgspec.json.encode(row),
+        )
+        answer = self._store.commit(
+            transaction=store.Transaction(write_id=write.write_id, puts=(put,))
+        )
+        match answer:
+            case result.Ok():
+                return result.Ok(Applied(version=version))
+            case result.Err(store.Conflict()):
+                return self._attempt_settling(write)
+            case result.Err(store.InDoubt() as error):
+                return result.Err(error)
+            case result.Err(error):
+                return result.Err(_make_not_done(error))
+
+    def _store_version(
+        self, before: Reading, write: _Write
+    ) -> result.Result[Version, store.StoreError]:
+        """Stores what the row won't hold; returns the new version."""
+        document = self._store.put_object(content=encode_tables(write.tables))
+        if isinstance(document, result.Err):
+            return document
+        previous: result.Result[str, store.StoreError] = result.Ok("")
+        if before.revision:
+            content = msgspec.json.encode(before.version)
+            previous = self._store.put_object(content=content)
+        return previous.map(
+            lambda digest: Version(
+                revision=write.revision,
+                write_id=write.write_id,
+                author=write.author,
+                written_at_ms=self._read_wall_ms(),
+                comment=write.comment,
+                tables_digest=document.ok_value,
+                previous_digest=digest,
+            )
+        )
+
+    def _attempt_settling(
+        self, write: _Write
+    ) -> result.Result[Applied, ApplyError]:
+        answer = self._read_current()
+        if isinstance(answer, result.Err):
+            return result.Err(_make_in_doubt(answer.err_value))
+        return self._settle(answer.ok_value, write)
+
+    def _settle(
+        self, current: Reading, write: _Write
+    ) -> result.Result[Applied, ApplyError]:
+        """Finds out whose change followed the revision that was expected."""
+        newest = current.version
+        walked = self._walk(newest, write.expected_revision)
+        if isinstance(walked, result.Err):
+            return result.Err(_make_in_doubt(walked.err_value))
+        versions = walked.ok_value
+        following = versions[-1]
+        if following.write_id == write.write_id:
+            return result.Ok(Applied(version=following))
+        return self._describe_conflict(current, write, versions)
+
+    def _describe_conflict(
+        self, current: Reading, write: _Write, versions: tuple[Version, ...]
+    ) -> result.Result[Applied, ApplyError]:
+        base = self._read_base(versions[-1])
+        if isinstance(base, result.Err):
+            return result.Err(_make_not_done(base.err_value))
+        parted = base.ok_value
+        return result.Err(
+            TablesConflict(
+                revision=current.revision,
+                changed_by=versions,
+                yours=table_changes.find_differences(parted, write.tables),
+                theirs=table_changes.find_differences(parted, current.tables),
+            )
+        )
+
+    def _read_base(
+        self, following: Version
+    ) -> result.Result[tables.Tables, store.StoreError]:
+        if not following.previous_digest:
+            return result.Ok(tables.Tables())
+        return self._read_version(following.previous_digest).and_then(
+            lambda version: self.read_document(version.tables_digest)
+        )
+
+    def _walk(
+        self, newest: Version, revision: int
+    ) -> result.Result[tuple[Version, ...], store.StoreError]:
+        """Lists the versions after a revision, the newest first."""
+        versions = []
+        version = newest
+        while version.revision > revision:
+            versions.append(version)
+            if version.revision == revision + 1:
+                break
+            answer = self._read_version(version.previous_digest)
+            if isinstance(answer, result.Err):
+                return answer
+            version = answer.ok_value
+        return result.Ok(tuple(versions))
+
+    def _read_version(
+        self, digest: str
+    ) -> result.Result[Version, store.StoreError]:
+        return self._store.read_object(digest=digest).and_then(_decode_version)
+
+    def _read_current(self) -> result.Result[Reading, store.StoreError]:
+        match self._store.read_row(name=ROW_NAME):
+            case result.Ok(store.Row() as row):
+                return _decode_row(row)
+            case result.Err(error):
+                return result.Err(error)
+        return result.Err(store.Corrupt(explanation="no row was answered"))
+
+
+def encode_tables(document: tables.Tables) -> bytes:
+    """Encodes tables as JSON text, the same for the same tables."""
+    return document.model_dump_json().encode()
+
+
+def _decode_row(row: store.Row) -> result.Result[Reading, store.StoreError]:
+    if not row.revision:
+        empty = tables.Tables()
+        return result.Ok(
+            Reading(
+                version=Version(), tables=empty, document=encode_tables(empty)
+            )
+        )
+    try:
+        decoded = msgspec.json.decode(row.value, type=_Row)
+    except msgspec.DecodeError as error:
+        return result.Err(store.Corrupt(explanation=f"tables row: {error}"))
+    if decoded.version.revision != row.revision:
+        return result.Err(
+            store.Corrupt(explanation="tables row has another revision")
+        )
+    document = bytes(decoded.tables)
+    return _decode_tables(document).map(
+        lambda found: Reading(
+            version=decoded.version, tables=found, document=document
+        )
+    )
+
+
+def _decode_tables(
+    document: bytes,
+) -> result.Result[tables.Tables, store.StoreError]:
+    # Tables from an older release may break rules that came later.
+    try:
+        return result.Ok(tables.Tables.model_validate_json(document))
+    except pydantic.ValidationError as error:
+        return result.Err(store.Corrupt(explanation=f"tables: {error}"))
+
+
+def _decode_version(
+    content: bytes,
+) -> result.Result[Version, store.StoreError]:
+    try:
+        return result.Ok(msgspec.json.decode(content, type=Version))
+    except msgspec.DecodeError as error:
+        return result.Err(store.Corrupt(explanation=f"version: {error}"))
+
+
+def _keep_doubt(
+    outcome: result.Result[Applied, ApplyError],
+) -> result.Result[Applied, ApplyError]:
+    # That a repetition was not done tells nothing about the first try.
+    match outcome:
+        case result.Err(NotDone(explanation=explanation)):
+            return result.Err(store.InDoubt(explanation=explanation))
+    return outcome
+
+
+def _make_not_done(error: store.StoreError) -> NotDone:
+    return NotDone(explanation=store.describe_error(error))
+
+
+def _make_in_doubt(error: store.StoreError) -> store.InDoubt:
+    return store.InDoubt(explanation=store.describe_error(error))
