Prove leases under faults, and mend what the tables found

Mended: a member that sends but can't receive was never evicted (granters now refuse when their answers aren't heard); one that reaches only the store put off its eviction with ever new epochs (one change until its granters promise); a store outage in which some leases were lost ended with evictions of living members (no new lapse without authority); refusals at a start made members change granters at once.

--- a/src/rhubarblead/leases/granter.py
+++ b/src/rhubarblead/leases/granter.py
@@ -1,11 +1,23 @@
 """Promises to other members not to call their leases lapsed."""
 
+import dataclasses
+
 from rhubarblead import membership
 from rhubarblead import messages
 from rhubarblead import ownership
 from rhubarblead import settings
 from rhubarblead.leases import quorum
 
+_CATCH_UP_HEARTBEATS = 2
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Hearing:
+    """When a member last showed that it had heard a newer answer."""
+
+    sequence: int
+    at_ms: int
+
 
 class Granter:
     """Keeps one timer per member and epoch that this member grants to.
@@ -15,9 +27,11 @@
     """
 
     __slots__ = (
+        "_deaf_ms",
         "_duration_ms",
         "_ends_ms",
         "_followed",
+        "_hearings",
         "_is_retired",
         "_known_member_at_ms",
         "_lapsed",
@@ -35,6 +49,8 @@
         self._duration_ms = quorum.stretch(
             duration_ms=lease.duration_ms, lease=lease
         )
+        self._deaf_ms = lease.duration_ms + 2 * lease.heartbeat_ms
+        self._hearings: dict[tuple[str, int], _Hearing] = {}
         self._known_member_at_ms: int | None = None
         self._is_retired = False
         self._members: dict[str, membership.Member] = {}
@@ -82,6 +98,8 @@
             The answer to send back.
         """
         is_granted = self._may_promise(heartbeat, now_ms)
+        if is_granted and self._is_deaf(heartbeat, now_ms):
+            is_granted = False
         if is_granted:
             key = (heartbeat.member_id, heartbeat.granters_epoch)
             self._ends_ms[key] = now_ms + self._duration_ms
@@ -123,13 +141,19 @@
             for key, end_ms in self._ends_ms.items()
             if key in self._followed or self._is_ahead(key)
         }
+        self._hearings = {
+            key: hearing
+            for key, hearing in self._hearings.items()
+            if key in self._ends_ms
+        }
         self._lapsed &= self._followed
 
     def list_lapses(self, *, now_ms: int) -> list[messages.Lapse]:
         """Lists all lapses in force, and makes those that are due final.
 
-        After a pause of this process the heartbeats that came meanwhile are
-        still to be read; it states no new lapse until they can have been.
+        While this member may not promise, and after a pause of its process,
+        silence is no sign that others are lost; so it states no new lapse until
+        they had time for heartbeats again.
 
         Args:
             now_ms: The current time.
@@ -169,17 +193,37 @@
             return False
         return now_ms - known_ms <= self._lease.authority_ms
 
+    def _is_deaf(self, heartbeat: messages.Heartbeat, now_ms: int) -> bool:
+        """Tells whether a member hasn't heard this granter for long.
+
+        Without this a member that can send but not receive would neither hold
+        its lease nor lose its shards.
+        """
+        key = (heartbeat.member_id, heartbeat.granters_epoch)
+        hearing = self._hearings.get(key)
+        if hearing is None or heartbeat.heard_sequence > hearing.sequence:
+            self._hearings[key] = _Hearing(
+                sequence=heartbeat.heard_sequence, at_ms=now_ms
+            )
+            return False
+        return now_ms - hearing.at_ms > self._deaf_ms
+
     def _is_ahead(self, key: tuple[str, int]) -> bool:
         member_id, granters_epoch = key
         member = self._members.get(member_id)
         return member is not None and granters_epoch > member.granters_epoch
 
     def _is_caught_up(self, now_ms: int) -> bool:
-        heartbeat_ms = self._lease.heartbeat_ms
+        """Tells whether members that live could have got their promises."""
         listed_at_ms = self._listed_at_ms
         self._listed_at_ms = now_ms
-        if listed_at_ms is not None and now_ms - listed_at_ms > heartbeat_ms:
+        heartbeat_ms = self._lease.heartbeat_ms
+        has_paused = (
+            listed_at_ms is not None and now_ms - listed_at_ms > heartbeat_ms
+        )
+        if has_paused or not self._has_authority(now_ms):
             self._resumed_at_ms = now_ms
         if self._resumed_at_ms is None:
             return True
-        return now_ms - self._resumed_at_ms >= heartbeat_ms
+        grace_ms = _CATCH_UP_HEARTBEATS * heartbeat_ms
+        return now_ms - self._resumed_at_ms >= grace_ms
--- a/src/rhubarblead/leases/holder.py
+++ b/src/rhubarblead/leases/holder.py
@@ -9,6 +9,7 @@
 from rhubarblead.leases import quorum
 
 _NEVER_MS = 0
+_CHANGE_DURATIONS = 3
 
 _CHART = chart.load_chart("lease")
 
@@ -36,7 +37,7 @@
     heartbeat_due_ms: int | None = None
     ends_ms: dict[str, int] = dataclasses.field(default_factory=dict)
     promised_at_ms: dict[str, int] = dataclasses.field(default_factory=dict)
-    refused: set[str] = dataclasses.field(default_factory=set)
+    heard: dict[str, int] = dataclasses.field(default_factory=dict)
     store_end_ms: int = _NEVER_MS
 
     def find_end_ms(self) -> int:
@@ -61,6 +62,8 @@
 
     __slots__ = (
         "_floor_ms",
+        "_has_changed",
+        "_changed_at_ms",
         "_highest_epoch",
         "_lease",
         "_member_id",
@@ -87,6 +90,8 @@
         self._pending: _Granting | None = None
         self._highest_epoch = granters_epoch
         self._floor_ms = _NEVER_MS
+        self._has_changed = False
+        self._changed_at_ms: int | None = None
         self._phase = _CHART.initial
         self._sequence = 0
         self._sent: dict[int, _Sent] = {}
@@ -110,6 +115,30 @@
         """Finds the epoch for the next change; no epoch is tried twice."""
         return self._highest_epoch + 1
 
+    def may_change_granters(self, *, now_ms: int) -> bool:
+        """Tells whether a change of granters may be begun.
+
+        A member that reaches the store but nobody else would put off its
+        eviction with each change. So after one whose granters have not promised
+        there is no other before they had time to state lapses.
+
+        Args:
+            now_ms: The current time.
+
+        Returns:
+            Whether no change is pending, there are granters to change, and
+            those of the last change have promised or had their time.
+        """
+        if self._pending is not None or not self._record.granters:
+            return False
+        if not self._has_changed:
+            return True
+        changed_at_ms = self._changed_at_ms
+        if changed_at_ms is None:
+            return False
+        wait_ms = _CHANGE_DURATIONS * self._lease.duration_ms
+        return now_ms - changed_at_ms >= wait_ms
+
     def change_granters(
         self, *, granters: tuple[str, ...], granters_epoch: int
     ) -> None:
@@ -133,6 +162,8 @@
                 "a member without granters is given them"
             )
         self._floor_ms = self.find_lease_end_ms()
+        self._has_changed = True
+        self._changed_at_ms = None
         self._highest_epoch = granters_epoch
         self._pending = _Granting(
             granters=granters, granters_epoch=granters_epoch
@@ -141,6 +172,7 @@
     def abandon_change(self) -> None:
         """Takes note that the pending change certainly did not take effect."""
         self._pending = None
+        self._has_changed = False
 
     def follow_record(self, *, record: membership.Member | None) -> None:
         """Follows the member's own record in the newest state.
@@ -214,13 +246,11 @@
         if granting is None:
             return
         granter_id = sent.granter_id
+        heard = granting.heard.get(granter_id, 0)
+        granting.heard[granter_id] = max(heard, promise.sequence)
         last_ms = granting.promised_at_ms.get(granter_id, sent.sent_at_ms)
-        if sent.sent_at_ms < last_ms:
+        if sent.sent_at_ms < last_ms or not promise.is_granted:
             return
-        if not promise.is_granted:
-            granting.refused.add(granter_id)
-            return
-        granting.refused.discard(granter_id)
         duration_ms = min(promise.duration_ms, self._lease.duration_ms)
         granting.promised_at_ms[granter_id] = sent.sent_at_ms
         granting.ends_ms[granter_id] = sent.sent_at_ms + duration_ms
@@ -249,7 +279,8 @@
             patience_ms: How long a granter may go without a promise.
 
         Returns:
-            The granters that refused last, or gave no promise for so long.
+            The granters that refused or were silent for so long. A refusal
+            alone may pass: a granter that has just joined can't promise yet.
         """
         record = self._record
         begun_at_ms = (
@@ -258,17 +289,24 @@
         return tuple(
             granter_id
             for granter_id in record.granters
-            if granter_id in record.refused
-            or now_ms - record.promised_at_ms.get(granter_id, begun_at_ms)
+            if now_ms - record.promised_at_ms.get(granter_id, begun_at_ms)
             >= patience_ms
         )
 
     def _follow_clock(self, now_ms: int) -> None:
+        if self._pending is None and self._has_changed:
+            self._follow_change(now_ms)
         is_held = self.is_held(now_ms=now_ms)
         if is_held != (self._phase == "held"):
             event = "promised" if is_held else "ran_out"
             self._phase = _CHART.follow(self._phase, event)
 
+    def _follow_change(self, now_ms: int) -> None:
+        if now_ms < self._record.find_end_ms():
+            self._has_changed = False
+        elif self._changed_at_ms is None:
+            self._changed_at_ms = now_ms
+
     def _send(
         self,
         granting: _Granting,
@@ -305,6 +343,7 @@
             sequence=self._sequence,
             sent_at_ms=now_ms,
             revisions=revisions,
+            heard_sequence=granting.heard.get(granter_id, 0),
         )
 
     def _forget_sent(self, now_ms: int) -> None:
--- a/src/rhubarblead/leases/selection.py
+++ b/src/rhubarblead/leases/selection.py
@@ -54,6 +54,37 @@
     return _spread([(item[-2], item[-1]) for item in weighed], avoid)
 
 
+def improve_granters(
+    *,
+    state: ownership.State,
+    member: membership.Member,
+    silent: frozenset[str],
+) -> tuple[str, ...]:
+    """Chooses other granters for a member where its present ones fall short.
+
+    Args:
+        state: The members to choose from.
+        member: The member with its present granters.
+        silent: Granters that don't promise to it.
+
+    Returns:
+        The present granters as long as all of them are members that promise,
+        and a new choice would have no more granters or failure domains;
+        otherwise the new choice, unless it names the same ones.
+    """
+    chosen = choose_granters(state=state, member=member, avoid=silent)
+    present = set(member.granters)
+    if present == set(chosen):
+        return member.granters
+    if present & silent or not present <= state.members.keys():
+        return chosen
+    if len(chosen) > len(present):
+        return chosen
+    if _count_domains(state, chosen) > _count_domains(state, member.granters):
+        return chosen
+    return member.granters
+
+
 def rank_takers(
     *, state: ownership.State, member: membership.Member
 ) -> tuple[str, ...]:
@@ -104,6 +135,10 @@
     return xxhash.xxh3_64_intdigest(f"{subject}\n{candidate}".encode())
 
 
+def _count_domains(state: ownership.State, members: tuple[str, ...]) -> int:
+    return len({state.members[name].failure_domain for name in members})
+
+
 def _list_overloaded(
     state: ownership.State, member: membership.Member
 ) -> set[str]:
--- a/src/rhubarblead/messages.py
+++ b/src/rhubarblead/messages.py
@@ -84,6 +84,8 @@
     """A member asks one of its granters to extend its lease.
 
     `sent_at_ms` is on the sender's monotonic clock and only echoed.
+    `heard_sequence` is that of the newest answer which the sender had from this
+    granter, so that a granter whose answers are lost notices.
     """
 
     member_id: str
@@ -91,6 +93,7 @@
     sequence: int
     sent_at_ms: int
     revisions: Revisions
+    heard_sequence: int = 0
 
 
 class Promise(msgspec.Struct, frozen=True, kw_only=True, tag="pr"):
--- /dev/null
+++ b/tests/rhubarblead/leases/broken.py
@@ -0,0 +1,153 @@
+"""Decisions with one deliberate fault each, which the checks must find."""
+
+import msgspec
+
+from rhubarblead import membership
+from rhubarblead import messages
+from rhubarblead.leases import granter
+from rhubarblead.leases import holder
+from rhubarblead.leases import taker
+from tests.rhubarblead.leases import world
+
+
+class _CountsFromReceipt(holder.Holder):
+    __slots__ = ()
+
+    def take_promise(self, *, promise: messages.Promise, now_ms: int) -> None:
+        sent = self._sent.get(promise.sequence)
+        if sent is not None:
+            sent.sent_at_ms = now_ms
+        super().take_promise(promise=promise, now_ms=now_ms)
+
+
+class _CountsBeforeCommit(holder.Holder):
+    __slots__ = ()
+
+    def change_granters(
+        self, *, granters: tuple[str, ...], granters_epoch: int
+    ) -> None:
+        super().change_granters(
+            granters=granters, granters_epoch=granters_epoch
+        )
+        self._record = self._pending
+
+
+class _NeedsOneLapse(taker.Taker):
+    __slots__ = ()
+
+    def take_lapse(self, *, lapse: messages.Lapse, now_ms: int) -> None:
+        member = self._state.members.get(lapse.member_id)
+        for granter_id in member.granters if member else ():
+            claimed = msgspec.structs.replace(lapse, granter_id=granter_id)
+            super().take_lapse(lapse=claimed, now_ms=now_ms)
+
+
+class _IgnoresEpoch(taker.Taker):
+    __slots__ = ()
+
+    def take_lapse(self, *, lapse: messages.Lapse, now_ms: int) -> None:
+        super().take_lapse(lapse=lapse, now_ms=now_ms)
+        member = self._state.members.get(lapse.member_id)
+        if member is not None:
+            key = (lapse.member_id, member.granters_epoch)
+            lapsed = self._lapsed_at_ms.setdefault(key, {})
+            for granter_id in member.granters:
+                lapsed.setdefault(granter_id, now_ms)
+
+
+class _EvictsTheLone(taker.Taker):
+    __slots__ = ()
+
+    def list_missing_granters(self, **_: int) -> list[object]:
+        return []
+
+    def list_evictions(
+        self, *, now_ms: int, **_: object
+    ) -> list[membership.MemberEvicted]:
+        return [
+            membership.MemberEvicted(
+                member_id=member_id, granters_epoch=0, lapsed_by=()
+            )
+            for member_id, seen_at_ms in self._seen_at_ms.items()
+            if now_ms - seen_at_ms > 2_000 and member_id != self._member_id
+        ]
+
+
+class _Eager(taker.Taker):
+    """Not at fault: takers that don't wait for their turn."""
+
+    __slots__ = ()
+
+    def _find_delay_ms(self, member: membership.Member) -> int:
+        return 0
+
+
+class _PromisesAfterLapse(granter.Granter):
+    __slots__ = ()
+
+    def take_heartbeat(
+        self, *, heartbeat: messages.Heartbeat, **rest: object
+    ) -> messages.Promise:
+        key = (heartbeat.member_id, heartbeat.granters_epoch)
+        self._lapsed.discard(key)
+        return super().take_heartbeat(heartbeat=heartbeat, **rest)
+
+
+class _PromisesToStrangers(granter.Granter):
+    __slots__ = ()
+
+    def _may_promise(self, heartbeat: messages.Heartbeat, now_ms: int) -> bool:
+        is_stranger = heartbeat.member_id not in self._members
+        return is_stranger or super()._may_promise(heartbeat, now_ms)
+
+
+class _NeverRetires(granter.Granter):
+    __slots__ = ()
+
+    def retire(self) -> None:
+        pass
+
+
+class _NeedsNoAuthority(granter.Granter):
+    __slots__ = ()
+
+    def _has_authority(self, now_ms: int) -> bool:
+        return True
+
+
+class _LapsesEarly(granter.Granter):
+    __slots__ = ()
+
+    def __init__(self, **arguments: object) -> None:
+        super().__init__(**arguments)
+        self._duration_ms //= 2
+
+
+VARIANTS = {
+    "nothing is broken": world.Parts(),
+    "takers don't wait": world.Parts(make_taker=_Eager),
+    "promises count from their receipt": world.Parts(
+        make_holder=_CountsFromReceipt
+    ),
+    "new granters count before the commit": world.Parts(
+        make_holder=_CountsBeforeCommit
+    ),
+    "one lapse is enough to evict": world.Parts(make_taker=_NeedsOneLapse),
+    "lapses of an old epoch count": world.Parts(make_taker=_IgnoresEpoch),
+    "members without granters are evicted": world.Parts(
+        make_taker=_EvictsTheLone
+    ),
+    "granters promise after a lapse": world.Parts(
+        make_granter=_PromisesAfterLapse
+    ),
+    "granters promise to members they don't know": world.Parts(
+        make_granter=_PromisesToStrangers
+    ),
+    "a member that leaves goes on promising": world.Parts(
+        make_granter=_NeverRetires
+    ),
+    "granters promise without bound": world.Parts(
+        make_granter=_NeedsNoAuthority
+    ),
+    "granters state a lapse too early": world.Parts(make_granter=_LapsesEarly),
+}
--- a/tests/steps/handing_over.py
+++ b/tests/steps/handing_over.py
@@ -7,14 +7,14 @@
 from rhubarblead import ownership
 from rhubarblead import settings
 from rhubarblead.assignment import handover
-from tests.steps import planning
+from tests.rhubarblead import fixtures
 
-_POOL = "p"
+_POOL = fixtures.POOL
 _DRAIN_MS = settings.Limits().drain_ms
 
 
 def _make_state(shard_count: int, wanted: dict[int, str]) -> ownership.State:
-    members = [planning.make_member(number, 2) for number in range(2)]
+    members = [fixtures.make_member(name, name) for name in ("m0", "m1")]
     return ownership.State(
         revision=10,
         members={member.member_id: member for member in members},
--- a/tests/steps/planning.py
+++ b/tests/steps/planning.py
@@ -9,23 +9,9 @@
 from rhubarblead import membership
 from rhubarblead import ownership
 from rhubarblead.assignment import planner
+from tests.rhubarblead import fixtures
 
-_POOL = "p"
-
-
-def make_member(number: int, domain_count: int) -> membership.Member:
-    return membership.Member(
-        member_id=f"m{number}",
-        instance=f"m{number}",
-        incarnation="1",
-        failure_domain=f"d{number % domain_count}",
-        region="r",
-        pool=_POOL,
-        ip_address="127.0.0.1",
-        http_port=1,
-        data_port=2,
-        control_port=3,
-    )
+_POOL = fixtures.POOL
 
 
 def _move(
@@ -48,14 +34,16 @@
 def given_plan(
     context: runner.Context, shards: int, servers: int, domains: int
 ) -> None:
-    members = [make_member(number, domains) for number in range(servers)]
+    members = [
+        fixtures.make_member(f"m{number}", f"d{number % domains}")
+        for number in range(servers)
+    ]
     state = ownership.State(
         members={member.member_id: member for member in members}
     )
     state.assignments[_POOL] = ownership.Assignment(
         shard_count=shards, owners=[""] * shards, fences=[0] * shards
     )
-    context.domain_count = domains
     context.eligible = tuple(state.members)
     context.moves = planner.plan_takeover(
         state=state, pool=_POOL, lost=frozenset(), eligible=context.eligible
@@ -123,7 +111,7 @@
 @behave.when("{count:d} servers join the assignment")
 def join(context: runner.Context, count: int) -> None:
     for number in range(count):
-        member = make_member(10_000 + number, context.domain_count)
+        member = fixtures.make_member(f"n{number}", "d0")
         context.state.members[member.member_id] = member
     context.eligible = tuple(context.state.members)
     _rebalance(context)
