Add calls between nodes that survive silent connections

Cause: an open connection may go silent while new ones work, and a node must not be told that a request was lost when its peer has run it. The receiver acknowledges each call and runs one call per request id; the sender opens a new connection after silence and sends again, at most three times unacknowledged.

--- a/src/rhubarblead/messages.py
+++ b/src/rhubarblead/messages.py
@@ -33,6 +33,7 @@
     idempotency_key: str
     is_repeatable: bool
     remaining_ms: int
+    max_answer_bytes: int
     ownership_revision: int
     body_size: int
     body_digest: int
@@ -61,6 +62,7 @@
     retry_after_ms: int = 0
     owner: str = ""
     ownership_revision: int = 0
+    server: str = ""
     body_size: int = 0
     body_digest: int = 0
 
@@ -162,11 +164,15 @@
 
 
 class LedgerWrite(msgspec.Struct, frozen=True, kw_only=True, tag="ledw"):
-    """An owner asks another node to keep copies of entries."""
+    """An owner asks another node to keep copies of entries.
+
+    `is_all` says that these are all the entries that the owner has.
+    """
 
     request_id: str
     owner: str
     entries: tuple[LedgerEntry, ...]
+    is_all: bool = False
 
 
 class LedgerRead(msgspec.Struct, frozen=True, kw_only=True, tag="ledr"):
--- /dev/null
+++ b/src/rhubarblead/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Links between nodes over zmq."""
--- /dev/null
+++ b/src/rhubarblead/transport/calls.py
@@ -0,0 +1,149 @@
+"""Decisions on calls to peers: acknowledgements, resends and giving up.
+
+A call is a message that the receiver answers under the same request id, and
+that it runs once however often it arrives. That makes it safe to send a call
+again when its connection may have gone silent.
+"""
+
+import dataclasses
+
+from rhubarblead.transport import links
+
+_MAX_ATTEMPTS = 3
+_SILENCE_FACTOR = 4
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Call:
+    """One call in progress."""
+
+    request_id: str
+    address: links.Address
+    deadline_ms: int
+    sent_at_ms: int = 0
+    attempt: int = 0
+    is_acknowledged: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Resend:
+    """The link to a peer is to be opened anew, and the calls sent again."""
+
+    address: links.Address
+    request_ids: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GiveUp:
+    """A call is over; `is_sent` says that the peer may have received it."""
+
+    request_id: str
+    is_sent: bool
+
+
+class CallTable:
+    """The calls of one task, with the time that each peer last spoke."""
+
+    __slots__ = ("_ack_timeout_ms", "_calls", "_heard_at_ms")
+
+    def __init__(self, *, ack_timeout_ms: int) -> None:
+        self._ack_timeout_ms = ack_timeout_ms
+        self._calls: dict[str, Call] = {}
+        self._heard_at_ms: dict[links.Address, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._calls)
+
+    def start(self, *, call: Call, now_ms: int) -> None:
+        """Records that a call is being sent for the first time."""
+        call.sent_at_ms = now_ms
+        call.attempt = 1
+        self._calls[call.request_id] = call
+
+    def find_attempt(self, request_id: str) -> int:
+        """Finds how often a call was sent; 0 when it is over."""
+        call = self._calls.get(request_id)
+        return call.attempt if call else 0
+
+    def take_ack(
+        self, *, request_id: str, address: links.Address, now_ms: int
+    ) -> None:
+        """Records that a peer has received a call."""
+        self._heard_at_ms[address] = now_ms
+        call = self._calls.get(request_id)
+        if call is not None:
+            call.is_acknowledged = True
+
+    def take_answer(
+        self, *, request_id: str, address: links.Address, now_ms: int
+    ) -> bool:
+        """Ends a call; returns whether it was still in progress there."""
+        self._heard_at_ms[address] = now_ms
+        call = self._calls.get(request_id)
+        if call is None or call.address != address:
+            return False
+        del self._calls[request_id]
+        return True
+
+    def drop_peer(self, address: links.Address) -> list[GiveUp]:
+        """Ends the calls to a peer that is gone."""
+        self._heard_at_ms.pop(address, None)
+        return [
+            self._end(call)
+            for call in list(self._calls.values())
+            if call.address == address
+        ]
+
+    def cancel(self, request_id: str) -> GiveUp | None:
+        """Ends a call whose caller no longer waits."""
+        call = self._calls.get(request_id)
+        return self._end(call) if call else None
+
+    def tick(self, now_ms: int) -> tuple[list[Resend], list[GiveUp]]:
+        """Finds calls to send again and calls to give up.
+
+        Args:
+            now_ms: The monotonic time.
+
+        Returns:
+            One resend for each peer whose link seems silent, and the calls
+            that are over.
+        """
+        over = []
+        silent: dict[links.Address, list[str]] = {}
+        for call in list(self._calls.values()):
+            if now_ms >= call.deadline_ms:
+                over.append(self._end(call))
+            elif self._is_silent(call, now_ms):
+                if call.attempt >= _MAX_ATTEMPTS and not call.is_acknowledged:
+                    over.append(self._end(call))
+                else:
+                    silent.setdefault(call.address, []).append(call.request_id)
+        for ids in silent.values():
+            self._mark_resent(ids, now_ms)
+        resends = [
+            Resend(address=address, request_ids=tuple(ids))
+            for address, ids in silent.items()
+        ]
+        return resends, over
+
+    def _is_silent(self, call: Call, now_ms: int) -> bool:
+        # A busy peer is given longer with each attempt.
+        limit_ms = self._ack_timeout_ms << (call.attempt - 1)
+        if call.is_acknowledged:
+            limit_ms *= _SILENCE_FACTOR
+        heard_at_ms = self._heard_at_ms.get(call.address, 0)
+        last_ms = call.sent_at_ms
+        if call.is_acknowledged:
+            last_ms = max(last_ms, heard_at_ms)
+        return now_ms - last_ms >= limit_ms
+
+    def _mark_resent(self, request_ids: list[str], now_ms: int) -> None:
+        for request_id in request_ids:
+            call = self._calls[request_id]
+            call.attempt += 1
+            call.sent_at_ms = now_ms
+
+    def _end(self, call: Call) -> GiveUp:
+        del self._calls[call.request_id]
+        return GiveUp(request_id=call.request_id, is_sent=call.attempt > 0)
--- /dev/null
+++ b/tests/steps/transport_calls.py
@@ -0,0 +1,92 @@
+"""Steps for the decisions on calls to peers."""
+
+import behave
+from behave import runner
+
+from rhubarblead.transport import calls
+from rhubarblead.transport import links
+
+
+def _address(peer: str) -> links.Address:
+    return links.Address("127.0.0.1", int(peer))
+
+
+@behave.given("a call table with an acknowledgement timeout of {timeout:d} ms")
+def given_table(context: runner.Context, timeout: int) -> None:
+    context.calls = calls.CallTable(ack_timeout_ms=timeout)
+    context.sent = 0
+    context.over = []
+
+
+@behave.given(
+    'a call "{name}" to peer "{peer}" at {at:d} ms with its deadline at'
+    " {deadline:d} ms"
+)
+def given_call(
+    context: runner.Context, name: str, peer: str, at: int, deadline: int
+) -> None:
+    call = calls.Call(
+        request_id=name, address=_address(peer), deadline_ms=deadline
+    )
+    context.calls.start(call=call, now_ms=at)
+
+
+@behave.when('the call table hears "{heard}" and is asked at {at:d} ms')
+def when_heard(context: runner.Context, heard: str, at: int) -> None:
+    if heard.startswith("ack at "):
+        context.calls.take_ack(
+            request_id="a",
+            address=_address("1"),
+            now_ms=int(heard.removeprefix("ack at ")),
+        )
+    context.resends, context.over = context.calls.tick(at)
+
+
+@behave.when("the call table is asked every {step:d} ms until {until:d} ms")
+def when_asked_often(context: runner.Context, step: int, until: int) -> None:
+    context.sent = 1
+    for now_ms in range(0, until, step):
+        resends, over = context.calls.tick(now_ms)
+        context.sent += sum(len(r.request_ids) for r in resends)
+        context.over.extend(over)
+
+
+@behave.when('the call table drops peer "{peer}"')
+def when_dropped(context: runner.Context, peer: str) -> None:
+    context.over = context.calls.drop_peer(_address(peer))
+
+
+@behave.when('the call table gets an answer to "{name}" from peer "{peer}"')
+def when_answered(context: runner.Context, name: str, peer: str) -> None:
+    assert not context.calls.take_answer(
+        request_id=name, address=_address(peer), now_ms=1
+    )
+
+
+@behave.then('the call table sends "{resent}" again and gives up "{given_up}"')
+@behave.then('the call table sends "{resent}" again and gives up ""')
+@behave.then('the call table sends "" again and gives up "{given_up}"')
+@behave.then('the call table sends "" again and gives up ""')
+def then_decided(
+    context: runner.Context, resent: str = "", given_up: str = ""
+) -> None:
+    sent = [name for r in context.resends for name in r.request_ids]
+    assert sent == ([resent] if resent else []), sent
+    over = [ended.request_id for ended in context.over]
+    assert over == ([given_up] if given_up else []), over
+
+
+@behave.then('the call table has sent "{name}" {count:d} times and given it up')
+def then_given_up(context: runner.Context, name: str, count: int) -> None:
+    assert context.sent == count, context.sent
+    assert [ended.request_id for ended in context.over] == [name]
+
+
+@behave.then('the call table gives up "{name}" as possibly received')
+def then_possibly_received(context: runner.Context, name: str) -> None:
+    assert context.over == [calls.GiveUp(request_id=name, is_sent=True)]
+
+
+@behave.then("the call table has {count:d} call left")
+def then_left(context: runner.Context, count: int) -> None:
+    assert len(context.calls) == count
