--- /dev/null
+++ b/src/rhubarblead/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on requests: at most once, retries, admission, balance."""
