--- a/src/rhubarblead/assignment/handover.py
+++ b/src/rhubarblead/assignment/handover.py
@@ -75,8 +75,15 @@
         self._running: dict[int, int] = {}
 
     def begin_leaving(self) -> None:
-        """Lets shards go to nobody, too, where the pool has no other member."""
+        """Closes every shard that this member owns.
+
+        A shard that no member is to have is released to nobody; whoever
+        commits the release may name an owner for it.
+        """
+        if self._is_leaving:
+            return
         self._is_leaving = True
+        self._add_leaving_targets()
 
     def follow_state(self, *, state: ownership.State, now_ms: int) -> None:
         """Follows which shards this member owns, and who is to have them.
@@ -91,6 +98,7 @@
         self._revision = state.revision
         self._fences = self._find_fences(state)
         self._targets = self._find_targets(state)
+        self._add_leaving_targets()
         for shard, closing in list(self._closings.items()):
             self._follow_shard(shard, closing)
         self._backoffs = {
@@ -207,17 +215,19 @@
         assignment = self._find_assignment(state)
         if assignment is None:
             return {}
-        targets = {
+        return {
             shard: target
             for shard, target in assignment.wanted.items()
             if shard in self._fences
             and target != self._member_id
             and target in state.members
         }
-        if self._is_leaving and not self._has_peers(state):
-            for shard in self._fences:
-                targets.setdefault(shard, ownership.NOBODY)
-        return targets
+
+    def _add_leaving_targets(self) -> None:
+        if not self._is_leaving:
+            return
+        for shard in self._fences:
+            self._targets.setdefault(shard, ownership.NOBODY)
 
     def _find_assignment(
         self, state: ownership.State
@@ -227,10 +237,6 @@
             return None
         return state.assignments.get(member.pool)
 
-    def _has_peers(self, state: ownership.State) -> bool:
-        pool = state.members[self._member_id].pool
-        return len(state.list_pool(pool)) > 1
-
     def _follow_shard(self, shard: int, closing: _Closing) -> None:
         fence = self._fences.get(shard)
         if fence is None or fence > closing.fence:
--- a/src/rhubarblead/leases/taker.py
+++ b/src/rhubarblead/leases/taker.py
@@ -121,6 +121,15 @@
         )
         return [eviction for eviction in evictions if eviction is not None]
 
+    def list_suspects(self) -> frozenset[str]:
+        """Lists the members that a granter has stated a lapse for."""
+        return frozenset(
+            member_id
+            for member_id, granters_epoch in self._lapsed_at_ms
+            if member_id in self._state.members
+            and self._state.members[member_id].granters_epoch == granters_epoch
+        )
+
     def list_missing_granters(
         self, *, now_ms: int
     ) -> list[membership.GrantersChanged]:
--- /dev/null
+++ b/src/rhubarblead/node/__init__.py
@@ -0,0 +1,1 @@
+"""The node daemon: tasks, request path and their wiring."""
--- /dev/null
+++ b/src/rhubarblead/node/admin.py
@@ -0,0 +1,278 @@
+"""Answers to operators, to routing clients and to the upstream."""
+
+from collections.abc import Callable
+import http
+import resource
+import urllib.parse
+
+import msgspec
+import result
+
+from rhubarblead import clock
+from rhubarblead import ownership
+from rhubarblead import refusal as refusals
+from rhubarblead import settings
+from rhubarblead import status as reports
+from rhubarblead import verdict as verdicts
+from rhubarblead.events import filters
+from rhubarblead.events import log
+from rhubarblead.node import control
+from rhubarblead.node import intake
+from rhubarblead.node import outcome as outcomes
+from rhubarblead.node import probes
+from rhubarblead.node import view as views
+from rhubarblead.upstream import monitor
+
+_JSON = (("Content-Type", "application/json"),)
+_KIB = 1024
+_NOBODY_INDEX = -1
+
+
+class Admin:
+    """Handles the paths below `/-/`."""
+
+    __slots__ = (
+        "_board",
+        "_count_in_flight",
+        "_events",
+        "_handlers",
+        "_node",
+        "_post",
+        "_started_at_ms",
+        "_upstream",
+    )
+
+    def __init__(
+        self,
+        *,
+        node: settings.Settings,
+        board: views.ViewBoard,
+        upstream: probes.UpstreamProbe,
+        events: log.EventLog,
+        post: Callable[[control.Item], None],
+        count_in_flight: Callable[[], int],
+    ) -> None:
+        self._node = node
+        self._board = board
+        self._upstream = upstream
+        self._events = events
+        self._post = post
+        self._count_in_flight = count_in_flight
+        self._started_at_ms = clock.read_monotonic_ms()
+        self._handlers: dict[
+            tuple[str, str], Callable[[intake.CallerRequest], outcomes.Outcome]
+        ] = {
+            ("POST", "/-/announce"): self._announce,
+            ("POST", "/-/drain"): self._drain,
+            ("GET", "/-/status"): self._show_status,
+            ("GET", "/-/members"): self._show_members,
+            ("GET", "/-/owner"): self._show_owner,
+            ("GET", "/-/map"): self._show_map,
+            ("GET", "/-/timeline"): self._show_timeline,
+        }
+
+    def handle(self, request: intake.CallerRequest) -> outcomes.Outcome:
+        """Answers one request.
+
+        Args:
+            request: A request whose path begins with `/-/`.
+
+        Returns:
+            The answer as JSON, or a refusal.
+        """
+        handler = self._handlers.get((request.method, request.path))
+        if handler is None:
+            return _refuse(
+                refusals.Refusal.NO_ROUTE,
+                f"there is no {request.method} {request.path}",
+            )
+        return handler(request)
+
+    def _announce(self, request: intake.CallerRequest) -> outcomes.Outcome:
+        try:
+            announcement = monitor.decode_announcement(request.body)
+        except monitor.CannotDecode as error:
+            return _refuse(refusals.Refusal.MALFORMED, str(error))
+        if announcement.server != self._node.instance:
+            return _refuse(
+                refusals.Refusal.MALFORMED,
+                f"this node stands beside {self._node.instance}, not"
+                f" {announcement.server}",
+            )
+        self._upstream.take_announcement(announcement)
+        return _answer(b"", http.HTTPStatus.NO_CONTENT)
+
+    def _drain(self, request: intake.CallerRequest) -> outcomes.Outcome:
+        del request
+        self._post(control.Drain())
+        return _answer(b"{}", http.HTTPStatus.ACCEPTED)
+
+    def _show_status(self, request: intake.CallerRequest) -> outcomes.Outcome:
+        del request
+        view = self._board.read()
+        now_ms = clock.read_monotonic_ms()
+        member = view.member
+        lease_end_ms = self._board.find_lease_end_ms(view.member_id)
+        return _encode(
+            reports.Status(
+                member_id=view.member_id,
+                instance=self._node.instance,
+                incarnation=member.incarnation if member else "",
+                failure_domain=self._node.failure_domain,
+                region=self._node.region,
+                pool=member.pool if member else "",
+                state="serving" if member else "waiting",
+                lease_left_ms=max(0, lease_end_ms - now_ms),
+                granters=tuple(
+                    reports.GranterView(member_id=g, promise_age_ms=-1)
+                    for g in (member.granters if member else ())
+                ),
+                granters_epoch=member.granters_epoch if member else 0,
+                ownership_revision=view.state.revision,
+                tables_revision=view.tables_revision,
+                shards_owned_count=_count_owned(view.state, view.member_id),
+                in_flight_count=self._count_in_flight(),
+                upstream=self._describe_upstream(),
+                uptime_ms=now_ms - self._started_at_ms,
+                rss_bytes=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+                * _KIB,
+            )
+        )
+
+    def _describe_upstream(self) -> reports.UpstreamView:
+        upstream = self._upstream.read()
+        if upstream is None:
+            return reports.UpstreamView()
+        return reports.UpstreamView(
+            server=upstream.announcement.server,
+            state="serving" if upstream.is_serving else "unfit",
+            incarnation=upstream.announcement.incarnation,
+            slots_count=upstream.announcement.slots,
+        )
+
+    def _show_members(self, request: intake.CallerRequest) -> outcomes.Outcome:
+        del request
+        state = self._board.read().state
+        return _encode(
+            reports.Members(
+                ownership_revision=state.revision,
+                members=tuple(
+                    reports.MemberView(
+                        member_id=member.member_id,
+                        instance=member.instance,
+                        failure_domain=member.failure_domain,
+                        region=member.region,
+                        pool=member.pool,
+                        ip_address=member.ip_address,
+                        http_port=member.http_port,
+                        granters=member.granters,
+                        granters_epoch=member.granters_epoch,
+                        shards_owned_count=_count_owned(
+                            state, member.member_id
+                        ),
+                    )
+                    for member in sorted(
+                        state.members.values(), key=lambda m: m.member_id
+                    )
+                ),
+            )
+        )
+
+    def _show_owner(self, request: intake.CallerRequest) -> outcomes.Outcome:
+        query = _read_query(request)
+        pool = query.get("pool", "")
+        key = query.get("key", "")
+        state = self._board.read().state
+        assignment = state.assignments.get(pool)
+        if assignment is None or not key:
+            return _refuse(
+                refusals.Refusal.MISSING_KEY,
+                "pool must name a keyed pool with members, and key a key",
+            )
+        shard = assignment.find_shard(key)
+        owner = state.members.get(assignment.owners[shard])
+        is_split = key in assignment.splits
+        why = "its shard was split off" if is_split else "by the key's hash"
+        return _encode(
+            reports.OwnerView(
+                pool=pool,
+                key=key,
+                shard=shard,
+                owner=owner.instance if owner else "",
+                authority=views.find_http_authority(owner) if owner else "",
+                fence=assignment.fences[shard],
+                ownership_revision=state.revision,
+                why=f"the key is in shard {shard} {why}; the entry with"
+                f" revision {assignment.fences[shard]} gave the shard to"
+                f" {owner.member_id if owner else 'nobody'}",
+            )
+        )
+
+    def _show_map(self, request: intake.CallerRequest) -> outcomes.Outcome:
+        pool = _read_query(request).get("pool", "")
+        state = self._board.read().state
+        assignment = state.assignments.get(pool)
+        if assignment is None:
+            return _refuse(
+                refusals.Refusal.POOL_DOWN, f"pool {pool!r} has no shards"
+            )
+        members = state.list_pool(pool)
+        indexes = {m.member_id: index for index, m in enumerate(members)}
+        return _encode(
+            reports.ShardMap(
+                pool=pool,
+                revision=state.revision,
+                shard_count=assignment.shard_count,
+                nodes=tuple(views.find_http_authority(m) for m in members),
+                owners=tuple(
+                    indexes.get(owner, _NOBODY_INDEX)
+                    for owner in assignment.owners
+                ),
+                splits=assignment.splits,
+            )
+        )
+
+    def _show_timeline(self, request: intake.CallerRequest) -> outcomes.Outcome:
+        query = urllib.parse.urlsplit(request.target).query
+        match filters.read_filter(query):
+            case result.Ok(wanted):
+                events = self._events.list_events(wanted)
+                return _answer(msgspec.json.encode(events))
+            case result.Err(explanation):
+                return _refuse(refusals.Refusal.MALFORMED, explanation)
+
+
+def _read_query(request: intake.CallerRequest) -> dict[str, str]:
+    query = urllib.parse.urlsplit(request.target).query
+    return dict(urllib.parse.parse_qsl(query))
+
+
+def _count_owned(state: ownership.State, member_id: str) -> int:
+    if not member_id:
+        return 0
+    return sum(
+        assignment.owners.count(member_id)
+        for assignment in state.assignments.values()
+    )
+
+
+def _encode(answer: msgspec.Struct) -> outcomes.Outcome:
+    return _answer(reports.encode(answer))
+
+
+def _answer(
+    body: bytes, status: http.HTTPStatus = http.HTTPStatus.OK
+) -> outcomes.Outcome:
+    return outcomes.Outcome(
+        verdict=verdicts.Verdict.RAN,
+        status=status.value,
+        reason=status.phrase,
+        headers=_JSON,
+        body=body,
+    )
+
+
+def _refuse(refusal: refusals.Refusal, explanation: str) -> outcomes.Outcome:
+    return outcomes.refuse(
+        refusals.Refused(refusal=refusal, explanation=explanation)
+    )
--- /dev/null
+++ b/src/rhubarblead/node/agenda.py
@@ -0,0 +1,284 @@
+"""What a node should write next, and what its writes have led to."""
+
+import secrets
+
+from rhubarblead import membership
+from rhubarblead import ownership
+from rhubarblead import settings
+from rhubarblead import tables as tables_lib
+from rhubarblead.assignment import handover
+from rhubarblead.node import gate
+from rhubarblead.node import journal as journals
+from rhubarblead.node import proposals
+from rhubarblead.node import tenure as tenures
+from rhubarblead.node import writing
+
+_WRITE_ID_BYTES = 12
+_PLANNING_INTERVAL_MS = 500
+_GRANTER_PATIENCE_MS = 3_000
+
+
+class Agenda:
+    """Derives the next proposal from the newest state.
+
+    `tenure` is None while the node is no member. `is_fit` says that the
+    upstream serves; `is_draining` that an operator wants the node to stop.
+    """
+
+    __slots__ = (
+        "_gate",
+        "_joining",
+        "_node",
+        "_planning_due_ms",
+        "is_draining",
+        "is_fit",
+        "tenure",
+    )
+
+    def __init__(
+        self, *, node: settings.Settings, shard_gate: gate.ShardGate
+    ) -> None:
+        self._node = node
+        self._gate = shard_gate
+        self._joining: membership.Member | None = None
+        self._planning_due_ms = 0
+        self.tenure: tenures.Tenure | None = None
+        self.is_fit = False
+        self.is_draining = False
+
+    def is_leaving(self, journal: journals.Journal) -> bool:
+        """Tells whether the node should not be the member that it is."""
+        if self.tenure is None:
+            return False
+        record = journal.state.members.get(self.tenure.member_id)
+        pool = journal.tables.find_pool_of(self._node.instance)
+        is_moved = record is not None and (
+            pool is None or pool.name != record.pool
+        )
+        return self.is_draining or not self.is_fit or is_moved
+
+    def follow(self, *, state: ownership.State, now_ms: int) -> None:
+        """Follows the newest state; begins or ends the node's tenure.
+
+        Args:
+            state: The newest state.
+            now_ms: The monotonic time.
+        """
+        joining = self._joining
+        if joining is not None and joining.member_id in state.members:
+            self._begin_tenure(state.members[joining.member_id])
+        tenure = self.tenure
+        if tenure is None:
+            return
+        tenure.follow_state(state=state, now_ms=now_ms)
+        if tenure.member_id not in state.members:
+            self.tenure = None
+            self._gate.replace(None)
+            return
+        self._gate.decide(
+            lambda decision: decision.follow_state(state=state, now_ms=now_ms)
+        )
+
+    def find_proposal(
+        self, *, journal: journals.Journal, now_ms: int
+    ) -> writing.Proposal | None:
+        """Finds what to write next, the most urgent first.
+
+        Args:
+            journal: The newest facts.
+            now_ms: The monotonic time.
+
+        Returns:
+            A proposal on the newest state; None when all is well.
+        """
+        if self.tenure is None:
+            return self._propose_join(journal)
+        return (
+            self._propose_evictions(journal, self.tenure, now_ms)
+            or self._propose_granters(journal, self.tenure, now_ms)
+            or self._propose_release(journal, self.tenure, now_ms)
+            or self._propose_plan(journal, self.tenure, now_ms)
+        )
+
+    def begin(self, proposal: writing.Proposal) -> None:
+        """Prepares for a proposal that is about to be sent."""
+        if self.tenure is None:
+            return
+        for change in proposal.changes:
+            match change:
+                case membership.GrantersChanged(member_id=member_id) if (
+                    member_id == self.tenure.member_id
+                ):
+                    self.tenure.begin_granters_change(change)
+        moves = _list_released(proposal)
+        if moves:
+            self._gate.decide(
+                lambda decision: decision.mark_committing(moves=moves)
+            )
+
+    def end(
+        self, proposal: writing.Proposal, *, is_committed: bool, now_ms: int
+    ) -> None:
+        """Takes note of the fate of a proposal.
+
+        Args:
+            proposal: What was sent.
+            is_committed: Whether it took effect; if not, it never will.
+            now_ms: The monotonic time.
+        """
+        if proposal.purpose is writing.Purpose.JOIN and not is_committed:
+            self._joining = None
+        if self.tenure is None:
+            return
+        if proposal.purpose is writing.Purpose.GRANTERS and not is_committed:
+            self.tenure.holder.abandon_change()
+        moves = _list_released(proposal)
+        outcome = (
+            handover.Outcome.DONE if is_committed else handover.Outcome.NOT_DONE
+        )
+        if moves:
+            self._gate.decide(
+                lambda decision: decision.resolve(
+                    moves=moves, outcome=outcome, now_ms=now_ms
+                )
+            )
+
+    def _begin_tenure(self, member: membership.Member) -> None:
+        self._joining = None
+        self.tenure = tenures.Tenure(member=member, lease=self._node.lease)
+        self._gate.replace(
+            handover.Handover(
+                member_id=member.member_id,
+                limits=self._node.limits,
+            )
+        )
+
+    def _propose_join(
+        self, journal: journals.Journal
+    ) -> writing.Proposal | None:
+        pool = journal.tables.find_pool_of(self._node.instance)
+        if pool is None or not self.is_fit or self.is_draining:
+            return None
+        self._joining = tenures.make_member(
+            self._node, pool=pool.name, state=journal.state
+        )
+        return _propose(
+            writing.Purpose.JOIN,
+            journal,
+            proposals.propose_join(
+                state=journal.state, pool=pool, member=self._joining
+            ),
+        )
+
+    def _propose_evictions(
+        self, journal: journals.Journal, tenure: tenures.Tenure, now_ms: int
+    ) -> writing.Proposal | None:
+        tables = journal.tables
+        evictions = tenure.taker.list_evictions(
+            now_ms=now_ms,
+            settle_ms=lambda member: _find_settle_ms(tables, member),
+        )
+        if not evictions:
+            return None
+        return _propose(
+            writing.Purpose.EVICT,
+            journal,
+            proposals.propose_evictions(
+                state=journal.state,
+                tables=tables,
+                evictions=evictions,
+                suspects=tenure.taker.list_suspects(),
+            ),
+        )
+
+    def _propose_granters(
+        self, journal: journals.Journal, tenure: tenures.Tenure, now_ms: int
+    ) -> writing.Proposal | None:
+        missing = tenure.taker.list_missing_granters(now_ms=now_ms)
+        changes: tuple[membership.Change, ...] = tuple(missing)
+        if not changes:
+            change = tenure.find_granters_change(
+                state=journal.state,
+                now_ms=now_ms,
+                patience_ms=_GRANTER_PATIENCE_MS,
+            )
+            changes = (change,) if change else ()
+        return _propose(writing.Purpose.GRANTERS, journal, changes)
+
+    def _propose_release(
+        self, journal: journals.Journal, tenure: tenures.Tenure, now_ms: int
+    ) -> writing.Proposal | None:
+        if self.is_leaving(journal):
+            self._gate.decide(lambda decision: decision.begin_leaving())
+        ready = self._gate.decide(lambda decision: decision.list_ready(now_ms))
+        if self.is_leaving(journal):
+            changes = proposals.propose_leave(
+                state=journal.state,
+                tables=journal.tables,
+                member_id=tenure.member_id,
+                shards=frozenset(move.shard for move in ready or ()),
+            )
+        else:
+            changes = proposals.propose_release(
+                state=journal.state,
+                member_id=tenure.member_id,
+                moves=tuple(ready or ()),
+            )
+        return _propose(writing.Purpose.RELEASE, journal, changes)
+
+    def _propose_plan(
+        self, journal: journals.Journal, tenure: tenures.Tenure, now_ms: int
+    ) -> writing.Proposal | None:
+        if now_ms < self._planning_due_ms:
+            return None
+        self._planning_due_ms = now_ms + _PLANNING_INTERVAL_MS
+        for name in sorted(journal.state.assignments):
+            if not proposals.has_planning_duty(
+                state=journal.state,
+                member_id=tenure.member_id,
+                pool_name=name,
+            ):
+                continue
+            changes = proposals.propose_assignment(
+                state=journal.state, tables=journal.tables, pool_name=name
+            )
+            if changes:
+                return _propose(writing.Purpose.PLAN, journal, changes)
+        return None
+
+
+def _propose(
+    purpose: writing.Purpose,
+    journal: journals.Journal,
+    changes: tuple[membership.Change, ...],
+) -> writing.Proposal | None:
+    if not changes:
+        return None
+    return writing.Proposal(
+        write_id=secrets.token_hex(_WRITE_ID_BYTES),
+        purpose=purpose,
+        state=journal.state,
+        changes=changes,
+    )
+
+
+def _list_released(
+    proposal: writing.Proposal,
+) -> tuple[membership.ShardMove, ...]:
+    if proposal.purpose is not writing.Purpose.RELEASE:
+        return ()
+    return tuple(
+        move
+        for change in proposal.changes
+        if isinstance(change, membership.ShardsMoved)
+        for move in change.moves
+    )
+
+
+def _find_settle_ms(
+    tables: tables_lib.Tables, member: membership.Member
+) -> int:
+    pool = tables.find_pool(member.pool)
+    if pool is None or pool.is_fenced or pool.kind == "balanced":
+        return 0
+    return pool.settle_ms
--- /dev/null
+++ b/src/rhubarblead/node/control.py
@@ -0,0 +1,465 @@
+"""The control task: messages, reads and writes around the decisions."""
+
+from collections.abc import Callable
+import contextlib
+import dataclasses
+import secrets
+from typing import TypeAlias
+
+import msgspec
+import result
+import zmq
+
+from rhubarblead import clock
+from rhubarblead import faults
+from rhubarblead import membership
+from rhubarblead import messages
+from rhubarblead import ownership
+from rhubarblead import settings
+from rhubarblead.events import catalog
+from rhubarblead.events import log
+from rhubarblead.leases import selection
+from rhubarblead.node import agenda as agendas
+from rhubarblead.node import change as changes
+from rhubarblead.node import journal as journals
+from rhubarblead.node import observer as observers
+from rhubarblead.node import reading
+from rhubarblead.node import spread
+from rhubarblead.node import store_jobs
+from rhubarblead.node import tenure as tenures
+from rhubarblead.node import view as views
+from rhubarblead.node import writing
+from rhubarblead.platform import ownership_log
+from rhubarblead.platform import store
+from rhubarblead.platform import table_log
+from rhubarblead.transport import links
+from rhubarblead.transport import wakeup
+
+_NEWS_INTERVAL_MS = 100
+_LAPSE_INTERVAL_MS = 100
+_IDENTITY_BYTES = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamChanged:
+    """The upstream beside the node began or ceased to serve."""
+
+    is_serving: bool
+
+
+class Drain:
+    """The node is to hand over everything and leave."""
+
+
+class Stop:
+    """The task is to return."""
+
+
+Item: TypeAlias = store_jobs.StoreResult | UpstreamChanged | Drain | Stop
+
+
+class Control:
+    """Owns the control sockets, the journal and the agenda.
+
+    `run` is the task; `post` may be called from any thread.
+    """
+
+    __slots__ = (
+        "_agenda",
+        "_board",
+        "_events",
+        "_inbox",
+        "_jobs",
+        "_journal",
+        "_lapses_due_ms",
+        "_links",
+        "_news_due_ms",
+        "_node",
+        "_observer",
+        "_reads",
+        "_tick_due_ms",
+        "_writes",
+    )
+
+    def __init__(
+        self,
+        *,
+        node: settings.Settings,
+        context: zmq.Context[zmq.Socket[bytes]],
+        board: views.ViewBoard,
+        agenda: agendas.Agenda,
+        observer: observers.Observer,
+        events: log.EventLog,
+        make_jobs: Callable[
+            [Callable[[store_jobs.StoreResult], None]], store_jobs.StoreJobs
+        ],
+    ) -> None:
+        self._node = node
+        self._board = board
+        self._agenda = agenda
+        self._observer = observer
+        self._events = events
+        self._inbox: wakeup.Inbox[Item] = wakeup.Inbox()
+        self._links = links.Links(
+            context=context,
+            identity=f"{node.instance}.{secrets.token_hex(_IDENTITY_BYTES)}",
+        )
+        self._jobs = make_jobs(self._inbox.put)
+        self._journal = journals.Journal()
+        self._reads = reading.ReadSchedule(platform=node.platform)
+        self._writes = writing.WriteState()
+        self._tick_due_ms = 0
+        self._lapses_due_ms = 0
+        self._news_due_ms = 0
+
+    def post(self, item: Item) -> None:
+        """Sends the task a message."""
+        self._inbox.put(item)
+
+    def listen(self) -> None:
+        """Binds the control address, before `run`."""
+        self._links.listen(
+            links.Address(str(self._node.ip_address), self._node.control_port)
+        )
+
+    def run(self) -> None:
+        """Runs the task until it is stopped."""
+        self._inbox.register(self._links.poller)
+        with contextlib.ExitStack() as stack:
+            stack.callback(self._inbox.close)
+            stack.enter_context(self._links)
+            while self._step():
+                pass
+
+    def _step(self) -> bool:
+        ready = dict(self._links.poller.poll(self._node.lease.tick_ms))
+        incoming, answers = self._links.receive(ready)
+        for received in incoming:
+            self._take_frames(received.frames, received.sender)
+        for _, frames in answers:
+            self._take_frames(frames, None)
+        for item in self._inbox.take_all():
+            if isinstance(item, Stop):
+                return False
+            self._take_item(item)
+        now_ms = clock.read_monotonic_ms()
+        if now_ms >= self._tick_due_ms:
+            self._tick_due_ms = now_ms + self._node.lease.tick_ms
+            self._tick(now_ms)
+        return True
+
+    # Messages from other nodes.
+
+    def _take_frames(self, frames: list[bytes], sender: bytes | None) -> None:
+        try:
+            message = messages.decode(frames[0])
+        except (msgspec.DecodeError, IndexError):
+            self._events.emit(catalog.Event.PEER_MESSAGE_REFUSED)
+            return
+        now_ms = clock.read_monotonic_ms()
+        match message:
+            case messages.Heartbeat() if sender is not None:
+                self._answer_heartbeat(message, sender, now_ms)
+            case messages.Promise():
+                self._take_promise(message, now_ms)
+            case messages.Lapse():
+                if self._agenda.tenure is not None:
+                    self._agenda.tenure.taker.take_lapse(
+                        lapse=message, now_ms=now_ms
+                    )
+            case messages.NewsRequest(revisions=revisions) if sender:
+                self._answer_news_request(revisions, sender)
+            case messages.News():
+                self._take_news(message, now_ms)
+
+    def _answer_heartbeat(
+        self, heartbeat: messages.Heartbeat, sender: bytes, now_ms: int
+    ) -> None:
+        tenure = self._agenda.tenure
+        if tenure is None:
+            return
+        promise = tenure.granter.take_heartbeat(
+            heartbeat=heartbeat,
+            now_ms=now_ms,
+            revisions=self._journal.revisions,
+        )
+        self._links.reply(sender, [messages.encode(promise)])
+        self._compare(heartbeat.member_id, heartbeat.revisions, now_ms)
+
+    def _take_promise(self, promise: messages.Promise, now_ms: int) -> None:
+        tenure = self._agenda.tenure
+        if tenure is None:
+            return
+        tenure.take_promise(promise, now_ms)
+        self._publish_lease(tenure)
+        self._compare(promise.granter_id, promise.revisions, now_ms)
+
+    def _compare(
+        self, member_id: str, revisions: messages.Revisions, now_ms: int
+    ) -> None:
+        self._reads.hear(now_ms)
+        if not self._journal.is_behind(revisions):
+            return
+        if now_ms < self._news_due_ms:
+            return
+        self._news_due_ms = now_ms + _NEWS_INTERVAL_MS
+        self._send(
+            member_id, messages.NewsRequest(revisions=self._journal.revisions)
+        )
+
+    def _answer_news_request(
+        self, revisions: messages.Revisions, sender: bytes
+    ) -> None:
+        news = self._journal.make_news(revisions)
+        if news is not None:
+            self._links.reply(sender, [messages.encode(news)])
+
+    def _take_news(self, news: messages.News, now_ms: int) -> None:
+        before = self._journal.state
+        if not self._journal.take_entries(news.entries):
+            self._reads.want_ownership()
+        if news.tables_revision:
+            self._take_tables(news.tables_revision, news.tables)
+        self._follow(before, is_author=False, now_ms=now_ms)
+
+    # Messages from tasks of this node.
+
+    def _take_item(self, item: Item) -> None:
+        now_ms = clock.read_monotonic_ms()
+        match item:
+            case UpstreamChanged(is_serving=is_serving):
+                self._agenda.is_fit = is_serving
+            case Drain():
+                self._agenda.is_draining = True
+                self._events.emit(catalog.Event.NODE_DRAINING)
+            case store_jobs.OwnershipRead():
+                self._take_ownership(item, now_ms)
+            case store_jobs.TablesRead(outcome=outcome):
+                self._reads.end_tables()
+                self._take_tables_read(outcome)
+            case store_jobs.Written():
+                self._take_written(item, now_ms)
+
+    def _take_ownership(
+        self, item: store_jobs.OwnershipRead, now_ms: int
+    ) -> None:
+        self._reads.end_ownership()
+        self._observer.observe_store(is_reachable=item.outcome.is_ok())
+        if isinstance(item.outcome, result.Err):
+            return
+        got = item.outcome.ok_value
+        before = self._journal.state
+        self._journal.take_state(got.state, got.entries)
+        self._follow(before, is_author=False, now_ms=now_ms)
+        if self._agenda.tenure is not None:
+            self._agenda.tenure.confirm_by_store(
+                state=got.state, read_sent_at_ms=item.sent_at_ms
+            )
+
+    def _take_tables_read(self, outcome: store_jobs.TablesOutcome) -> None:
+        if isinstance(outcome, result.Err):
+            return
+        match outcome.ok_value:
+            case table_log.Reading() as got if got.revision:
+                self._take_tables(got.revision, got.document)
+
+    def _take_tables(self, revision: int, document: bytes) -> None:
+        try:
+            is_newer = self._journal.take_tables(
+                revision=revision, document=document
+            )
+        except faults.CannotAccept as error:
+            self._events.emit(
+                catalog.Event.TABLES_REFUSED,
+                tables_revision=revision,
+                faults=str(error),
+            )
+            return
+        if is_newer:
+            self._events.emit(
+                catalog.Event.TABLES_IN_FORCE, tables_revision=revision
+            )
+            self._publish()
+            self._push_tables()
+
+    def _take_written(self, item: store_jobs.Written, now_ms: int) -> None:
+        proposal = item.proposal
+        match item.outcome:
+            case result.Ok(ownership_log.Appended(entry=entry)):
+                self._writes.end(now_ms, is_paused=False)
+                before = self._journal.state
+                if not self._journal.take_entries((entry,)):
+                    self._reads.want_ownership()
+                self._agenda.end(proposal, is_committed=True, now_ms=now_ms)
+                self._follow(before, is_author=True, now_ms=now_ms)
+            case result.Err(store.InDoubt()):
+                self._events.emit(
+                    catalog.Event.STORE_WRITE_IN_DOUBT,
+                    write_id=proposal.write_id,
+                )
+                self._writes.mark_doubtful(now_ms)
+            case result.Err(error):
+                is_lost = isinstance(error, ownership_log.Lost)
+                self._writes.end(now_ms, is_paused=not is_lost)
+                self._agenda.end(proposal, is_committed=False, now_ms=now_ms)
+                self._reads.want_ownership()
+
+    # What follows from newer facts.
+
+    def _follow(
+        self, before: ownership.State, *, is_author: bool, now_ms: int
+    ) -> None:
+        state = self._journal.state
+        if state.revision != before.revision:
+            tenure = self._agenda.tenure
+            author_id = tenure.member_id if tenure and is_author else ""
+            self._agenda.follow(state=state, now_ms=now_ms)
+            self._publish()
+            entries = self._journal.list_entries(before.revision)
+            tenure = self._agenda.tenure
+            self._observer.observe_state(
+                changes.StateChange(
+                    before=before,
+                    after=state,
+                    entries=entries,
+                    member_id=tenure.member_id if tenure else "",
+                )
+            )
+            self._push(entries, author_id=author_id)
+
+    def _publish(self) -> None:
+        tenure = self._agenda.tenure
+        state = self._journal.state
+        self._board.publish(
+            views.View(
+                state=state,
+                tables=self._journal.tables,
+                tables_revision=self._journal.tables_revision,
+                member=state.members.get(tenure.member_id) if tenure else None,
+            )
+        )
+
+    def _publish_lease(self, tenure: tenures.Tenure) -> None:
+        self._board.extend_lease(
+            member_id=tenure.member_id,
+            end_ms=tenure.holder.find_lease_end_ms(),
+        )
+
+    def _push(
+        self, entries: tuple[membership.Entry, ...], *, author_id: str
+    ) -> None:
+        # A member that has just left still tells the others that it did.
+        tenure = self._agenda.tenure
+        member_id = tenure.member_id if tenure else author_id
+        if not entries or not member_id:
+            return
+        receivers = spread.list_receivers(
+            state=self._journal.state,
+            member_id=member_id,
+            entries=entries,
+            is_author=bool(author_id),
+            platform=self._node.platform,
+        )
+        frame = messages.encode(messages.News(entries=entries))
+        for receiver in receivers:
+            self._send_frame(receiver, frame)
+
+    def _push_tables(self) -> None:
+        tenure = self._agenda.tenure
+        news = self._journal.make_news(
+            messages.Revisions(ownership=self._journal.state.revision, tables=0)
+        )
+        if tenure is None or news is None:
+            return
+        receivers = spread.list_receivers(
+            state=self._journal.state,
+            member_id=tenure.member_id,
+            entries=(),
+            is_author=False,
+            platform=self._node.platform,
+        )
+        frame = messages.encode(news)
+        for member_id in receivers:
+            self._send_frame(member_id, frame)
+
+    # The clock.
+
+    def _tick(self, now_ms: int) -> None:
+        tenure = self._agenda.tenure
+        if tenure is not None:
+            tenure.confirm_by_lease(now_ms)
+            self._send_heartbeats(tenure, now_ms)
+            self._send_lapses(tenure, now_ms)
+            self._publish_lease(tenure)
+        self._observer.observe_lease(tenure, now_ms)
+        self._start_reads(now_ms)
+        self._start_write(now_ms)
+
+    def _send_heartbeats(self, tenure: tenures.Tenure, now_ms: int) -> None:
+        due = tenure.holder.list_heartbeats(
+            now_ms=now_ms, revisions=self._journal.revisions
+        )
+        for granter_id, heartbeat in due:
+            self._send(granter_id, heartbeat)
+
+    def _send_lapses(self, tenure: tenures.Tenure, now_ms: int) -> None:
+        lapses = tenure.granter.list_lapses(now_ms=now_ms)
+        is_due = now_ms >= self._lapses_due_ms
+        if is_due:
+            self._lapses_due_ms = now_ms + _LAPSE_INTERVAL_MS
+        for lapse in self._observer.list_fresh_lapses(lapses, is_due=is_due):
+            tenure.taker.take_lapse(lapse=lapse, now_ms=now_ms)
+            frame = messages.encode(lapse)
+            for member_id in self._list_lapse_receivers(lapse):
+                if member_id != tenure.member_id:
+                    self._send_frame(member_id, frame)
+
+    def _list_lapse_receivers(self, lapse: messages.Lapse) -> set[str]:
+        state = self._journal.state
+        member = state.members.get(lapse.member_id)
+        if member is None:
+            return set()
+        takers = selection.rank_takers(state=state, member=member)
+        return {*takers, *member.granters}
+
+    def _start_reads(self, now_ms: int) -> None:
+        tenure = self._agenda.tenure
+        is_poller = tenure is None or self._is_poller(tenure)
+        if self._reads.begin_ownership(now_ms=now_ms, is_poller=is_poller):
+            self._jobs.read_ownership(self._journal.state)
+        if self._reads.begin_tables(now_ms=now_ms, is_poller=is_poller):
+            self._jobs.read_tables(self._journal.tables_revision)
+
+    def _is_poller(self, tenure: tenures.Tenure) -> bool:
+        if not tenure.holder.granters:
+            return True
+        pollers = selection.list_pollers(
+            state=self._journal.state,
+            failure_domain=self._node.failure_domain,
+            count=self._node.platform.pollers_per_domain,
+        )
+        return tenure.member_id in pollers
+
+    def _start_write(self, now_ms: int) -> None:
+        doubtful = self._writes.find_doubtful(now_ms)
+        if doubtful is not None:
+            self._jobs.resolve(doubtful)
+            return
+        if not self._writes.is_free(now_ms):
+            return
+        proposal = self._agenda.find_proposal(
+            journal=self._journal, now_ms=now_ms
+        )
+        if proposal is None:
+            return
+        self._agenda.begin(proposal)
+        self._writes.begin(proposal)
+        self._jobs.write(proposal)
+
+    def _send(self, member_id: str, message: messages.Message) -> None:
+        self._send_frame(member_id, messages.encode(message))
+
+    def _send_frame(self, member_id: str, frame: bytes) -> None:
+        member = self._journal.state.members.get(member_id)
+        if member is not None:
+            self._links.send(views.find_control_address(member), [frame])
--- /dev/null
+++ b/src/rhubarblead/node/daemon.py
@@ -0,0 +1,267 @@
+"""Wires a node together, and runs it until it is told to stop."""
+
+from collections.abc import Callable
+from concurrent import futures
+import contextlib
+import random
+import signal
+import sys
+import threading
+
+import waitress.server
+import zmq
+
+from rhubarblead import clock
+from rhubarblead import messages
+from rhubarblead import metrics
+from rhubarblead import settings
+from rhubarblead.events import catalog
+from rhubarblead.events import log
+from rhubarblead.node import admin
+from rhubarblead.node import agenda
+from rhubarblead.node import choice
+from rhubarblead.node import control
+from rhubarblead.node import front
+from rhubarblead.node import gate
+from rhubarblead.node import local
+from rhubarblead.node import observer
+from rhubarblead.node import probes
+from rhubarblead.node import protection
+from rhubarblead.node import replicas
+from rhubarblead.node import routing
+from rhubarblead.node import store_jobs
+from rhubarblead.node import view
+from rhubarblead.platform import ownership_log
+from rhubarblead.platform import store
+from rhubarblead.platform import table_log
+from rhubarblead.requests import retries
+from rhubarblead.transport import exchange
+from rhubarblead.transport import links
+
+_STORE_THREADS = 3
+_TASK_THREADS = 4
+_LEAVE_POLL_S = 0.05
+_FLUSH_S = 1.0
+_SWITCH_INTERVAL_S = 0.001
+_MS_PER_S = 1000
+
+
+class Node:
+    """The tasks of one node, wired to one another."""
+
+    def __init__(self, *, node: settings.Settings) -> None:
+        """Builds all parts; nothing runs or listens yet."""
+        self._node = node
+        self._stack = contextlib.ExitStack()
+        self._events = log.EventLog(
+            instance=node.instance,
+            timeline_capacity=node.logs.timeline_events,
+        )
+        self._metrics = metrics.open_metrics(node.metrics)
+        self._board = view.ViewBoard()
+        self._gate = gate.ShardGate()
+        self._stopping = threading.Event()
+        self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
+        self._store = store.Store(
+            platform=node.platform, instance=node.instance
+        )
+        self._store_executor = futures.ThreadPoolExecutor(
+            _STORE_THREADS, "store"
+        )
+        self._peer_executor = futures.ThreadPoolExecutor(
+            node.limits.peer_threads, "peer"
+        )
+        self._task_executor = futures.ThreadPoolExecutor(_TASK_THREADS, "task")
+        self._build()
+
+    def _build(self) -> None:
+        node = self._node
+        self._exchange = exchange.Exchange(
+            context=self._context,
+            identity=f"{node.instance}.{clock.read_monotonic_ms()}",
+            limits=node.limits,
+            executor=self._peer_executor,
+            serve=self._serve,
+        )
+        self._agenda = agenda.Agenda(node=node, shard_gate=self._gate)
+        self._replicas = replicas.ReplicaBook(
+            capacity=node.limits.ledger_entries
+        )
+        self._protection = protection.Protection(instance=node.instance)
+        self._control = control.Control(
+            node=node,
+            context=self._context,
+            board=self._board,
+            agenda=self._agenda,
+            observer=observer.Observer(
+                events=self._events,
+                drop_peer=self._exchange.drop_peer,
+                followers=(self._replicas, self._protection),
+            ),
+            events=self._events,
+            make_jobs=self._make_jobs,
+        )
+        self._upstream = probes.UpstreamProbe(
+            upstream=node.upstream,
+            events=self._events,
+            on_change=self._report_upstream,
+        )
+        self._local = local.LocalServer(
+            instance=node.instance,
+            board=self._board,
+            shard_gate=self._gate,
+            upstream=self._upstream,
+            guard=self._protection,
+        )
+        self._peer_server = routing.PeerServer(local_server=self._local)
+        self._router = routing.Router(
+            board=self._board,
+            local_server=self._local,
+            peers=self._exchange,
+            server_choice=choice.ServerChoice(generator=random.Random()),
+            budget=retries.SharedRetryBudget(
+                per_mille=node.limits.retry_per_mille
+            ),
+            limits=node.limits,
+            events=self._events,
+        )
+        self._admin = admin.Admin(
+            node=node,
+            board=self._board,
+            upstream=self._upstream,
+            events=self._events,
+            post=self._control.post,
+            count_in_flight=self._protection.count_in_flight,
+        )
+
+    def _make_jobs(
+        self, post: Callable[[store_jobs.StoreResult], None]
+    ) -> store_jobs.StoreJobs:
+        return store_jobs.StoreJobs(
+            executor=self._store_executor,
+            log=ownership_log.OwnershipLog(
+                store=self._store, author=self._node.instance
+            ),
+            tables=table_log.TableLog(store=self._store),
+            post=post,
+        )
+
+    def _serve(
+        self, message: exchange.CallMessage, body: bytes
+    ) -> exchange.Reply:
+        match message:
+            case messages.Forward():
+                return self._peer_server.serve(message, body)
+            case messages.LedgerWrite():
+                return exchange.Reply(
+                    message=self._replicas.write(message), body=b""
+                )
+            case messages.LedgerRead():
+                return exchange.Reply(
+                    message=self._replicas.read(message), body=b""
+                )
+
+    def _report_upstream(self) -> None:
+        upstream = self._upstream.read()
+        is_serving = upstream is not None and upstream.is_serving
+        self._control.post(control.UpstreamChanged(is_serving=is_serving))
+
+    def run(self) -> None:
+        """Runs the node until `stop`; then hands over and leaves."""
+        with self._stack:
+            self._start()
+            self._events.emit(catalog.Event.NODE_STARTED)
+            self._stopping.wait()
+            self._leave()
+        self._events.emit(catalog.Event.NODE_STOPPED)
+
+    def stop(self) -> None:
+        """Asks the node to hand over and to stop."""
+        self._stopping.set()
+
+    def _start(self) -> None:
+        stack = self._stack
+        stack.callback(self._metrics.close)
+        stack.callback(self._context.term)
+        stack.enter_context(self._store)
+        stack.enter_context(self._store_executor)
+        stack.enter_context(self._peer_executor)
+        stack.enter_context(self._task_executor)
+        self._exchange.listen(
+            links.Address(str(self._node.ip_address), self._node.data_port)
+        )
+        self._control.listen()
+        self._run_task(self._exchange.run, self._exchange.stop)
+        self._run_task(
+            self._control.run, lambda: self._control.post(control.Stop())
+        )
+        self._run_task(self._upstream.run, self._upstream.stop)
+        self._run_task(self._flush_metrics, self._stopping.set)
+        self._start_front()
+
+    def _run_task(
+        self, run: Callable[[], None], stop: Callable[[], None]
+    ) -> None:
+        future = self._task_executor.submit(run)
+        future.add_done_callback(self._watch)
+        self._stack.callback(stop)
+
+    def _watch(self, future: futures.Future[None]) -> None:
+        error = future.exception()
+        if error is None:
+            return
+        # A node without one of its tasks must not go on: its lease lapses.
+        self._events.emit(catalog.Event.INTERNAL_ERROR, error=repr(error))
+        self._stopping.set()
+
+    def _start_front(self) -> None:
+        server = waitress.server.create_server(
+            front.Application(
+                route=self._router.handle, admin=self._admin.handle
+            ),
+            host=str(self._node.ip_address),
+            port=self._node.http_port,
+            threads=self._node.limits.threads,
+            max_request_body_size=self._node.limits.request_bytes,
+            connection_limit=self._node.limits.connections,
+            channel_timeout=self._node.limits.idle_ms // _MS_PER_S,
+            ident=None,
+        )
+        server.channel_class = front.Channel
+        thread = threading.Thread(target=server.run, daemon=True)
+        thread.start()
+        self._stack.callback(server.close)
+
+    def _leave(self) -> None:
+        self._events.emit(catalog.Event.NODE_STOPPING)
+        self._control.post(control.Drain())
+        deadline_ms = clock.read_monotonic_ms() + self._node.limits.drain_ms
+        while clock.read_monotonic_ms() < deadline_ms:
+            is_member = self._board.read().member is not None
+            if not is_member and self._protection.count_in_flight() == 0:
+                return
+            threading.Event().wait(_LEAVE_POLL_S)
+        self._events.emit(catalog.Event.DRAIN_GIVEN_UP)
+
+    def _flush_metrics(self) -> None:
+        while not self._stopping.wait(_FLUSH_S):
+            self._metrics.flush()
+
+
+def run(node: settings.Settings) -> int:
+    """Runs a node until SIGTERM or SIGINT.
+
+    Args:
+        node: The checked settings.
+
+    Returns:
+        The exit code of the process.
+    """
+    log.configure_logging(node.logs.level)
+    # Control must get its turn soon though many request threads are busy.
+    sys.setswitchinterval(_SWITCH_INTERVAL_S)
+    running = Node(node=node)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: running.stop())
+    running.run()
+    return 0
--- /dev/null
+++ b/src/rhubarblead/node/front.py
@@ -0,0 +1,156 @@
+"""The WSGI application that callers, operators and the upstream reach."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import math
+from typing import Any
+from typing import TypeAlias
+
+from waitress import channel
+from waitress import task
+
+from rhubarblead import refusal as refusals
+from rhubarblead import verdict as verdicts
+from rhubarblead.node import intake
+from rhubarblead.node import outcome as outcomes
+
+ADMIN_PREFIX = "/-/"
+_MS_PER_S = 1000
+_OWN_PREFIX = "rhubarb-"
+_TIMEOUT_HEADER = "rhubarb-timeout-ms"
+_HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "host",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    }
+)
+
+StartResponse: TypeAlias = Callable[[str, list[tuple[str, str]]], Any]
+Handler: TypeAlias = Callable[[intake.CallerRequest], outcomes.Outcome]
+
+
+class Application:
+    """Hands each request to the router or the operators' handler."""
+
+    __slots__ = ("_admin", "_owner_of", "_route")
+
+    def __init__(self, *, route: Handler, admin: Handler) -> None:
+        self._route = route
+        self._admin = admin
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answers one request, by the WSGI protocol."""
+        request = read_request(environ)
+        is_admin = request.path.startswith(ADMIN_PREFIX)
+        handler = self._admin if is_admin else self._route
+        outcome = handler(request)
+        start_response(
+            f"{outcome.status} {outcome.reason}",
+            build_headers(request.request_id, outcome),
+        )
+        return [outcome.body]
+
+
+def read_request(environ: dict[str, Any]) -> intake.CallerRequest:
+    """Reads a request from a WSGI environment."""
+    length = int(environ.get("CONTENT_LENGTH") or 0)
+    headers = [
+        (_name_header(name), value)
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    ]
+    content_type = environ.get("CONTENT_TYPE")
+    if content_type:
+        headers.append(("Content-Type", content_type))
+    return intake.CallerRequest(
+        request_id=intake.make_request_id(),
+        method=environ["REQUEST_METHOD"],
+        target=environ.get("REQUEST_URI") or environ["PATH_INFO"],
+        headers=tuple(item for item in headers if is_passed_on(item[0])),
+        body=environ["wsgi.input"].read(length) if length else b"",
+    )
+
+
+def is_passed_on(name: str) -> bool:
+    """Tells whether a caller's header may reach the upstream or the router.
+
+    The upstream believes what stands in `Rhubarb-` headers, so that a caller
+    may set none but the one that shortens the timeout.
+    """
+    lowered = name.lower()
+    if lowered.startswith(_OWN_PREFIX):
+        return lowered == _TIMEOUT_HEADER
+    return lowered not in _HOP_BY_HOP
+
+
+def build_headers(
+    request_id: str, outcome: outcomes.Outcome
+) -> list[tuple[str, str]]:
+    """Builds the headers of the answer to a caller."""
+    headers = [
+        (name, value)
+        for name, value in outcome.headers
+        if name.lower() not in _HOP_BY_HOP
+        and not name.lower().startswith(_OWN_PREFIX)
+    ]
+    headers.append(("Content-Length", str(len(outcome.body))))
+    headers.append(("Rhubarb-Request-Id", request_id))
+    headers.append(("Rhubarb-Verdict", outcome.verdict.value))
+    if outcome.refusal is not None:
+        headers.append(("Rhubarb-Refusal", outcome.refusal.value))
+    if outcome.server:
+        headers.append(("Rhubarb-Server", outcome.server))
+    if outcome.owner:
+        headers.append(("Rhubarb-Owner", outcome.owner))
+    if outcome.retry_after_ms:
+        seconds = math.ceil(outcome.retry_after_ms / _MS_PER_S)
+        headers.append(("Retry-After", str(seconds)))
+        headers.append(("Rhubarb-Retry-After-Ms", str(outcome.retry_after_ms)))
+    return headers
+
+
+def _name_header(name: str) -> str:
+    return name.removeprefix("HTTP_").replace("_", "-").title()
+
+
+class _RefusalTask(task.ErrorTask):  # type: ignore[misc]
+    """Answers a request that is no valid HTTP, with its verdict."""
+
+    def execute(self) -> None:
+        error = self.request.error
+        is_large = error.code == refusals.find_status(
+            refusals.Refusal.TOO_LARGE
+        )
+        outcome = outcomes.refuse(
+            refusals.Refused(
+                refusal=(
+                    refusals.Refusal.TOO_LARGE
+                    if is_large
+                    else refusals.Refusal.MALFORMED
+                ),
+                explanation=f"{error.reason}: {error.body}",
+            ),
+            verdicts.Verdict.NOT_RUN,
+        )
+        self.status = f"{outcome.status} {outcome.reason}"
+        self.response_headers.extend(
+            build_headers(intake.make_request_id(), outcome)
+        )
+        self.content_length = len(outcome.body)
+        self.set_close_on_finish()
+        self.write(outcome.body)
+
+
+class Channel(channel.HTTPChannel):  # type: ignore[misc]
+    """A caller's connection, whose every answer carries a verdict."""
+
+    error_task_class = _RefusalTask
--- /dev/null
+++ b/src/rhubarblead/node/journal.py
@@ -0,0 +1,132 @@
+"""The newest stored facts of a node, and the recent entries behind them."""
+
+import collections
+from collections.abc import Iterable
+
+from rhubarblead import membership
+from rhubarblead import messages
+from rhubarblead import ownership
+from rhubarblead import tables
+
+_KEPT_ENTRIES = 512
+
+
+class Journal:
+    """State, tables and recent entries; revisions in it only rise."""
+
+    __slots__ = (
+        "_entries",
+        "_tables_document",
+        "state",
+        "tables",
+        "tables_revision",
+    )
+
+    def __init__(self) -> None:
+        self.state = ownership.State()
+        self.tables = tables.Tables()
+        self.tables_revision = 0
+        self._tables_document = b""
+        self._entries: collections.deque[membership.Entry] = collections.deque(
+            maxlen=_KEPT_ENTRIES
+        )
+
+    @property
+    def revisions(self) -> messages.Revisions:
+        """The revisions of the newest facts."""
+        return messages.Revisions(
+            ownership=self.state.revision, tables=self.tables_revision
+        )
+
+    def is_behind(self, revisions: messages.Revisions) -> bool:
+        """Tells whether another node has something newer."""
+        return (
+            revisions.ownership > self.state.revision
+            or revisions.tables > self.tables_revision
+        )
+
+    def take_entries(self, entries: Iterable[membership.Entry]) -> bool:
+        """Applies entries that follow the newest state.
+
+        Args:
+            entries: Entries in order; known ones are skipped.
+
+        Returns:
+            False when there is a gap; nothing is applied then.
+        """
+        fresh = [e for e in entries if e.revision > self.state.revision]
+        try:
+            self.state = ownership.apply_entries(self.state, fresh)
+        except ownership.CannotApply:
+            return False
+        self._entries.extend(fresh)
+        return True
+
+    def take_state(
+        self, state: ownership.State, entries: Iterable[membership.Entry]
+    ) -> None:
+        """Replaces the state by a newer one that was read as a whole.
+
+        Args:
+            state: The state read; ignored when it is not newer.
+            entries: The entries that led there, as far as they are known.
+        """
+        if state.revision <= self.state.revision:
+            return
+        known = list(entries)
+        is_gapless = (
+            bool(known) and known[0].revision <= self.state.revision + 1
+        )
+        if not is_gapless:
+            self._entries.clear()
+        newest = self._entries[-1].revision if self._entries else 0
+        self._entries.extend(e for e in known if e.revision > newest)
+        self.state = state
+
+    def take_tables(self, *, revision: int, document: bytes) -> bool:
+        """Puts tables in force.
+
+        Args:
+            revision: Their revision.
+            document: Their JSON document.
+
+        Returns:
+            False when they are not newer than those in force.
+
+        Raises:
+            faults.CannotAccept: The document is not valid; the tables in
+                force stay.
+        """
+        if revision <= self.tables_revision:
+            return False
+        self.tables = tables.read_tables(document)
+        self.tables_revision = revision
+        self._tables_document = document
+        return True
+
+    def list_entries(self, after_revision: int) -> tuple[membership.Entry, ...]:
+        """Lists the kept entries that are newer than a revision."""
+        return tuple(e for e in self._entries if e.revision > after_revision)
+
+    def make_news(self, revisions: messages.Revisions) -> messages.News | None:
+        """Builds what a node with older revisions has not heard.
+
+        Args:
+            revisions: What that node has.
+
+        Returns:
+            The news, None when there are none or the entries kept here don't
+            reach back far enough.
+        """
+        entries = self.list_entries(revisions.ownership)
+        is_gapless = (
+            bool(entries) and entries[0].revision == revisions.ownership + 1
+        )
+        has_tables = self.tables_revision > revisions.tables
+        if not is_gapless and not has_tables:
+            return None
+        return messages.News(
+            entries=entries if is_gapless else (),
+            tables_revision=self.tables_revision if has_tables else 0,
+            tables=self._tables_document if has_tables else b"",
+        )
--- /dev/null
+++ b/src/rhubarblead/node/observer.py
@@ -0,0 +1,158 @@
+"""Events and effects of what control has learnt."""
+
+from collections.abc import Callable
+
+from rhubarblead import membership
+from rhubarblead import messages
+from rhubarblead.events import catalog
+from rhubarblead.events import log
+from rhubarblead.node import change as changes
+from rhubarblead.node import tenure as tenures
+from rhubarblead.node import view as views
+from rhubarblead.transport import links
+
+
+class Observer:
+    """Turns changes of state into events, and tells tasks of lost peers."""
+
+    __slots__ = (
+        "_drop_peer",
+        "_events",
+        "_followers",
+        "_held_by",
+        "_is_store_reachable",
+        "_stated",
+    )
+
+    def __init__(
+        self,
+        *,
+        events: log.EventLog,
+        drop_peer: Callable[[links.Address], None],
+        followers: tuple[changes.Follower, ...],
+    ) -> None:
+        self._events = events
+        self._followers = followers
+        self._drop_peer = drop_peer
+        self._held_by = ""
+        self._is_store_reachable = True
+        self._stated: set[tuple[str, int]] = set()
+
+    @property
+    def is_store_reachable(self) -> bool:
+        """Whether the last read of the store succeeded."""
+        return self._is_store_reachable
+
+    def observe_store(self, *, is_reachable: bool) -> None:
+        """Reports when the store ceases or begins again to answer."""
+        if is_reachable == self._is_store_reachable:
+            return
+        self._is_store_reachable = is_reachable
+        self._events.emit(
+            catalog.Event.STORE_BACK
+            if is_reachable
+            else catalog.Event.STORE_UNAVAILABLE
+        )
+
+    def observe_lease(self, tenure: tenures.Tenure | None, now_ms: int) -> None:
+        """Reports when the lease is held or has lapsed."""
+        is_held = tenure is not None and tenure.holder.is_held(now_ms=now_ms)
+        held_by = tenure.member_id if tenure and is_held else ""
+        if held_by == self._held_by:
+            return
+        if self._held_by:
+            self._events.emit(
+                catalog.Event.LEASE_LAPSED, member_id=self._held_by
+            )
+        if held_by:
+            self._events.emit(catalog.Event.LEASE_HELD, member_id=held_by)
+        self._held_by = held_by
+
+    def list_fresh_lapses(
+        self, lapses: list[messages.Lapse], *, is_due: bool
+    ) -> list[messages.Lapse]:
+        """Lists the lapses to send: new ones at once, old ones when due."""
+        fresh = []
+        stated = set()
+        for lapse in lapses:
+            key = (lapse.member_id, lapse.granters_epoch)
+            stated.add(key)
+            if key not in self._stated:
+                self._events.emit(
+                    catalog.Event.LAPSE_STATED,
+                    member_id=lapse.member_id,
+                    granters_epoch=lapse.granters_epoch,
+                )
+            elif not is_due:
+                continue
+            fresh.append(lapse)
+        self._stated = stated
+        return fresh
+
+    def observe_state(self, change: changes.StateChange) -> None:
+        """Reports what newer entries changed, and passes the change on."""
+        for entry in change.entries:
+            for item in entry.changes:
+                self._report(item, entry)
+        for member_id, member in change.before.members.items():
+            if member_id not in change.after.members:
+                self._drop_peer(views.find_data_address(member))
+        for follower in self._followers:
+            follower.follow(change)
+        if change.member_id:
+            self._report_shards(change)
+
+    def _report(
+        self, change: membership.Change, entry: membership.Entry
+    ) -> None:
+        match change:
+            case membership.MemberJoined(member=member):
+                self._events.emit(
+                    catalog.Event.MEMBER_JOINED,
+                    member_id=member.member_id,
+                    pool=member.pool,
+                    revision=entry.revision,
+                )
+            case membership.MemberEvicted(
+                member_id=member_id, lapsed_by=lapsed_by
+            ):
+                self._events.emit(
+                    catalog.Event.MEMBER_EVICTED,
+                    member_id=member_id,
+                    lapsed_by=",".join(lapsed_by),
+                    by=entry.author,
+                    revision=entry.revision,
+                )
+            case membership.MemberLeft(member_id=member_id):
+                self._events.emit(
+                    catalog.Event.MEMBER_LEFT,
+                    member_id=member_id,
+                    revision=entry.revision,
+                )
+
+    def _report_shards(self, change: changes.StateChange) -> None:
+        for pool, assignment in change.after.assignments.items():
+            earlier = change.before.assignments.get(pool)
+            had = set(earlier.list_shards(change.member_id) if earlier else ())
+            has = set(assignment.list_shards(change.member_id))
+            self._report_count(
+                catalog.Event.SHARDS_GAINED, pool, has - had, change
+            )
+            self._report_count(
+                catalog.Event.SHARDS_LOST, pool, had - has, change
+            )
+
+    def _report_count(
+        self,
+        event: catalog.Event,
+        pool: str,
+        shards: set[int],
+        change: changes.StateChange,
+    ) -> None:
+        if shards:
+            self._events.emit(
+                event,
+                pool=pool,
+                shard_count=len(shards),
+                revision=change.after.revision,
+            )
--- /dev/null
+++ b/src/rhubarblead/node/outcome.py
@@ -0,0 +1,108 @@
+"""The outcome of a request, on its way back to the caller."""
+
+import dataclasses
+
+import msgspec
+
+from rhubarblead import messages
+from rhubarblead import refusal as refusals
+from rhubarblead import verdict as verdicts
+from rhubarblead.transport import exchange
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Outcome:
+    """An upstream's answer, or a refusal.
+
+    `server` is the instance that answered and `owner` the `ip:port` of the
+    owner's node for callers; both are empty when not known.
+    """
+
+    verdict: verdicts.Verdict
+    status: int
+    reason: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    refusal: refusals.Refusal | None = None
+    retry_after_ms: int = 0
+    server: str = ""
+    owner: str = ""
+    ownership_revision: int = 0
+
+
+class _RefusalBody(msgspec.Struct, frozen=True, kw_only=True):
+    refusal: str
+    verdict: str
+    explanation: str
+
+
+def refuse(
+    refused: refusals.Refused,
+    verdict: verdicts.Verdict = verdicts.Verdict.NOT_RUN,
+    *,
+    owner: str = "",
+    ownership_revision: int = 0,
+) -> Outcome:
+    """Builds the outcome of a request that the system answers itself.
+
+    Args:
+        refused: Why, and when to come back.
+        verdict: Whether the request may have run.
+        owner: The owner's member id, when another node owns the key.
+        ownership_revision: The revision by which the owner was found.
+
+    Returns:
+        The outcome, with a JSON body.
+    """
+    status = refusals.find_status(refused.refusal)
+    body = _RefusalBody(
+        refusal=refused.refusal.value,
+        verdict=verdict.value,
+        explanation=refused.explanation,
+    )
+    return Outcome(
+        verdict=verdict,
+        status=status.value,
+        reason=status.phrase,
+        headers=(("Content-Type", "application/json"),),
+        body=msgspec.json.encode(body),
+        refusal=refused.refusal,
+        retry_after_ms=refused.retry_after_ms,
+        owner=owner,
+        ownership_revision=ownership_revision,
+    )
+
+
+def encode_reply(request_id: str, outcome: Outcome) -> exchange.Reply:
+    """Turns an outcome into the reply to the node that forwarded."""
+    message = messages.Answer(
+        request_id=request_id,
+        verdict=outcome.verdict,
+        status=outcome.status,
+        reason=outcome.reason,
+        headers=outcome.headers,
+        refusal=outcome.refusal.value if outcome.refusal else "",
+        retry_after_ms=outcome.retry_after_ms,
+        owner=outcome.owner,
+        ownership_revision=outcome.ownership_revision,
+        server=outcome.server,
+        body_size=len(outcome.body),
+        body_digest=exchange.digest_body(outcome.body),
+    )
+    return exchange.Reply(message=message, body=outcome.body)
+
+
+def decode_reply(answer: messages.Answer, body: bytes) -> Outcome:
+    """Turns a peer's reply into an outcome."""
+    return Outcome(
+        verdict=answer.verdict,
+        status=answer.status,
+        reason=answer.reason,
+        headers=answer.headers,
+        body=body,
+        refusal=refusals.Refusal(answer.refusal) if answer.refusal else None,
+        retry_after_ms=answer.retry_after_ms,
+        server=answer.server,
+        owner=answer.owner,
+        ownership_revision=answer.ownership_revision,
+    )
--- /dev/null
+++ b/src/rhubarblead/node/probes.py
@@ -0,0 +1,152 @@
+"""The task that follows the state of the upstream beside the node."""
+
+from collections.abc import Callable
+import dataclasses
+import http.client
+import threading
+
+from rhubarblead import clock
+from rhubarblead import settings
+from rhubarblead.events import catalog
+from rhubarblead.events import log
+from rhubarblead.upstream import client
+from rhubarblead.upstream import monitor
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class UpstreamView:
+    """The upstream as last announced and probed."""
+
+    announcement: monitor.Announcement
+    client: client.UpstreamClient
+    is_serving: bool
+
+
+class UpstreamProbe:
+    """Probes the upstream, and holds the client that reaches it.
+
+    `run` is the task; the other methods may be called from any thread.
+    """
+
+    __slots__ = (
+        "_events",
+        "_is_stopping",
+        "_lock",
+        "_monitor",
+        "_on_change",
+        "_settings",
+        "_stop",
+        "_view",
+    )
+
+    def __init__(
+        self,
+        *,
+        upstream: settings.Upstream,
+        events: log.EventLog,
+        on_change: Callable[[], None],
+    ) -> None:
+        self._settings = upstream
+        self._events = events
+        self._on_change = on_change
+        self._monitor = monitor.Monitor(upstream=upstream)
+        self._view: UpstreamView | None = None
+        self._lock = threading.Lock()
+        self._stop = threading.Event()
+
+    def read(self) -> UpstreamView | None:
+        """Reads the newest view; None before the first announcement."""
+        return self._view
+
+    def find_expiry_ms(self, lease_end_ms: int) -> int:
+        """Converts the end of a lease to the upstream's clock.
+
+        Args:
+            lease_end_ms: On this node's monotonic clock.
+
+        Returns:
+            A time on the upstream's clock that is not later; 0 while the
+            upstream's clock isn't known.
+        """
+        with self._lock:
+            return self._monitor.find_clock_ms(lease_end_ms)
+
+    def take_announcement(self, announcement: monitor.Announcement) -> None:
+        """Takes an announcement that the upstream sent to the node."""
+        now_ms = clock.read_monotonic_ms()
+        with self._lock:
+            self._monitor.take_announcement(announcement, now_ms)
+            self._update(announcement, now_ms)
+
+    def stop(self) -> None:
+        """Lets `run` return."""
+        self._stop.set()
+
+    def run(self) -> None:
+        """Probes until stopped."""
+        while not self._stop.wait(self._settings.probe_ms / 1000):
+            view = self._view
+            if view is not None:
+                self._probe(view)
+
+    def _probe(self, view: UpstreamView) -> None:
+        sent_at_ms = clock.read_monotonic_ms()
+        health = self._ask_health(view.announcement)
+        now_ms = clock.read_monotonic_ms()
+        with self._lock:
+            if health is None:
+                self._monitor.take_probe_failure(now_ms)
+            else:
+                self._monitor.take_health(health, sent_at_ms, now_ms)
+            self._update(view.announcement, now_ms)
+
+    def _ask_health(
+        self, announcement: monitor.Announcement
+    ) -> monitor.Health | None:
+        connection = http.client.HTTPConnection(
+            announcement.ip_address,
+            announcement.port,
+            timeout=self._settings.probe_timeout_ms / 1000,
+        )
+        try:
+            connection.request("GET", "/-/health")
+            return monitor.decode_health(connection.getresponse().read())
+        except (OSError, http.client.HTTPException, monitor.CannotDecode):
+            return None
+        finally:
+            connection.close()
+
+    def _update(self, announcement: monitor.Announcement, now_ms: int) -> None:
+        before = self._view
+        is_serving = self._monitor.is_serving(now_ms)
+        is_same = (
+            before is not None
+            and before.announcement.incarnation == announcement.incarnation
+            and before.announcement.port == announcement.port
+        )
+        if before is not None and is_same:
+            reached = before.client
+        else:
+            reached = client.UpstreamClient(
+                ip_address=announcement.ip_address,
+                port=announcement.port,
+                connections=announcement.connections,
+            )
+        self._view = UpstreamView(
+            announcement=announcement,
+            client=reached,
+            is_serving=is_serving,
+        )
+        if not is_same or before is None or before.is_serving != is_serving:
+            self._report(announcement, is_serving)
+
+    def _report(
+        self, announcement: monitor.Announcement, is_serving: bool
+    ) -> None:
+        event = (
+            catalog.Event.UPSTREAM_SERVING
+            if is_serving
+            else catalog.Event.UPSTREAM_GONE
+        )
+        self._events.emit(event, server=announcement.server)
+        self._on_change()
--- /dev/null
+++ b/src/rhubarblead/node/proposals.py
@@ -0,0 +1,234 @@
+"""What a node proposes to write next, derived from the newest state alone.
+
+A proposal that is lost to another writer is not repeated: the next one is
+derived from the state that the other writer left.
+"""
+
+from collections.abc import Iterable
+
+from rhubarblead import membership
+from rhubarblead import ownership
+from rhubarblead import tables as tables_lib
+from rhubarblead.assignment import planner
+
+_NO_LOADS: dict[int, float] = {}
+
+
+def list_eligible(
+    *,
+    state: ownership.State,
+    pool: tables_lib.Pool,
+    excluded: frozenset[str] = frozenset(),
+) -> tuple[str, ...]:
+    """Lists the members that may own shards of a pool.
+
+    Args:
+        state: The newest state.
+        pool: The pool.
+        excluded: Members that are lost, suspected or leaving.
+
+    Returns:
+        Member ids in order.
+    """
+    return tuple(
+        member.member_id
+        for member in state.list_pool(pool.name)
+        if member.member_id not in excluded and pool.is_naming(member.instance)
+    )
+
+
+def propose_join(
+    *,
+    state: ownership.State,
+    pool: tables_lib.Pool,
+    member: membership.Member,
+) -> tuple[membership.Change, ...]:
+    """Proposes to add a member, and the shards of a pool that has none yet."""
+    joined = membership.MemberJoined(member=member)
+    is_new = pool.kind == "keyed" and pool.name not in state.assignments
+    if not is_new:
+        return (joined,)
+    sharded = membership.PoolSharded(
+        pool=pool.name, shard_count=pool.shard_count
+    )
+    return (sharded, joined)
+
+
+def propose_evictions(
+    *,
+    state: ownership.State,
+    tables: tables_lib.Tables,
+    evictions: Iterable[membership.MemberEvicted],
+    suspects: frozenset[str],
+) -> tuple[membership.Change, ...]:
+    """Proposes to evict members and to give their shards to others.
+
+    Args:
+        state: The newest state.
+        tables: The tables in force.
+        evictions: The evictions that are due.
+        suspects: Members that should get no shards, as they may be lost too.
+
+    Returns:
+        Evictions, and the moves of the shards of each pool.
+    """
+    changes: list[membership.Change] = list(evictions)
+    lost = frozenset(
+        change.member_id
+        for change in changes
+        if isinstance(change, membership.MemberEvicted)
+    )
+    for name in sorted(state.assignments):
+        moves = _plan_takeover(state, tables, name, lost, suspects)
+        if moves:
+            changes.append(membership.ShardsMoved(pool=name, moves=moves))
+    return tuple(changes)
+
+
+def propose_assignment(
+    *, state: ownership.State, tables: tables_lib.Tables, pool_name: str
+) -> tuple[membership.Change, ...]:
+    """Proposes owners for shards without one, or else better owners.
+
+    Args:
+        state: The newest state.
+        tables: The tables in force.
+        pool_name: A keyed pool.
+
+    Returns:
+        One change; none when the shards are well placed.
+    """
+    moves = _plan_takeover(state, tables, pool_name, frozenset(), frozenset())
+    if moves:
+        return (membership.ShardsMoved(pool=pool_name, moves=moves),)
+    pool = tables.find_pool(pool_name)
+    assignment = state.assignments.get(pool_name)
+    if pool is None or assignment is None:
+        return ()
+    eligible = list_eligible(state=state, pool=pool)
+    if not eligible:
+        return ()
+    wanted = planner.plan_rebalance(
+        state=state,
+        pool=pool_name,
+        eligible=eligible,
+        loads=_NO_LOADS,
+        limits=planner.Limits(),
+    )
+    if {move.shard: move.owner for move in wanted} == assignment.wanted:
+        return ()
+    return (membership.MovesWanted(pool=pool_name, moves=wanted),)
+
+
+def propose_leave(
+    *,
+    state: ownership.State,
+    tables: tables_lib.Tables,
+    member_id: str,
+    shards: frozenset[int],
+) -> tuple[membership.Change, ...]:
+    """Proposes to give up shards, and to leave with the last of them.
+
+    Args:
+        state: The newest state.
+        tables: The tables in force.
+        member_id: The member that leaves.
+        shards: Its shards on which no request runs any more.
+
+    Returns:
+        The moves, and the departure when no shard is left.
+    """
+    member = state.members[member_id]
+    assignment = state.assignments.get(member.pool)
+    owned = frozenset(assignment.list_shards(member_id) if assignment else ())
+    changes: list[membership.Change] = []
+    given = owned & shards
+    if given:
+        planned = _plan_takeover(
+            state, tables, member.pool, frozenset({member_id}), frozenset()
+        )
+        changes.append(
+            membership.ShardsMoved(
+                pool=member.pool,
+                moves=tuple(move for move in planned if move.shard in given),
+            )
+        )
+    if given == owned:
+        changes.append(membership.MemberLeft(member_id=member_id))
+    return tuple(changes)
+
+
+def has_planning_duty(
+    *, state: ownership.State, member_id: str, pool_name: str
+) -> bool:
+    """Tells whether a member plans for a pool: the first by its id does.
+
+    Two members that both believe so do no harm, as one of two proposals on
+    the same state is lost.
+    """
+    members = state.list_pool(pool_name)
+    return bool(members) and members[0].member_id == member_id
+
+
+def _plan_takeover(
+    state: ownership.State,
+    tables: tables_lib.Tables,
+    pool_name: str,
+    lost: frozenset[str],
+    suspects: frozenset[str],
+) -> tuple[membership.ShardMove, ...]:
+    pool = tables.find_pool(pool_name)
+    if pool is None:
+        return _abandon(state, pool_name, lost)
+    excluded = lost | suspects
+    eligible = list_eligible(state=state, pool=pool, excluded=excluded)
+    if not eligible:
+        eligible = list_eligible(state=state, pool=pool, excluded=lost)
+    if not eligible:
+        return _abandon(state, pool_name, lost)
+    return planner.plan_takeover(
+        state=state, pool=pool_name, lost=lost, eligible=eligible
+    )
+
+
+def _abandon(
+    state: ownership.State, pool_name: str, lost: frozenset[str]
+) -> tuple[membership.ShardMove, ...]:
+    """Leaves the shards of lost members without an owner."""
+    assignment = state.assignments[pool_name]
+    return tuple(
+        membership.ShardMove(shard=shard, owner=ownership.NOBODY)
+        for shard, owner in enumerate(assignment.owners)
+        if owner in lost
+    )
+
+
+def propose_release(
+    *,
+    state: ownership.State,
+    member_id: str,
+    moves: tuple[membership.ShardMove, ...],
+) -> tuple[membership.Change, ...]:
+    """Proposes to hand over drained shards to the members that want them.
+
+    Args:
+        state: The newest state.
+        member_id: The owner.
+        moves: The drained shards with their next owners.
+
+    Returns:
+        One change; none when no move is possible any more.
+    """
+    pool = state.members[member_id].pool
+    assignment = state.assignments.get(pool)
+    if assignment is None:
+        return ()
+    possible = tuple(
+        move
+        for move in moves
+        if move.owner in state.members
+        and assignment.owners[move.shard] == member_id
+    )
+    if not possible:
+        return ()
+    return (membership.ShardsMoved(pool=pool, moves=possible),)
--- /dev/null
+++ b/src/rhubarblead/node/reading.py
@@ -0,0 +1,90 @@
+"""When a node reads the stored rows itself."""
+
+from rhubarblead import settings
+
+_TABLES_INTERVAL_MS = 1_000
+_STALE_MS = 2_000
+_OVERDUE_MS = 10_000
+
+
+class ReadSchedule:
+    """Keeps a node to one read of a row at a time, and to few of them.
+
+    Pollers read often. The others hear from their granters and pollers; they
+    read when they have heard from nobody for a while.
+    """
+
+    __slots__ = (
+        "_heard_at_ms",
+        "_is_wanted",
+        "_ownership_due_ms",
+        "_platform",
+        "_reading_ownership_ms",
+        "_reading_tables_ms",
+        "_tables_due_ms",
+    )
+
+    def __init__(self, *, platform: settings.Platform) -> None:
+        self._platform = platform
+        self._heard_at_ms = 0
+        self._is_wanted = True
+        self._ownership_due_ms = 0
+        self._tables_due_ms = 0
+        self._reading_ownership_ms = 0
+        self._reading_tables_ms = 0
+
+    def hear(self, now_ms: int) -> None:
+        """Records that another node has told its revisions."""
+        self._heard_at_ms = now_ms
+
+    def want_ownership(self) -> None:
+        """Asks for a read as soon as possible."""
+        self._is_wanted = True
+
+    def begin_ownership(self, *, now_ms: int, is_poller: bool) -> bool:
+        """Decides whether to read the ownership row now.
+
+        Args:
+            now_ms: The monotonic time.
+            is_poller: Whether this node reads for others or only for itself.
+
+        Returns:
+            Whether to read; the read counts as begun then.
+        """
+        if self._is_in_progress(self._reading_ownership_ms, now_ms):
+            return False
+        is_due = now_ms >= self._ownership_due_ms and (
+            is_poller or self._is_stale(now_ms)
+        )
+        if not is_due and not self._is_wanted:
+            return False
+        self._is_wanted = False
+        self._reading_ownership_ms = now_ms
+        self._ownership_due_ms = now_ms + self._platform.poll_ms
+        return True
+
+    def begin_tables(self, *, now_ms: int, is_poller: bool) -> bool:
+        """Decides whether to read the tables row now; as for ownership."""
+        if self._is_in_progress(self._reading_tables_ms, now_ms):
+            return False
+        if now_ms < self._tables_due_ms:
+            return False
+        if not is_poller and not self._is_stale(now_ms):
+            return False
+        self._reading_tables_ms = now_ms
+        self._tables_due_ms = now_ms + _TABLES_INTERVAL_MS
+        return True
+
+    def end_ownership(self) -> None:
+        """Records that a read of the ownership row has ended."""
+        self._reading_ownership_ms = 0
+
+    def end_tables(self) -> None:
+        """Records that a read of the tables row has ended."""
+        self._reading_tables_ms = 0
+
+    def _is_stale(self, now_ms: int) -> bool:
+        return now_ms - self._heard_at_ms >= _STALE_MS
+
+    def _is_in_progress(self, since_ms: int, now_ms: int) -> bool:
+        return since_ms > 0 and now_ms - since_ms < _OVERDUE_MS
--- /dev/null
+++ b/src/rhubarblead/node/routing.py
@@ -0,0 +1,378 @@
+"""The way of a caller's request to the node that runs it, and back."""
+
+import dataclasses
+import threading
+
+import msgspec
+import result
+
+from rhubarblead import clock
+from rhubarblead import membership
+from rhubarblead import messages
+from rhubarblead import refusal as refusals
+from rhubarblead import settings
+from rhubarblead import verdict as verdicts
+from rhubarblead.events import catalog
+from rhubarblead.events import log
+from rhubarblead.node import choice
+from rhubarblead.node import intake
+from rhubarblead.node import local
+from rhubarblead.node import outcome as outcomes
+from rhubarblead.node import view as views
+from rhubarblead.node import work as works
+from rhubarblead.requests import retries
+from rhubarblead.transport import exchange
+
+_OWNER_WAIT_MS = 100
+_LAGGING_OWNER_WAIT_MS = 25
+_RETRY_AFTER_MS = 500
+_WAITING_SHARE = 2
+
+# The next owner may have the request run: it did not run where it was sent.
+_AWAITING_OWNER = frozenset(
+    {
+        refusals.Refusal.NOT_OWNER,
+        refusals.Refusal.NO_OWNER,
+        refusals.Refusal.FENCED,
+        refusals.Refusal.DRAINING,
+        refusals.Refusal.PEER_LOST,
+    }
+)
+_TRY_ELSEWHERE = frozenset(
+    {
+        refusals.Refusal.POOL_DOWN,
+        refusals.Refusal.DRAINING,
+        refusals.Refusal.SHED,
+        refusals.Refusal.OVERLOADED,
+        refusals.Refusal.PEER_LOST,
+        refusals.Refusal.UPSTREAM_FAILED,
+        refusals.Refusal.ANSWER_BROKEN,
+    }
+)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Try:
+    """A request with what its earlier tries have shown."""
+
+    accepted: intake.Accepted
+    deadline_ms: int
+    verdict: verdicts.Verdict = verdicts.Verdict.NOT_RUN
+    tried: set[str] = dataclasses.field(default_factory=set)
+
+    def find_remaining_ms(self) -> int:
+        return self.deadline_ms - clock.read_monotonic_ms()
+
+
+class Router:
+    """Routes requests; called from many threads."""
+
+    __slots__ = (
+        "_board",
+        "_budget",
+        "_choice",
+        "_events",
+        "_exchange",
+        "_local",
+        "_waiting",
+    )
+
+    def __init__(
+        self,
+        *,
+        board: views.ViewBoard,
+        local_server: local.LocalServer,
+        peers: exchange.Exchange,
+        server_choice: choice.ServerChoice,
+        budget: retries.SharedRetryBudget,
+        limits: settings.Limits,
+        events: log.EventLog,
+    ) -> None:
+        self._board = board
+        self._local = local_server
+        self._exchange = peers
+        self._choice = server_choice
+        self._budget = budget
+        self._events = events
+        # Requests that wait for an owner must leave threads for the others.
+        self._waiting = threading.BoundedSemaphore(
+            max(1, limits.threads // _WAITING_SHARE)
+        )
+
+    def handle(self, request: intake.CallerRequest) -> outcomes.Outcome:
+        """Answers a caller's request.
+
+        Args:
+            request: The request.
+
+        Returns:
+            The upstream's answer or a refusal; its verdict covers all tries.
+        """
+        started_at_ms = clock.read_monotonic_ms()
+        accepted = intake.accept(request, self._board.read().tables)
+        if isinstance(accepted, result.Err):
+            outcome = outcomes.refuse(accepted.err_value)
+        else:
+            outcome = self._route(accepted.ok_value, started_at_ms)
+        self._report(request, accepted, outcome, started_at_ms)
+        return outcome
+
+    def _route(
+        self, accepted: intake.Accepted, started_at_ms: int
+    ) -> outcomes.Outcome:
+        self._budget.take_request()
+        state = _Try(
+            accepted=accepted,
+            deadline_ms=started_at_ms + accepted.timeout_ms,
+        )
+        if accepted.pool.kind == "keyed":
+            outcome = self._route_keyed(state)
+        else:
+            outcome = self._route_balanced(state)
+        joined = verdicts.join_verdicts(state.verdict, outcome.verdict)
+        if joined is outcome.verdict:
+            return outcome
+        return dataclasses.replace(outcome, verdict=joined)
+
+    def _route_keyed(self, state: _Try) -> outcomes.Outcome:
+        while True:
+            view = self._board.read()
+            outcome = self._try_owner(view, state)
+            if not self._is_owner_awaited(state, outcome):
+                return outcome
+            state.verdict = verdicts.join_verdicts(
+                state.verdict, outcome.verdict
+            )
+            if not self._wait_for_owner(view, state, outcome):
+                return outcome
+
+    def _is_owner_awaited(self, state: _Try, outcome: outcomes.Outcome) -> bool:
+        if outcome.refusal not in _AWAITING_OWNER:
+            return False
+        if state.find_remaining_ms() <= 0:
+            return False
+        # An unrepeatable request that may have run is safe to send on: the
+        # owner's ledger runs it once, or says what became of it.
+        is_protected = bool(state.accepted.idempotency_key)
+        return (
+            outcome.verdict.is_safe_to_repeat
+            or state.accepted.is_repeatable
+            or is_protected
+        )
+
+    def _wait_for_owner(
+        self, view: views.View, state: _Try, outcome: outcomes.Outcome
+    ) -> bool:
+        if not self._waiting.acquire(blocking=False):
+            return False
+        is_lagging = outcome.ownership_revision < view.state.revision
+        wait_ms = _LAGGING_OWNER_WAIT_MS if is_lagging else _OWNER_WAIT_MS
+        try:
+            remaining_ms = state.find_remaining_ms()
+            self._board.wait_for_change(
+                seen=view, timeout_ms=min(wait_ms, remaining_ms)
+            )
+        finally:
+            self._waiting.release()
+        return state.find_remaining_ms() > 0
+
+    def _try_owner(self, view: views.View, state: _Try) -> outcomes.Outcome:
+        accepted = state.accepted
+        assignment = view.state.assignments.get(accepted.pool.name)
+        if assignment is None:
+            return _refuse(refusals.Refusal.POOL_DOWN, "the pool has no member")
+        shard = assignment.find_shard(accepted.key)
+        owner = view.state.members.get(assignment.owners[shard])
+        if owner is None:
+            return _refuse_unowned(view, accepted.pool.name)
+        outcome = self._try_member(view, owner, state, shard)
+        if outcome.refusal is refusals.Refusal.NOT_OWNER:
+            return dataclasses.replace(outcome, owner="")
+        return dataclasses.replace(
+            outcome, owner=views.find_http_authority(owner)
+        )
+
+    def _route_balanced(self, state: _Try) -> outcomes.Outcome:
+        while True:
+            view = self._board.read()
+            member = self._choice.choose(
+                view=view, pool=state.accepted.pool, excluded=state.tried
+            )
+            if member is None:
+                return _refuse(
+                    refusals.Refusal.POOL_DOWN, "no server of the pool is up"
+                )
+            state.tried.add(member.member_id)
+            with self._choice.observe(member) as observation:
+                outcome = self._try_member(view, member, state, -1)
+                observation.take(outcome)
+            if not self._may_try_elsewhere(state, outcome):
+                return outcome
+            state.verdict = verdicts.join_verdicts(
+                state.verdict, outcome.verdict
+            )
+
+    def _may_try_elsewhere(
+        self, state: _Try, outcome: outcomes.Outcome
+    ) -> bool:
+        if outcome.refusal not in _TRY_ELSEWHERE:
+            return False
+        if not (
+            outcome.verdict.is_safe_to_repeat or state.accepted.is_repeatable
+        ):
+            return False
+        if state.find_remaining_ms() <= 0 or not self._budget.take_retry():
+            return False
+        self._events.emit(
+            catalog.Event.REQUEST_RETRIED,
+            request_id=state.accepted.request.request_id,
+            reason=outcome.refusal.value,
+        )
+        return True
+
+    def _try_member(
+        self,
+        view: views.View,
+        member: membership.Member,
+        state: _Try,
+        shard: int,
+    ) -> outcomes.Outcome:
+        remaining_ms = state.find_remaining_ms()
+        if remaining_ms <= 0:
+            return _refuse(refusals.Refusal.DEADLINE, "no time is left")
+        forward = state.accepted.build_forward(
+            shard=shard,
+            remaining_ms=remaining_ms,
+            ownership_revision=view.state.revision,
+        )
+        body = state.accepted.request.body
+        if member.member_id == view.member_id:
+            return self._local.execute(
+                works.Work(
+                    forward=forward, body=body, deadline_ms=state.deadline_ms
+                )
+            )
+        return self._forward(member, forward, body, state.deadline_ms)
+
+    def _forward(
+        self,
+        member: membership.Member,
+        forward: messages.Forward,
+        body: bytes,
+        deadline_ms: int,
+    ) -> outcomes.Outcome:
+        message = msgspec.structs.replace(
+            forward, body_digest=exchange.digest_body(body)
+        )
+        future = self._exchange.call(
+            address=views.find_data_address(member),
+            message=message,
+            body=body,
+            deadline_ms=deadline_ms,
+        )
+        match future.result():
+            case exchange.Reply(message=messages.Answer() as answer, body=got):
+                return outcomes.decode_reply(answer, got)
+            case exchange.NoReply(is_sent=True):
+                return _lose_peer(verdicts.Verdict.MAY_HAVE_RUN, deadline_ms)
+            case _:
+                return _lose_peer(verdicts.Verdict.NOT_RUN, deadline_ms)
+
+    def _report(
+        self,
+        request: intake.CallerRequest,
+        accepted: result.Result[intake.Accepted, refusals.Refused],
+        outcome: outcomes.Outcome,
+        started_at_ms: int,
+    ) -> None:
+        key = ""
+        route = ""
+        if isinstance(accepted, result.Ok):
+            key = accepted.ok_value.key
+            route = accepted.ok_value.route.name
+        duration_ms = clock.read_monotonic_ms() - started_at_ms
+        if outcome.refusal is None:
+            self._events.emit(
+                catalog.Event.REQUEST_ANSWERED,
+                request_id=request.request_id,
+                key=key,
+                route=route,
+                server=outcome.server,
+                verdict=outcome.verdict.value,
+                status=outcome.status,
+                duration_ms=duration_ms,
+            )
+            return
+        self._events.emit(
+            catalog.Event.REQUEST_REFUSED,
+            request_id=request.request_id,
+            key=key,
+            route=route,
+            refusal=outcome.refusal.value,
+            verdict=outcome.verdict.value,
+            status=outcome.status,
+            duration_ms=duration_ms,
+        )
+
+
+class PeerServer:
+    """Runs what other nodes forward to this one."""
+
+    __slots__ = ("_local",)
+
+    def __init__(self, *, local_server: local.LocalServer) -> None:
+        self._local = local_server
+
+    def serve(self, forward: messages.Forward, body: bytes) -> exchange.Reply:
+        """Runs a forwarded request.
+
+        Args:
+            forward: The request.
+            body: Its body.
+
+        Returns:
+            The reply to the node that forwarded it.
+        """
+        now_ms = clock.read_monotonic_ms()
+        outcome = self._local.execute(
+            works.Work(
+                forward=forward,
+                body=body,
+                deadline_ms=now_ms + forward.remaining_ms,
+            )
+        )
+        return outcomes.encode_reply(forward.request_id, outcome)
+
+
+def _refuse_unowned(view: views.View, pool: str) -> outcomes.Outcome:
+    if not view.state.list_pool(pool):
+        return _refuse(
+            refusals.Refusal.POOL_DOWN, "no server of the pool is up"
+        )
+    return _refuse(refusals.Refusal.NO_OWNER, "nobody owns the key now")
+
+
+def _lose_peer(verdict: verdicts.Verdict, deadline_ms: int) -> outcomes.Outcome:
+    is_over = clock.read_monotonic_ms() >= deadline_ms
+    return outcomes.refuse(
+        refusals.Refused(
+            refusal=(
+                refusals.Refusal.DEADLINE
+                if is_over
+                else refusals.Refusal.PEER_LOST
+            ),
+            explanation="the node beside the server did not answer",
+            retry_after_ms=_RETRY_AFTER_MS,
+        ),
+        verdict,
+    )
+
+
+def _refuse(refusal: refusals.Refusal, explanation: str) -> outcomes.Outcome:
+    return outcomes.refuse(
+        refusals.Refused(
+            refusal=refusal,
+            explanation=explanation,
+            retry_after_ms=_RETRY_AFTER_MS,
+        )
+    )
--- /dev/null
+++ b/src/rhubarblead/node/spread.py
@@ -0,0 +1,90 @@
+"""Who is told of a newly committed entry, by whom."""
+
+import zlib
+
+from rhubarblead import membership
+from rhubarblead import ownership
+from rhubarblead import settings
+from rhubarblead.leases import selection
+
+
+def list_receivers(
+    *,
+    state: ownership.State,
+    member_id: str,
+    entries: tuple[membership.Entry, ...],
+    is_author: bool,
+    platform: settings.Platform,
+) -> list[str]:
+    """Lists the members that a node tells of entries it has just learnt.
+
+    The author tells the new owners and the pollers of every failure domain;
+    the pollers of a failure domain share its other members among them.
+
+    Args:
+        state: The state after the entries.
+        member_id: The node that tells.
+        entries: What is new.
+        is_author: Whether the node committed the entries itself.
+        platform: How many pollers a failure domain has.
+
+    Returns:
+        Member ids, without the node itself.
+    """
+    receivers: set[str] = set()
+    if is_author:
+        receivers.update(_list_new_owners(entries))
+        receivers.update(_list_all_pollers(state, platform))
+    receivers.update(_list_share(state, member_id, platform))
+    receivers.discard(member_id)
+    return sorted(receivers & state.members.keys())
+
+
+def _list_new_owners(entries: tuple[membership.Entry, ...]) -> set[str]:
+    return {
+        move.owner
+        for entry in entries
+        for change in entry.changes
+        if isinstance(change, membership.ShardsMoved)
+        for move in change.moves
+    }
+
+
+def _list_all_pollers(
+    state: ownership.State, platform: settings.Platform
+) -> set[str]:
+    domains = {m.failure_domain for m in state.members.values()}
+    return {
+        poller
+        for domain in domains
+        for poller in _list_pollers(state, domain, platform)
+    }
+
+
+def _list_pollers(
+    state: ownership.State, failure_domain: str, platform: settings.Platform
+) -> tuple[str, ...]:
+    return selection.list_pollers(
+        state=state,
+        failure_domain=failure_domain,
+        count=platform.pollers_per_domain,
+    )
+
+
+def _list_share(
+    state: ownership.State, member_id: str, platform: settings.Platform
+) -> set[str]:
+    member = state.members.get(member_id)
+    if member is None:
+        return set()
+    pollers = _list_pollers(state, member.failure_domain, platform)
+    if member_id not in pollers:
+        return set()
+    rank = pollers.index(member_id)
+    return {
+        other.member_id
+        for other in state.members.values()
+        if other.failure_domain == member.failure_domain
+        and other.member_id not in pollers
+        and zlib.crc32(other.member_id.encode()) % len(pollers) == rank
+    }
--- /dev/null
+++ b/src/rhubarblead/node/store_jobs.py
@@ -0,0 +1,110 @@
+"""Calls to the platform, off the control thread, with typed results."""
+
+from collections.abc import Callable
+from concurrent import futures
+import dataclasses
+from typing import TypeAlias
+
+import result
+
+from rhubarblead import clock
+from rhubarblead import ownership
+from rhubarblead.node import writing
+from rhubarblead.platform import ownership_log
+from rhubarblead.platform import store
+from rhubarblead.platform import table_log
+
+TablesOutcome: TypeAlias = result.Result[
+    table_log.Reading | store.NotModified, store.StoreError
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OwnershipRead:
+    """The ownership row was read, or could not be.
+
+    `sent_at_ms` is when the read began, on the monotonic clock.
+    """
+
+    sent_at_ms: int
+    outcome: result.Result[ownership_log.Reading, store.StoreError]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TablesRead:
+    """The tables row was read, or could not be."""
+
+    outcome: result.Result[
+        table_log.Reading | store.NotModified, store.StoreError
+    ]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Written:
+    """A proposal was committed, lost, not done, or is in doubt."""
+
+    proposal: writing.Proposal
+    outcome: result.Result[ownership_log.Appended, ownership_log.AppendError]
+
+
+StoreResult: TypeAlias = OwnershipRead | TablesRead | Written
+
+
+class StoreJobs:
+    """Runs store calls on an executor; results go to a callback."""
+
+    __slots__ = ("_executor", "_log", "_post", "_tables")
+
+    def __init__(
+        self,
+        *,
+        executor: futures.Executor,
+        log: ownership_log.OwnershipLog,
+        tables: table_log.TableLog,
+        post: Callable[[StoreResult], None],
+    ) -> None:
+        self._executor = executor
+        self._log = log
+        self._tables = tables
+        self._post = post
+
+    def read_ownership(self, state: ownership.State) -> None:
+        """Starts to read what is newer than a state."""
+        self._executor.submit(self._read_ownership, state)
+
+    def read_tables(self, known_revision: int) -> None:
+        """Starts to read the tables, unless they have a known revision."""
+        self._executor.submit(self._read_tables, known_revision)
+
+    def write(self, proposal: writing.Proposal) -> None:
+        """Starts to commit a proposal."""
+        self._executor.submit(self._write, proposal)
+
+    def resolve(self, proposal: writing.Proposal) -> None:
+        """Starts to find out what became of a proposal in doubt."""
+        self._executor.submit(self._resolve, proposal)
+
+    def _read_ownership(self, state: ownership.State) -> None:
+        sent_at_ms = clock.read_monotonic_ms()
+        outcome = self._log.read(state=state)
+        self._post(OwnershipRead(sent_at_ms=sent_at_ms, outcome=outcome))
+
+    def _read_tables(self, known_revision: int) -> None:
+        outcome = self._tables.read_tables(known_revision=known_revision)
+        self._post(TablesRead(outcome=outcome))
+
+    def _write(self, proposal: writing.Proposal) -> None:
+        outcome = self._log.append(
+            state=proposal.state,
+            changes=proposal.changes,
+            write_id=proposal.write_id,
+        )
+        self._post(Written(proposal=proposal, outcome=outcome))
+
+    def _resolve(self, proposal: writing.Proposal) -> None:
+        outcome = self._log.resolve(
+            write_id=proposal.write_id,
+            expected_revision=proposal.state.revision,
+            changes=proposal.changes,
+        )
+        self._post(Written(proposal=proposal, outcome=outcome))
--- /dev/null
+++ b/src/rhubarblead/node/writing.py
@@ -0,0 +1,77 @@
+"""The one write to the ownership row that a node has in progress."""
+
+import dataclasses
+import enum
+
+from rhubarblead import membership
+from rhubarblead import ownership
+
+_PAUSE_MS = 100
+
+
+class Purpose(enum.Enum):
+    """What a proposal is for."""
+
+    JOIN = "join"
+    EVICT = "evict"
+    GRANTERS = "granters"
+    RELEASE = "release"
+    LEAVE = "leave"
+    PLAN = "plan"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Proposal:
+    """Changes to be committed on top of one state."""
+
+    write_id: str
+    purpose: Purpose
+    state: ownership.State
+    changes: tuple[membership.Change, ...]
+
+
+class WriteState:
+    """Keeps a node to one write at a time, and to asking after doubtful ones.
+
+    A write in doubt is never given up: it is asked after until it is known
+    whether it took effect.
+    """
+
+    __slots__ = ("_due_ms", "_is_doubtful", "_proposal")
+
+    def __init__(self) -> None:
+        self._proposal: Proposal | None = None
+        self._is_doubtful = False
+        self._due_ms = 0
+
+    def is_free(self, now_ms: int) -> bool:
+        """Tells whether another write may begin."""
+        return self._proposal is None and now_ms >= self._due_ms
+
+    def begin(self, proposal: Proposal) -> None:
+        """Records that a proposal is being written."""
+        self._proposal = proposal
+        self._is_doubtful = False
+
+    def mark_doubtful(self, now_ms: int) -> None:
+        """Records that the answer to the write was lost."""
+        self._is_doubtful = True
+        self._due_ms = now_ms + _PAUSE_MS
+
+    def find_doubtful(self, now_ms: int) -> Proposal | None:
+        """Finds the proposal to ask after now, and waits for the answer."""
+        if not self._is_doubtful or now_ms < self._due_ms:
+            return None
+        self._is_doubtful = False
+        return self._proposal
+
+    def end(self, now_ms: int, *, is_paused: bool) -> None:
+        """Records that the fate of the write is known.
+
+        Args:
+            now_ms: The monotonic time.
+            is_paused: Whether the next write should wait a little.
+        """
+        self._proposal = None
+        self._is_doubtful = False
+        self._due_ms = now_ms + (_PAUSE_MS if is_paused else 0)
--- a/src/rhubarblead/ownership.py
+++ b/src/rhubarblead/ownership.py
@@ -15,10 +15,12 @@
 
     `owners` and `fences` have one item per shard; shards at or above
     `shard_count` belong to split keys (`splits` maps key to shard). `wanted`
-    maps a shard to the member that it should be handed to.
+    maps a shard to the member that it should be handed to. A shard whose fence
+    is `sharded_revision` never had an owner.
     """
 
     shard_count: int
+    sharded_revision: int = 0
     owners: list[str]
     fences: list[int]
     wanted: dict[int, str] = msgspec.field(default_factory=dict)
@@ -57,6 +59,7 @@
             assignments={
                 name: Assignment(
                     shard_count=assignment.shard_count,
+                    sharded_revision=assignment.sharded_revision,
                     owners=list(assignment.owners),
                     fences=list(assignment.fences),
                     wanted=dict(assignment.wanted),
@@ -123,6 +126,7 @@
         case membership.PoolSharded(pool=pool, shard_count=count):
             state.assignments[pool] = Assignment(
                 shard_count=count,
+                sharded_revision=revision,
                 owners=[NOBODY] * count,
                 fences=[revision] * count,
             )
--- a/src/rhubarblead/refusal.py
+++ b/src/rhubarblead/refusal.py
@@ -25,6 +25,7 @@
     FENCED = "fenced"
     DEADLINE = "deadline"
     IN_PROGRESS = "in-progress"
+    LEDGER_UNAVAILABLE = "ledger-unavailable"
     MEMORY_LOST = "memory-lost"
     KEY_REUSED = "idempotency-key-reused"
     POISON = "poison"
--- a/src/rhubarblead/settings.py
+++ b/src/rhubarblead/settings.py
@@ -89,6 +89,10 @@
     """Unrepeatable requests that the node remembers."""
     retry_per_mille: Annotated[int, pydantic.Field(ge=0, le=1000)] = 100
     """Retries allowed, as a share of the requests."""
+    connections: Annotated[int, pydantic.Field(ge=1, le=65_000)] = 1_000
+    """Connections of callers that the node accepts at a time."""
+    idle_ms: Annotated[int, pydantic.Field(ge=1_000, le=600_000)] = 120_000
+    """How long a caller's connection may stay unused."""
     ack_timeout_ms: Duration = 150
     """How long another node may take to confirm that it has a request."""
     drain_ms: Duration = 5_000
--- /dev/null
+++ b/tests/steps/node_journal.py
@@ -0,0 +1,83 @@
+"""Steps for the journal of a node."""
+
+import json
+
+import behave
+from behave import runner
+
+from rhubarblead import faults
+from rhubarblead import membership
+from rhubarblead import messages
+from rhubarblead.node import journal
+
+_TABLES = json.dumps({"routes": [], "pools": []}).encode()
+
+
+def _make_entry(revision: int) -> membership.Entry:
+    return membership.Entry(
+        revision=revision,
+        write_id=str(revision),
+        author="a",
+        written_at_ms=revision,
+        changes=(),
+    )
+
+
+@behave.given(
+    "a journal with ownership revision {ownership:d} and tables revision"
+    " {tables:d}"
+)
+def given_journal(context: runner.Context, ownership: int, tables: int) -> None:
+    context.journal = journal.Journal()
+    entries = [_make_entry(revision) for revision in range(1, ownership + 1)]
+    assert context.journal.take_entries(entries)
+    assert context.journal.take_tables(revision=tables, document=_TABLES)
+
+
+@behave.when(
+    'the journal gets entries "{entries}" and tables revision {tables:d}'
+)
+@behave.when('the journal gets entries "" and tables revision {tables:d}')
+def when_gets(context: runner.Context, tables: int, entries: str = "") -> None:
+    made = [_make_entry(int(revision)) for revision in entries.split()]
+    context.journal.take_entries(made)
+    context.journal.take_tables(revision=tables, document=_TABLES)
+
+
+@behave.when("the journal gets broken tables with revision {revision:d}")
+def when_broken(context: runner.Context, revision: int) -> None:
+    try:
+        context.journal.take_tables(revision=revision, document=b"{")
+    except faults.CannotAccept:
+        return
+    raise AssertionError("broken tables were accepted")
+
+
+@behave.when(
+    "a node with ownership revision {ownership:d} and tables revision"
+    " {tables:d} asks the journal"
+)
+def when_asked(context: runner.Context, ownership: int, tables: int) -> None:
+    context.news = context.journal.make_news(
+        messages.Revisions(ownership=ownership, tables=tables)
+    )
+
+
+@behave.then(
+    "the journal has ownership revision {ownership:d} and tables revision"
+    " {tables:d}"
+)
+def then_has(context: runner.Context, ownership: int, tables: int) -> None:
+    found = context.journal.revisions
+    assert found == messages.Revisions(ownership=ownership, tables=tables)
+
+
+@behave.then(
+    'the journal tells entries "{entries}" and tables revision {tables:d}'
+)
+@behave.then('the journal tells entries "" and tables revision {tables:d}')
+def then_tells(context: runner.Context, tables: int, entries: str = "") -> None:
+    news = context.news
+    told = [e.revision for e in news.entries] if news else []
+    assert told == [int(revision) for revision in entries.split()], told
+    assert (news.tables_revision if news else 0) == tables
