Remember unrepeatable requests at the owner and its granters

Cause: an unrepeatable request must run at most once across caller retries, lost answers, moved owners and lost nodes, and the store has no budget for a write per request. Change: the owner notes a request with a majority of its granters before it runs; the next owner reads a majority back. Each shard has a marker and a wall time before which its memory may have holes: keys issued earlier are refused. Each try of a request is a call of its own, as the receiver answers a repeated call from memory.

--- a/src/rhubarblead/messages.py
+++ b/src/rhubarblead/messages.py
@@ -17,12 +17,13 @@
 
     `remaining_ms` is how long the caller still waits, counted from the
     sending. `shard` is -1 for a balanced pool. `ownership_revision` is the
-    revision by which the sender chose the receiver. `attempt` counts the sends
-    of the same `request_id`; the receiver acknowledges each and runs one.
+    revision by which the sender chose the receiver. The receiver runs a call
+    once, however often it arrives; a try anew of the same request is another
+    call.
     """
 
+    call_id: str
     request_id: str
-    attempt: int
     pool: str
     route: str
     shard: int
@@ -42,8 +43,7 @@
 class Ack(msgspec.Struct, frozen=True, kw_only=True, tag="ack"):
     """The receiver has the request and will answer it."""
 
-    request_id: str
-    attempt: int
+    call_id: str
 
 
 class Answer(msgspec.Struct, frozen=True, kw_only=True, tag="ans"):
@@ -53,7 +53,7 @@
     that the receiver believes to own the shard, when it does not itself.
     """
 
-    request_id: str
+    call_id: str
     verdict: verdict.Verdict
     status: int
     reason: str
@@ -70,7 +70,7 @@
 class Cancel(msgspec.Struct, frozen=True, kw_only=True, tag="cancel"):
     """The caller of a forwarded request has gone."""
 
-    request_id: str
+    call_id: str
 
 
 class Revisions(
@@ -146,21 +146,26 @@
 
 
 class LedgerEntry(msgspec.Struct, frozen=True, kw_only=True, tag="led"):
-    """What is remembered of one unrepeatable request.
+    """What is remembered of one unrepeatable request, or of one shard.
 
-    `state` is "started" or "finished". A finished entry keeps the answer's
-    status and, when small, its headers and body.
+    `state` is one of the states in `rhubarblead.requests.ledger`. A finished
+    entry keeps the answer's status and, when small, its headers and body. The
+    marker that a shard was adopted has no key and carries the wall time before
+    which its memory may have holes. Of two entries of one owner with the same
+    key, the one with the higher `sequence` counts.
     """
 
     pool: str
     shard: int
     idempotency_key: str
     state: str
+    sequence: int
     request_digest: int = 0
     status: int = 0
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     has_body: bool = False
+    lost_before_ms: int = 0
 
 
 class LedgerWrite(msgspec.Struct, frozen=True, kw_only=True, tag="ledw"):
@@ -169,7 +174,7 @@
     `is_all` says that these are all the entries that the owner has.
     """
 
-    request_id: str
+    call_id: str
     owner: str
     entries: tuple[LedgerEntry, ...]
     is_all: bool = False
@@ -178,7 +183,7 @@
 class LedgerRead(msgspec.Struct, frozen=True, kw_only=True, tag="ledr"):
     """A new owner asks for the entries of shards that it took over."""
 
-    request_id: str
+    call_id: str
     pool: str
     shards: tuple[int, ...]
     previous_owner: str
@@ -191,7 +196,7 @@
     became owner is among them.
     """
 
-    request_id: str
+    call_id: str
     is_complete: bool
     entries: tuple[LedgerEntry, ...] = ()
 
--- a/src/rhubarblead/node/copies.py
+++ b/src/rhubarblead/node/copies.py
@@ -15,7 +15,6 @@
 
 _TIMEOUT_MS = 400
 _CALL_ID_BYTES = 12
-_BATCH_ENTRIES = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -57,6 +56,8 @@
     ) -> bool:
         """Writes entries to the member's granters, and waits for enough.
 
+        All entries travel in one message, so that a granter has all or none.
+
         Args:
             state: Where to find the granters.
             member: The owner of the entries.
@@ -68,17 +69,13 @@
         """
         granters = _find_members(state, member.granters)
         needed = count_needed_writes(len(member.granters))
-        batches = _split(entries)
-        for index, batch in enumerate(batches):
-            message = messages.LedgerWrite(
-                request_id="",
-                owner=member.member_id,
-                entries=batch,
-                is_all=is_all and index == len(batches) - 1,
-            )
-            if len(self._call(granters, needed, message)) < needed:
-                return False
-        return True
+        message = messages.LedgerWrite(
+            call_id="",
+            owner=member.member_id,
+            entries=entries,
+            is_all=is_all,
+        )
+        return len(self._call(granters, needed, message)) >= needed
 
     def send(
         self,
@@ -89,7 +86,7 @@
     ) -> None:
         """Writes entries to the member's granters without waiting."""
         message = messages.LedgerWrite(
-            request_id="", owner=member.member_id, entries=entries
+            call_id="", owner=member.member_id, entries=entries
         )
         self._start(_find_members(state, member.granters), message)
 
@@ -113,7 +110,7 @@
             The entries of all granters that answered in time.
         """
         message = messages.LedgerRead(
-            request_id="",
+            call_id="",
             pool=pool,
             shards=shards,
             previous_owner=previous.member_id,
@@ -139,7 +136,7 @@
             self._exchange.call(
                 address=views.find_data_address(granter),
                 message=msgspec.structs.replace(
-                    message, request_id=secrets.token_hex(_CALL_ID_BYTES)
+                    message, call_id=secrets.token_hex(_CALL_ID_BYTES)
                 ),
                 body=b"",
                 deadline_ms=deadline_ms,
@@ -173,10 +170,3 @@
         for member_id in member_ids
         if member_id in state.members
     ]
-
-
-def _split(
-    entries: tuple[messages.LedgerEntry, ...],
-) -> list[tuple[messages.LedgerEntry, ...]]:
-    starts = range(0, max(1, len(entries)), _BATCH_ENTRIES)
-    return [entries[start : start + _BATCH_ENTRIES] for start in starts]
--- a/src/rhubarblead/node/daemon.py
+++ b/src/rhubarblead/node/daemon.py
@@ -21,6 +21,8 @@
 from rhubarblead.node import agenda
 from rhubarblead.node import choice
 from rhubarblead.node import control
+from rhubarblead.node import copies
+from rhubarblead.node import execution
 from rhubarblead.node import front
 from rhubarblead.node import gate
 from rhubarblead.node import local
@@ -40,6 +42,7 @@
 
 _STORE_THREADS = 3
 _TASK_THREADS = 4
+_LEDGER_THREADS = 2
 _LEAVE_POLL_S = 0.05
 _FLUSH_S = 1.0
 _SWITCH_INTERVAL_S = 0.001
@@ -71,6 +74,9 @@
         self._peer_executor = futures.ThreadPoolExecutor(
             node.limits.peer_threads, "peer"
         )
+        self._ledger_executor = futures.ThreadPoolExecutor(
+            _LEDGER_THREADS, "ledger"
+        )
         self._task_executor = futures.ThreadPoolExecutor(_TASK_THREADS, "task")
         self._build()
 
@@ -87,7 +93,13 @@
         self._replicas = replicas.ReplicaBook(
             capacity=node.limits.ledger_entries
         )
-        self._protection = protection.Protection(instance=node.instance)
+        self._execution = execution.Execution(instance=node.instance)
+        self._protection = protection.Protection(
+            capacity=node.limits.ledger_entries,
+            keeper=copies.CopyKeeper(peers=self._exchange),
+            executor=self._ledger_executor,
+            events=self._events,
+        )
         self._control = control.Control(
             node=node,
             context=self._context,
@@ -107,11 +119,11 @@
             on_change=self._report_upstream,
         )
         self._local = local.LocalServer(
-            instance=node.instance,
             board=self._board,
             shard_gate=self._gate,
             upstream=self._upstream,
             guard=self._protection,
+            runner=self._execution,
         )
         self._peer_server = routing.PeerServer(local_server=self._local)
         self._router = routing.Router(
@@ -131,7 +143,7 @@
             upstream=self._upstream,
             events=self._events,
             post=self._control.post,
-            count_in_flight=self._protection.count_in_flight,
+            count_in_flight=self._execution.count_in_flight,
         )
 
     def _make_jobs(
@@ -186,6 +198,7 @@
         stack.enter_context(self._store)
         stack.enter_context(self._store_executor)
         stack.enter_context(self._peer_executor)
+        stack.enter_context(self._ledger_executor)
         stack.enter_context(self._task_executor)
         self._exchange.listen(
             links.Address(str(self._node.ip_address), self._node.data_port)
@@ -238,7 +251,7 @@
         deadline_ms = clock.read_monotonic_ms() + self._node.limits.drain_ms
         while clock.read_monotonic_ms() < deadline_ms:
             is_member = self._board.read().member is not None
-            if not is_member and self._protection.count_in_flight() == 0:
+            if not is_member and self._execution.count_in_flight() == 0:
                 return
             threading.Event().wait(_LEAVE_POLL_S)
         self._events.emit(catalog.Event.DRAIN_GIVEN_UP)
--- a/src/rhubarblead/node/intake.py
+++ b/src/rhubarblead/node/intake.py
@@ -76,8 +76,8 @@
             The message, without the digest of its body.
         """
         return messages.Forward(
+            call_id=make_request_id(),
             request_id=self.request.request_id,
-            attempt=1,
             pool=self.pool.name,
             route=self.route.name,
             shard=shard,
@@ -96,7 +96,7 @@
 
 
 def make_request_id() -> str:
-    """Makes an id that no other request has."""
+    """Makes an id that no other request or call has."""
     return secrets.token_hex(_REQUEST_ID_BYTES)
 
 
--- a/src/rhubarblead/node/local.py
+++ b/src/rhubarblead/node/local.py
@@ -5,6 +5,7 @@
 from rhubarblead import ownership
 from rhubarblead import refusal as refusals
 from rhubarblead import verdict as verdicts
+from rhubarblead.node import execution
 from rhubarblead.node import gate
 from rhubarblead.node import outcome as outcomes
 from rhubarblead.node import probes
@@ -24,22 +25,22 @@
     sent it.
     """
 
-    __slots__ = ("_board", "_gate", "_instance", "_protection", "_upstream")
+    __slots__ = ("_board", "_execution", "_gate", "_protection", "_upstream")
 
     def __init__(
         self,
         *,
-        instance: str,
         board: views.ViewBoard,
         shard_gate: gate.ShardGate,
         upstream: probes.UpstreamProbe,
         guard: protection.Protection,
+        runner: execution.Execution,
     ) -> None:
-        self._instance = instance
         self._board = board
         self._gate = shard_gate
         self._upstream = upstream
         self._protection = guard
+        self._execution = runner
 
     def execute(self, work: works.Work) -> outcomes.Outcome:
         """Runs one request, or refuses it.
@@ -102,7 +103,10 @@
         begun = self._protection.begin(view, work)
         if begun is not None:
             return begun
-        done = self._run(work, headers=self._build_grant(view, work))
+        # The lease may have lapsed while the request was being noted.
+        done = self._check_owner(view, work) or self._run(
+            work, headers=self._build_grant(view, work)
+        )
         self._protection.finish(view, work, done)
         return done
 
@@ -136,8 +140,8 @@
         remaining_ms = work.find_remaining_ms()
         if remaining_ms <= 0:
             return _refuse(refusals.Refusal.DEADLINE, "no time is left")
-        return self._protection.run(
-            work, lambda: self._send(upstream, work, headers, remaining_ms)
+        return self._execution.run(
+            lambda: self._send(upstream, work, headers, remaining_ms)
         )
 
     def _send(
--- a/src/rhubarblead/node/outcome.py
+++ b/src/rhubarblead/node/outcome.py
@@ -1,6 +1,7 @@
 """The outcome of a request, on its way back to the caller."""
 
 import dataclasses
+import http
 
 import msgspec
 
@@ -73,10 +74,18 @@
     )
 
 
-def encode_reply(request_id: str, outcome: Outcome) -> exchange.Reply:
+def find_reason(status: int) -> str:
+    """Finds the usual phrase for an HTTP status; empty for an unusual one."""
+    try:
+        return http.HTTPStatus(status).phrase
+    except ValueError:
+        return ""
+
+
+def encode_reply(call_id: str, outcome: Outcome) -> exchange.Reply:
     """Turns an outcome into the reply to the node that forwarded."""
     message = messages.Answer(
-        request_id=request_id,
+        call_id=call_id,
         verdict=outcome.verdict,
         status=outcome.status,
         reason=outcome.reason,
--- a/src/rhubarblead/node/replicas.py
+++ b/src/rhubarblead/node/replicas.py
@@ -12,17 +12,24 @@
 class _Copy:
     """The entries of one owner, oldest write first.
 
-    `is_complete` is False while entries written before this node was named
-    as granter are missing, or after entries were dropped for want of room.
+    `has_all` is False while entries written before this node was named as
+    granter are missing; `has_dropped` is True after entries were dropped for
+    want of room.
     """
 
-    __slots__ = ("entries", "is_complete")
+    __slots__ = ("entries", "has_all", "has_dropped")
 
-    def __init__(self, *, is_complete: bool) -> None:
+    def __init__(self) -> None:
         self.entries: collections.OrderedDict[_Key, messages.LedgerEntry] = (
             collections.OrderedDict()
         )
-        self.is_complete = is_complete
+        self.has_all = False
+        self.has_dropped = False
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether nothing that the owner wrote can be missing here."""
+        return self.has_all and not self.has_dropped
 
 
 class ReplicaBook:
@@ -52,10 +59,9 @@
             for member in change.after.members.values():
                 if change.member_id not in member.granters:
                     continue
-                if member.member_id not in self._copies:
-                    self._copies[member.member_id] = _Copy(
-                        is_complete=member.granters_epoch == 0
-                    )
+                copy = self._copies.setdefault(member.member_id, _Copy())
+                if member.granters_epoch == 0:
+                    copy.has_all = True
 
     def write(self, message: messages.LedgerWrite) -> messages.LedgerAnswer:
         """Keeps copies of entries.
@@ -68,17 +74,15 @@
             The acknowledgement.
         """
         with self._lock:
-            copy = self._copies.setdefault(
-                message.owner, _Copy(is_complete=False)
-            )
+            copy = self._copies.setdefault(message.owner, _Copy())
             self._copies.move_to_end(message.owner)
             for entry in message.entries:
                 self._put(copy, entry)
-            copy.is_complete = copy.is_complete or message.is_all
+            if message.is_all:
+                copy.has_all = True
+                copy.has_dropped = False
             self._make_room()
-        return messages.LedgerAnswer(
-            request_id=message.request_id, is_complete=True
-        )
+        return messages.LedgerAnswer(call_id=message.call_id, is_complete=True)
 
     def read(self, message: messages.LedgerRead) -> messages.LedgerAnswer:
         """Returns the entries of some shards of a previous owner.
@@ -94,10 +98,10 @@
             copy = self._copies.get(message.previous_owner)
             if copy is None:
                 return messages.LedgerAnswer(
-                    request_id=message.request_id, is_complete=False
+                    call_id=message.call_id, is_complete=False
                 )
             return messages.LedgerAnswer(
-                request_id=message.request_id,
+                call_id=message.call_id,
                 is_complete=copy.is_complete,
                 entries=tuple(
                     entry
@@ -115,7 +119,7 @@
         known = copy.entries.get(key)
         if known is None:
             self._count += 1
-        elif _is_outdated(entry, known):
+        elif entry.sequence < known.sequence:
             return
         copy.entries[key] = entry
         copy.entries.move_to_end(key)
@@ -124,12 +128,5 @@
         while self._count > self._capacity:
             copy = next(c for c in self._copies.values() if c.entries)
             copy.entries.popitem(last=False)
-            copy.is_complete = False
+            copy.has_dropped = True
             self._count -= 1
-
-
-def _is_outdated(
-    entry: messages.LedgerEntry, known: messages.LedgerEntry
-) -> bool:
-    """Tells whether a write came late, after one that knows more."""
-    return entry.state == "started" and known.state != "started"
--- a/src/rhubarblead/node/routing.py
+++ b/src/rhubarblead/node/routing.py
@@ -341,7 +341,7 @@
                 deadline_ms=now_ms + forward.remaining_ms,
             )
         )
-        return outcomes.encode_reply(forward.request_id, outcome)
+        return outcomes.encode_reply(forward.call_id, outcome)
 
 
 def _refuse_unowned(view: views.View, pool: str) -> outcomes.Outcome:
--- /dev/null
+++ b/src/rhubarblead/requests/ledger.py
@@ -0,0 +1,384 @@
+"""The memory that lets an unrepeatable request run at most once.
+
+What is not remembered is refused rather than run whenever it may have been
+known before: keys tell when they were issued, and every shard has a moment
+before which its memory may have holes.
+"""
+
+import collections
+from collections.abc import Iterable
+import dataclasses
+from typing import TypeAlias
+
+import msgspec
+
+from rhubarblead import messages
+from rhubarblead import refusal as refusals
+from rhubarblead import verdict as verdicts
+from rhubarblead.requests import idempotency
+
+STARTED = "started"
+FINISHED = "finished"
+ABANDONED = "abandoned"
+IN_DOUBT = "in-doubt"
+ADOPTED = "adopted"
+
+_SKEW_MS = 2_000
+_KEPT_BODY_BYTES = 16_384
+_RETRY_AFTER_MS = 200
+_MARKER_KEY = ""
+
+_Shard: TypeAlias = tuple[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Claim:
+    """One send of an unrepeatable request.
+
+    `digest` is that of method, target and body: the same key may not be used
+    for another request. `remember_ms` is for how long after its issue a key
+    may be used.
+    """
+
+    pool: str
+    shard: int
+    idempotency_key: str
+    digest: int
+    remember_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Run:
+    """The request may run; `entry` must be remembered elsewhere before."""
+
+    entry: messages.LedgerEntry
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Replay:
+    """The request ran before, with this answer."""
+
+    entry: messages.LedgerEntry
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Refuse:
+    """The request must not run; `verdict` covers its earlier sends too."""
+
+    refused: refusals.Refused
+    verdict: verdicts.Verdict
+
+
+Decision: TypeAlias = Run | Replay | Refuse
+
+
+class Ledger:
+    """Decides on unrepeatable requests; the caller serialises all calls."""
+
+    __slots__ = (
+        "_capacity",
+        "_entries",
+        "_lost_before_ms",
+        "_sequence",
+    )
+
+    def __init__(self, *, capacity: int) -> None:
+        """Makes a ledger that has adopted no shard.
+
+        Args:
+            capacity: How many requests are remembered at the most.
+        """
+        self._capacity = capacity
+        self._entries: collections.OrderedDict[
+            tuple[str, int, str], messages.LedgerEntry
+        ] = collections.OrderedDict()
+        self._lost_before_ms: dict[_Shard, int] = {}
+        self._sequence = 0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def adopt(
+        self,
+        *,
+        pool: str,
+        shards: Iterable[int],
+        entries: Iterable[messages.LedgerEntry],
+        lost_before_ms: int,
+    ) -> list[messages.LedgerEntry]:
+        """Takes over the memory of shards from their previous owner.
+
+        Args:
+            pool: The pool of the shards.
+            shards: The shards.
+            entries: What was remembered of them.
+            lost_before_ms: Keys issued before this wall time may have run
+                without being remembered; 0 when the memory is complete.
+
+        Returns:
+            The entries to be remembered elsewhere before any request runs on
+            the shards: one marker per shard, and the adopted entries.
+        """
+        wanted = frozenset(shards)
+        lost = dict.fromkeys(wanted, lost_before_ms)
+        kept: dict[str, messages.LedgerEntry] = {}
+        for entry in entries:
+            if entry.pool != pool or entry.shard not in wanted:
+                continue
+            if entry.state == ADOPTED:
+                before_ms = max(lost[entry.shard], entry.lost_before_ms)
+                lost[entry.shard] = before_ms
+                continue
+            known = kept.get(entry.idempotency_key)
+            if known is None or entry.sequence > known.sequence:
+                kept[entry.idempotency_key] = entry
+        for entry in kept.values():
+            self._inherit(entry)
+        for shard, before_ms in lost.items():
+            known_ms = self._lost_before_ms.get((pool, shard), 0)
+            self._lost_before_ms[pool, shard] = max(before_ms, known_ms)
+        return self.list_entries(pool=pool, shards=wanted)
+
+    def forget(self, *, pool: str, shards: Iterable[int]) -> None:
+        """Drops the memory of shards that another member owns now."""
+        gone = {(pool, shard) for shard in shards}
+        for shard in gone:
+            self._lost_before_ms.pop(shard, None)
+        for key in [key for key in self._entries if key[:2] in gone]:
+            del self._entries[key]
+
+    def list_entries(
+        self, *, pool: str, shards: Iterable[int]
+    ) -> list[messages.LedgerEntry]:
+        """Lists what is remembered of shards, with a marker for each."""
+        wanted = frozenset(shards)
+        markers = [
+            messages.LedgerEntry(
+                pool=pool,
+                shard=shard,
+                idempotency_key=_MARKER_KEY,
+                state=ADOPTED,
+                sequence=self._count_up(),
+                lost_before_ms=self._lost_before_ms[pool, shard],
+            )
+            for shard in sorted(wanted)
+            if (pool, shard) in self._lost_before_ms
+        ]
+        return markers + [
+            entry
+            for entry in self._entries.values()
+            if entry.pool == pool and entry.shard in wanted
+        ]
+
+    def list_all(self) -> list[messages.LedgerEntry]:
+        """Lists all that is remembered, with a marker for each shard."""
+        shards: dict[str, set[int]] = {}
+        for pool, shard in self._lost_before_ms:
+            shards.setdefault(pool, set()).add(shard)
+        return [
+            entry
+            for pool, numbers in shards.items()
+            for entry in self.list_entries(pool=pool, shards=numbers)
+        ]
+
+    def begin(self, *, claim: Claim, wall_ms: int) -> Decision:
+        """Decides whether a request may run.
+
+        Args:
+            claim: The request.
+            wall_ms: The wall time.
+
+        Returns:
+            `Run` at most once for a key, until `abandon`.
+        """
+        entry = self._entries.get(_key(claim))
+        if entry is not None:
+            return self._decide_known(claim, entry)
+        refused = self._find_obstacle(claim, wall_ms)
+        if refused is not None:
+            return refused
+        entry = self._make(claim, STARTED)
+        self._put(entry)
+        return Run(entry=entry)
+
+    def finish(
+        self,
+        *,
+        claim: Claim,
+        status: int,
+        headers: tuple[tuple[str, str], ...],
+        body: bytes,
+    ) -> messages.LedgerEntry:
+        """Remembers the answer to a request that ran.
+
+        Args:
+            claim: The request.
+            status: The answer's status.
+            headers: The answer's headers.
+            body: The answer's body; a large one is not kept.
+
+        Returns:
+            The entry to be remembered elsewhere.
+        """
+        has_body = len(body) <= _KEPT_BODY_BYTES
+        entry = messages.LedgerEntry(
+            pool=claim.pool,
+            shard=claim.shard,
+            idempotency_key=claim.idempotency_key,
+            state=FINISHED,
+            sequence=self._count_up(),
+            request_digest=claim.digest,
+            status=status,
+            headers=headers if has_body else (),
+            body=body if has_body else b"",
+            has_body=has_body,
+        )
+        self._put(entry)
+        return entry
+
+    def mark_in_doubt(self, claim: Claim) -> messages.LedgerEntry:
+        """Remembers that a request may have run; it never runs again."""
+        entry = self._make(claim, IN_DOUBT)
+        self._put(entry)
+        return entry
+
+    def abandon(self, claim: Claim) -> messages.LedgerEntry:
+        """Forgets a request that certainly did not run.
+
+        Args:
+            claim: The request.
+
+        Returns:
+            The entry that lets the copies forget it too.
+        """
+        self._entries.pop(_key(claim), None)
+        return self._make(claim, ABANDONED)
+
+    def _decide_known(
+        self, claim: Claim, entry: messages.LedgerEntry
+    ) -> Decision:
+        if entry.request_digest != claim.digest:
+            return _refuse(
+                refusals.Refusal.KEY_REUSED,
+                "the idempotency key belongs to another request",
+            )
+        match entry.state:
+            case "finished":
+                return Replay(entry=entry)
+            case "started":
+                return _refuse(
+                    refusals.Refusal.IN_PROGRESS,
+                    "the request is running; ask again",
+                    verdicts.Verdict.MAY_HAVE_RUN,
+                    retry_after_ms=_RETRY_AFTER_MS,
+                )
+            case _:
+                return _refuse(
+                    refusals.Refusal.MEMORY_LOST,
+                    "an earlier send may have run; its answer was lost",
+                    verdicts.Verdict.MAY_HAVE_RUN,
+                )
+
+    def _find_obstacle(self, claim: Claim, wall_ms: int) -> Refuse | None:
+        lost_before_ms = self._lost_before_ms.get((claim.pool, claim.shard))
+        if lost_before_ms is None:
+            return _refuse(
+                refusals.Refusal.LEDGER_UNAVAILABLE,
+                "the memory of the shard is being taken over",
+                retry_after_ms=_RETRY_AFTER_MS,
+            )
+        try:
+            issued_ms = idempotency.read_issued_ms(claim.idempotency_key)
+        except idempotency.CannotReadKey as error:
+            return _refuse(refusals.Refusal.MISSING_IDEMPOTENCY_KEY, str(error))
+        if issued_ms > wall_ms + _SKEW_MS:
+            return _refuse(
+                refusals.Refusal.MALFORMED,
+                "the idempotency key was issued in the future",
+            )
+        if issued_ms < wall_ms - claim.remember_ms:
+            return _refuse(
+                refusals.Refusal.MEMORY_LOST,
+                "the idempotency key is older than what is remembered",
+                verdicts.Verdict.MAY_HAVE_RUN,
+            )
+        if issued_ms < lost_before_ms:
+            return _refuse(
+                refusals.Refusal.MEMORY_LOST,
+                "what was remembered when the key was issued is lost",
+                verdicts.Verdict.MAY_HAVE_RUN,
+            )
+        return None
+
+    def _inherit(self, entry: messages.LedgerEntry) -> None:
+        if entry.state == ABANDONED:
+            return
+        # A request that was running when its owner was lost may have run.
+        state = IN_DOUBT if entry.state == STARTED else entry.state
+        self._put(
+            msgspec.structs.replace(
+                entry, state=state, sequence=self._count_up()
+            )
+        )
+
+    def _make(self, claim: Claim, state: str) -> messages.LedgerEntry:
+        return messages.LedgerEntry(
+            pool=claim.pool,
+            shard=claim.shard,
+            idempotency_key=claim.idempotency_key,
+            state=state,
+            sequence=self._count_up(),
+            request_digest=claim.digest,
+        )
+
+    def _count_up(self) -> int:
+        self._sequence += 1
+        return self._sequence
+
+    def _put(self, entry: messages.LedgerEntry) -> None:
+        key = (entry.pool, entry.shard, entry.idempotency_key)
+        self._entries[key] = entry
+        self._entries.move_to_end(key)
+        while len(self._entries) > self._capacity:
+            self._drop_oldest()
+
+    def _drop_oldest(self) -> None:
+        _, entry = self._entries.popitem(last=False)
+        issued_ms = idempotency.read_issued_ms(entry.idempotency_key)
+        shard = (entry.pool, entry.shard)
+        known_ms = self._lost_before_ms.get(shard, 0)
+        self._lost_before_ms[shard] = max(known_ms, issued_ms + 1)
+
+
+def find_lost_before_ms(wall_ms: int) -> int:
+    """Finds the moment for a memory that was lost now.
+
+    Args:
+        wall_ms: The wall time of the new owner.
+
+    Returns:
+        The wall time before which keys may have been used; keys whose makers'
+        clocks run ahead by the allowed skew are covered.
+    """
+    return wall_ms + _SKEW_MS
+
+
+def _key(claim: Claim) -> tuple[str, int, str]:
+    return claim.pool, claim.shard, claim.idempotency_key
+
+
+def _refuse(
+    refusal: refusals.Refusal,
+    explanation: str,
+    verdict: verdicts.Verdict = verdicts.Verdict.NOT_RUN,
+    *,
+    retry_after_ms: int = 0,
+) -> Refuse:
+    return Refuse(
+        refused=refusals.Refused(
+            refusal=refusal,
+            explanation=explanation,
+            retry_after_ms=retry_after_ms,
+        ),
+        verdict=verdict,
+    )
--- a/src/rhubarblead/transport/calls.py
+++ b/src/rhubarblead/transport/calls.py
@@ -17,7 +17,7 @@
 class Call:
     """One call in progress."""
 
-    request_id: str
+    call_id: str
     address: links.Address
     deadline_ms: int
     sent_at_ms: int = 0
@@ -30,14 +30,14 @@
     """The link to a peer is to be opened anew, and the calls sent again."""
 
     address: links.Address
-    request_ids: tuple[str, ...]
+    call_ids: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class GiveUp:
     """A call is over; `is_sent` says that the peer may have received it."""
 
-    request_id: str
+    call_id: str
     is_sent: bool
 
 
@@ -58,31 +58,26 @@
         """Records that a call is being sent for the first time."""
         call.sent_at_ms = now_ms
         call.attempt = 1
-        self._calls[call.request_id] = call
-
-    def find_attempt(self, request_id: str) -> int:
-        """Finds how often a call was sent; 0 when it is over."""
-        call = self._calls.get(request_id)
-        return call.attempt if call else 0
+        self._calls[call.call_id] = call
 
     def take_ack(
-        self, *, request_id: str, address: links.Address, now_ms: int
+        self, *, call_id: str, address: links.Address, now_ms: int
     ) -> None:
         """Records that a peer has received a call."""
         self._heard_at_ms[address] = now_ms
-        call = self._calls.get(request_id)
+        call = self._calls.get(call_id)
         if call is not None:
             call.is_acknowledged = True
 
     def take_answer(
-        self, *, request_id: str, address: links.Address, now_ms: int
+        self, *, call_id: str, address: links.Address, now_ms: int
     ) -> bool:
         """Ends a call; returns whether it was still in progress there."""
         self._heard_at_ms[address] = now_ms
-        call = self._calls.get(request_id)
+        call = self._calls.get(call_id)
         if call is None or call.address != address:
             return False
-        del self._calls[request_id]
+        del self._calls[call_id]
         return True
 
     def drop_peer(self, address: links.Address) -> list[GiveUp]:
@@ -94,11 +89,6 @@
             if call.address == address
         ]
 
-    def cancel(self, request_id: str) -> GiveUp | None:
-        """Ends a call whose caller no longer waits."""
-        call = self._calls.get(request_id)
-        return self._end(call) if call else None
-
     def tick(self, now_ms: int) -> tuple[list[Resend], list[GiveUp]]:
         """Finds calls to send again and calls to give up.
 
@@ -118,11 +108,11 @@
                 if call.attempt >= _MAX_ATTEMPTS and not call.is_acknowledged:
                     over.append(self._end(call))
                 else:
-                    silent.setdefault(call.address, []).append(call.request_id)
+                    silent.setdefault(call.address, []).append(call.call_id)
         for ids in silent.values():
             self._mark_resent(ids, now_ms)
         resends = [
-            Resend(address=address, request_ids=tuple(ids))
+            Resend(address=address, call_ids=tuple(ids))
             for address, ids in silent.items()
         ]
         return resends, over
@@ -138,12 +128,12 @@
             last_ms = max(last_ms, heard_at_ms)
         return now_ms - last_ms >= limit_ms
 
-    def _mark_resent(self, request_ids: list[str], now_ms: int) -> None:
-        for request_id in request_ids:
-            call = self._calls[request_id]
+    def _mark_resent(self, call_ids: list[str], now_ms: int) -> None:
+        for call_id in call_ids:
+            call = self._calls[call_id]
             call.attempt += 1
             call.sent_at_ms = now_ms
 
     def _end(self, call: Call) -> GiveUp:
-        del self._calls[call.request_id]
-        return GiveUp(request_id=call.request_id, is_sent=call.attempt > 0)
+        del self._calls[call.call_id]
+        return GiveUp(call_id=call.call_id, is_sent=call.attempt > 0)
--- a/src/rhubarblead/transport/exchange.py
+++ b/src/rhubarblead/transport/exchange.py
@@ -60,7 +60,7 @@
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Answered:
     sender: bytes
-    request_id: str
+    call_id: str
     frames: list[bytes]
 
 
@@ -191,21 +191,21 @@
             case _Outgoing():
                 self._start(item, now_ms)
             case _Answered():
-                self._running.pop(item.request_id, None)
-                self._remember(item.request_id, item.frames)
+                self._running.pop(item.call_id, None)
+                self._remember(item.call_id, item.frames)
                 self._links.reply(item.sender, item.frames)
             case _PeerGone(address=address):
                 self._links.reset(address)
                 self._give_up(self._calls.drop_peer(address))
 
     def _start(self, item: _Outgoing, now_ms: int) -> None:
-        request_id = item.message.request_id
+        call_id = item.message.call_id
         if not self._send(item):
             item.future.set_result(NoReply(is_sent=False))
             return
-        self._outgoing[request_id] = item
+        self._outgoing[call_id] = item
         call = calls.Call(
-            request_id=request_id,
+            call_id=call_id,
             address=item.address,
             deadline_ms=item.deadline_ms,
         )
@@ -220,12 +220,12 @@
         self._give_up(over)
         for resend in resends:
             self._links.reset(resend.address)
-            for request_id in resend.request_ids:
-                self._send(self._outgoing[request_id])
+            for call_id in resend.call_ids:
+                self._send(self._outgoing[call_id])
 
     def _give_up(self, over: list[calls.GiveUp]) -> None:
         for ended in over:
-            item = self._outgoing.pop(ended.request_id)
+            item = self._outgoing.pop(ended.call_id)
             item.future.set_result(NoReply(is_sent=ended.is_sent))
 
     def _take_answer(
@@ -236,9 +236,9 @@
         except (msgspec.DecodeError, IndexError):
             return
         match message:
-            case messages.Ack(request_id=request_id):
+            case messages.Ack(call_id=call_id):
                 self._calls.take_ack(
-                    request_id=request_id, address=address, now_ms=now_ms
+                    call_id=call_id, address=address, now_ms=now_ms
                 )
             case messages.Answer() | messages.LedgerAnswer():
                 body = frames[1] if len(frames) > 1 else b""
@@ -256,12 +256,12 @@
         if not is_whole(message, body):
             # The call stays open: it is sent again, and answered again.
             return
-        request_id = message.request_id
+        call_id = message.call_id
         if not self._calls.take_answer(
-            request_id=request_id, address=address, now_ms=now_ms
+            call_id=call_id, address=address, now_ms=now_ms
         ):
             return
-        item = self._outgoing.pop(request_id)
+        item = self._outgoing.pop(call_id)
         item.future.set_result(Reply(message=message, body=body))
 
     def _take_call(self, received: links.Received) -> None:
@@ -284,17 +284,17 @@
     def _run_once(
         self, sender: bytes, message: messages.Forward, body: bytes
     ) -> None:
-        request_id = message.request_id
-        answer = self._answered.get(request_id)
+        call_id = message.call_id
+        answer = self._answered.get(call_id)
         if answer is not None:
             self._links.reply(sender, answer)
             return
-        ack = messages.Ack(request_id=request_id, attempt=message.attempt)
+        ack = messages.Ack(call_id=call_id)
         self._links.reply(sender, [messages.encode(ack)])
-        if request_id in self._running:
-            self._running[request_id] = sender
+        if call_id in self._running:
+            self._running[call_id] = sender
             return
-        self._running[request_id] = sender
+        self._running[call_id] = sender
         self._executor.submit(self._run_call, sender, message, body)
 
     def _run_call(
@@ -304,15 +304,15 @@
         self._inbox.put(
             _Answered(
                 sender=sender,
-                request_id=message.request_id,
+                call_id=message.call_id,
                 frames=[messages.encode(reply.message), reply.body],
             )
         )
 
-    def _remember(self, request_id: str, frames: list[bytes]) -> None:
+    def _remember(self, call_id: str, frames: list[bytes]) -> None:
         if sum(len(frame) for frame in frames) > _REMEMBERED_BYTES:
             return
-        self._answered[request_id] = frames
+        self._answered[call_id] = frames
         if len(self._answered) > _REMEMBERED_ANSWERS:
             self._answered.popitem(last=False)
 
--- a/tests/steps/transport_calls.py
+++ b/tests/steps/transport_calls.py
@@ -26,7 +26,7 @@
     context: runner.Context, name: str, peer: str, at: int, deadline: int
 ) -> None:
     call = calls.Call(
-        request_id=name, address=_address(peer), deadline_ms=deadline
+        call_id=name, address=_address(peer), deadline_ms=deadline
     )
     context.calls.start(call=call, now_ms=at)
 
@@ -35,7 +35,7 @@
 def when_heard(context: runner.Context, heard: str, at: int) -> None:
     if heard.startswith("ack at "):
         context.calls.take_ack(
-            request_id="a",
+            call_id="a",
             address=_address("1"),
             now_ms=int(heard.removeprefix("ack at ")),
         )
@@ -47,7 +47,7 @@
     context.sent = 1
     for now_ms in range(0, until, step):
         resends, over = context.calls.tick(now_ms)
-        context.sent += sum(len(r.request_ids) for r in resends)
+        context.sent += sum(len(r.call_ids) for r in resends)
         context.over.extend(over)
 
 
@@ -59,7 +59,7 @@
 @behave.when('the call table gets an answer to "{name}" from peer "{peer}"')
 def when_answered(context: runner.Context, name: str, peer: str) -> None:
     assert not context.calls.take_answer(
-        request_id=name, address=_address(peer), now_ms=1
+        call_id=name, address=_address(peer), now_ms=1
     )
 
 
@@ -70,21 +70,21 @@
 def then_decided(
     context: runner.Context, resent: str = "", given_up: str = ""
 ) -> None:
-    sent = [name for r in context.resends for name in r.request_ids]
+    sent = [name for r in context.resends for name in r.call_ids]
     assert sent == ([resent] if resent else []), sent
-    over = [ended.request_id for ended in context.over]
+    over = [ended.call_id for ended in context.over]
     assert over == ([given_up] if given_up else []), over
 
 
 @behave.then('the call table has sent "{name}" {count:d} times and given it up')
 def then_given_up(context: runner.Context, name: str, count: int) -> None:
     assert context.sent == count, context.sent
-    assert [ended.request_id for ended in context.over] == [name]
+    assert [ended.call_id for ended in context.over] == [name]
 
 
 @behave.then('the call table gives up "{name}" as possibly received')
 def then_possibly_received(context: runner.Context, name: str) -> None:
-    assert context.over == [calls.GiveUp(request_id=name, is_sent=True)]
+    assert context.over == [calls.GiveUp(call_id=name, is_sent=True)]
 
 
 @behave.then("the call table has {count:d} call left")
