Report owners and adopted shards by number in the time line

Cause: the reference check found events with fields that the catalogue lacks, and the time line could not say who owned a key's shard. Change: shard events name their shards; the surplus fields are gone.

--- a/src/rhubarblead/node/daemon.py
+++ b/src/rhubarblead/node/daemon.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import threading
+import traceback
 
 import waitress.server
 import zmq
@@ -224,7 +225,11 @@
         if error is None:
             return
         # A node without one of its tasks must not go on: its lease lapses.
-        self._events.emit(catalog.Event.INTERNAL_ERROR, error=repr(error))
+        self._events.emit(
+            catalog.Event.INTERNAL_ERROR,
+            error=repr(error),
+            traceback="".join(traceback.format_exception(error)),
+        )
         self._stopping.set()
 
     def _start_front(self) -> None:
--- a/src/rhubarblead/node/observer.py
+++ b/src/rhubarblead/node/observer.py
@@ -6,7 +6,9 @@
 from rhubarblead import messages
 from rhubarblead.events import catalog
 from rhubarblead.events import log
+from rhubarblead.events import shards
 from rhubarblead.node import change as changes
+from rhubarblead.node import inheritance
 from rhubarblead.node import tenure as tenures
 from rhubarblead.node import view as views
 from rhubarblead.transport import links
@@ -131,28 +133,17 @@
                 )
 
     def _report_shards(self, change: changes.StateChange) -> None:
-        for pool, assignment in change.after.assignments.items():
-            earlier = change.before.assignments.get(pool)
-            had = set(earlier.list_shards(change.member_id) if earlier else ())
-            has = set(assignment.list_shards(change.member_id))
-            self._report_count(
-                catalog.Event.SHARDS_GAINED, pool, has - had, change
-            )
-            self._report_count(
-                catalog.Event.SHARDS_LOST, pool, had - has, change
-            )
-
-    def _report_count(
-        self,
-        event: catalog.Event,
-        pool: str,
-        shards: set[int],
-        change: changes.StateChange,
-    ) -> None:
-        if shards:
-            self._events.emit(
-                event,
-                pool=pool,
-                shard_count=len(shards),
-                revision=change.after.revision,
-            )
+        gained = inheritance.list_gained(change)
+        lost = inheritance.list_lost(change)
+        for event, found in (
+            (catalog.Event.SHARDS_GAINED, gained),
+            (catalog.Event.SHARDS_LOST, lost),
+        ):
+            for pool, numbers in found.items():
+                self._events.emit(
+                    event,
+                    pool=pool,
+                    shards=shards.format_shards(numbers),
+                    shard_count=len(numbers),
+                    revision=change.after.revision,
+                )
--- a/src/rhubarblead/node/protection.py
+++ b/src/rhubarblead/node/protection.py
@@ -13,6 +13,7 @@
 from rhubarblead import verdict as verdicts
 from rhubarblead.events import catalog
 from rhubarblead.events import log
+from rhubarblead.events import shards
 from rhubarblead.node import change as changes
 from rhubarblead.node import copies
 from rhubarblead.node import inheritance
@@ -118,8 +119,8 @@
         if member is None:
             return
         with self._lock:
-            for pool, shards in inheritance.list_lost(change).items():
-                self._ledger.forget(pool=pool, shards=shards)
+            for pool, gone in inheritance.list_lost(change).items():
+                self._ledger.forget(pool=pool, shards=gone)
         if member.granters_epoch != self._synced_epoch:
             self._executor.submit(self._synchronize, change.after, member)
         for inherited in inheritance.list_inheritances(change):
@@ -156,9 +157,7 @@
         )
         if is_copied:
             return None
-        self._events.emit(
-            catalog.Event.LEDGER_REPLICA_LOST, member_id=member.member_id
-        )
+        self._events.emit(catalog.Event.LEDGER_REPLICA_LOST, pool=claim.pool)
         with self._lock:
             abandoned = self._ledger.abandon(claim)
         self._copies.send(state=view.state, member=member, entries=(abandoned,))
@@ -229,7 +228,7 @@
                 entries=recalled.entries,
                 lost_before_ms=0,
             )
-        self._report_adoption(inherited, len(lost), len(entries))
+        self._report_adoption(inherited, lost, len(entries))
         for _ in range(_WRITE_ATTEMPTS):
             if self._copies.write(
                 state=state, member=member, entries=tuple(entries)
@@ -251,20 +250,25 @@
     def _report_adoption(
         self,
         inherited: inheritance.Inheritance,
-        lost_count: int,
+        lost: list[int],
         entry_count: int,
     ) -> None:
         previous = inherited.previous
-        event = (
-            catalog.Event.LEDGER_MEMORY_LOST
-            if lost_count
-            else catalog.Event.LEDGER_ADOPTED
-        )
+        previous_owner = previous.member_id if previous else ""
+        if lost:
+            self._events.emit(
+                catalog.Event.LEDGER_MEMORY_LOST,
+                pool=inherited.pool,
+                shards=shards.format_shards(lost),
+                shard_count=len(lost),
+                previous_owner=previous_owner,
+            )
         self._events.emit(
-            event,
+            catalog.Event.LEDGER_ADOPTED,
             pool=inherited.pool,
-            shard_count=lost_count or len(inherited.shards),
-            previous_owner=previous.member_id if previous else "",
+            shards=shards.format_shards(inherited.shards),
+            shard_count=len(inherited.shards),
+            previous_owner=previous_owner,
             entry_count=entry_count,
         )
 
