Find the nodes through the platform, and measure what heartbeats cost

When no node is known, or the one named is gone, operators can name the table service; the members are then read from the ownership log. Commands go on to the next member when one doesn't answer.

tools/control_cost.py runs the real lease decisions over real zmq sockets and reports CPU per pair of heartbeat and promise, memory per member and bytes of the TCP stream. It refuses to report when a stand-in lost its lease.

--- a/src/rhubarblead/cli.py
+++ b/src/rhubarblead/cli.py
@@ -23,6 +23,7 @@
 from rhubarblead.operate import lookups
 from rhubarblead.operate import outcome
 from rhubarblead.operate import settings_command
+from rhubarblead.operate import starting
 from rhubarblead.operate import status_report
 from rhubarblead.operate import tables
 from rhubarblead.operate import timeline_command
@@ -60,39 +61,50 @@
         """
         return outcome.defer(lambda: _run_node(pathlib.Path(settings)))
 
-    @_keep_text("node")
-    def status(self, node: str = "", json: bool = False) -> outcome.Command:
+    @_keep_text("node", "platform")
+    def status(
+        self, node: str = "", platform: str = "", json: bool = False
+    ) -> outcome.Command:
         """Shows what is in force on every node, and which nodes lag.
 
         Args:
             node: Any node, as IP:PORT.
+            platform: In place of a node, the table service, as IP:PORT.
             json: Whether to print JSON.
         """
         return _with_fleet(
-            node,
+            starting.Start(node=node, platform=platform),
             lambda nodes: status_report.StatusCommand(
                 nodes=nodes, patience_ms=_PATIENCE_MS, sleep_ms=_sleep
             ).run(is_json=json),
         )
 
-    @_keep_text("node")
-    def members(self, node: str = "", json: bool = False) -> outcome.Command:
+    @_keep_text("node", "platform")
+    def members(
+        self, node: str = "", platform: str = "", json: bool = False
+    ) -> outcome.Command:
         """Lists the members.
 
         Args:
             node: Any node, as IP:PORT.
+            platform: In place of a node, the table service, as IP:PORT.
             json: Whether to print JSON.
         """
         return _with_fleet(
-            node,
+            starting.Start(node=node, platform=platform),
             lambda nodes: lookups.LookupCommands(nodes=nodes).list_members(
                 is_json=json
             ),
         )
 
-    @_keep_text("pool", "key", "node")
+    @_keep_text("pool", "key", "node", "platform")
     def owner(
-        self, pool: str, key: str, node: str = "", json: bool = False
+        self,
+        pool: str,
+        key: str,
+        node: str = "",
+        platform: str = "",
+        json: bool = False,
     ) -> outcome.Command:
         """Shows who owns a key, and why.
 
@@ -100,25 +112,29 @@
             pool: Name of the pool.
             key: The key.
             node: Any node, as IP:PORT.
+            platform: In place of a node, the table service, as IP:PORT.
             json: Whether to print JSON.
         """
         return _with_fleet(
-            node,
+            starting.Start(node=node, platform=platform),
             lambda nodes: lookups.LookupCommands(nodes=nodes).find_owner(
                 pool=pool, key=key, is_json=json
             ),
         )
 
-    @_keep_text("node")
-    def lease(self, node: str = "", json: bool = False) -> outcome.Command:
+    @_keep_text("node", "platform")
+    def lease(
+        self, node: str = "", platform: str = "", json: bool = False
+    ) -> outcome.Command:
         """Shows the lease of each member, and its granters.
 
         Args:
             node: Any node, as IP:PORT.
+            platform: In place of a node, the table service, as IP:PORT.
             json: Whether to print JSON.
         """
         return _with_fleet(
-            node,
+            starting.Start(node=node, platform=platform),
             lambda nodes: lookups.LookupCommands(nodes=nodes).list_leases(
                 is_json=json
             ),
@@ -135,6 +151,7 @@
 
     @_keep_text(
         "node",
+        "platform",
         "pool",
         "key",
         "request",
@@ -146,6 +163,7 @@
         self,
         *files: str,
         node: str = "",
+        platform: str = "",
         pool: str = "",
         key: str = "",
         request: str = "",
@@ -159,6 +177,7 @@
         Args:
             *files: Collected logs to read in place of asking the nodes.
             node: Any node, as IP:PORT.
+            platform: In place of a node, the table service, as IP:PORT.
             pool: Pool of the key.
             key: Only events about this key, and with --pool its shard.
             request: Only events about this request.
@@ -178,24 +197,30 @@
             }
         )
         return outcome.defer(
-            lambda: _show_timeline(node, files, query, is_json=json)
+            lambda: _show_timeline(
+                starting.Start(node=node, platform=platform),
+                files,
+                query,
+                is_json=json,
+            )
         )
 
 
 def _with_fleet(
-    node: str, run: Callable[[fleet.Fleet], outcome.Outcome]
+    start: starting.Start, run: Callable[[fleet.Fleet], outcome.Outcome]
 ) -> outcome.Command:
-    return outcome.defer(lambda: _ask(node, run))
+    return outcome.defer(lambda: _ask(start, run))
 
 
 def _ask(
-    node: str, run: Callable[[fleet.Fleet], outcome.Outcome]
+    start: starting.Start, run: Callable[[fleet.Fleet], outcome.Outcome]
 ) -> outcome.Outcome:
-    match admin.check_authority(node):
-        case result.Err(complaint):
-            return outcome.refuse(f"--node: {complaint}")
     client = admin.AdminClient(timeout_ms=_TIMEOUT_MS)
-    return run(fleet.Fleet(client=client, start=node))
+    match starting.find_fleet(start, client):
+        case result.Err(found):
+            return found
+        case result.Ok(nodes):
+            return run(nodes)
 
 
 def _drain(node: str) -> outcome.Outcome:
@@ -207,7 +232,7 @@
 
 
 def _show_timeline(
-    node: str, files: Sequence[str], query: str, *, is_json: bool
+    start: starting.Start, files: Sequence[str], query: str, *, is_json: bool
 ) -> outcome.Outcome:
     match filters.read_filter(query):
         case result.Err(complaint):
@@ -218,7 +243,7 @@
         paths = [pathlib.Path(str(file)) for file in files]
         return timeline_command.run_files(paths, wanted, is_json=is_json)
     return _ask(
-        node,
+        start,
         lambda nodes: timeline_command.TimelineCommand(nodes=nodes).run(
             wanted, is_json=is_json
         ),
--- a/src/rhubarblead/operate/fleet.py
+++ b/src/rhubarblead/operate/fleet.py
@@ -25,29 +25,50 @@
 
 
 class Fleet:
-    """All nodes, found through any one of them."""
+    """All nodes, found through any one of them or through the platform."""
 
-    __slots__ = ("_client", "_start")
+    __slots__ = ("_client", "_known", "_start")
 
-    def __init__(self, *, client: admin.AdminClient, start: str) -> None:
+    def __init__(
+        self,
+        *,
+        client: admin.AdminClient,
+        start: str = "",
+        known: status.Members | None = None,
+    ) -> None:
         """Makes a fleet.
 
         Args:
             client: Asks single nodes.
-            start: Any node, as `ip:port`.
+            start: Any node, as `ip:port`; not used with `known`.
+            known: The members, when the platform was asked for them.
         """
         self._client = client
         self._start = start
+        self._known = known
 
     def list_members(self) -> result.Result[status.Members, admin.Failure]:
-        """Asks the first node who the members are."""
+        """Lists the members; asks the first node unless they are known."""
+        if self._known is not None:
+            return result.Ok(self._known)
         return self._client.ask(self._start, "/-/members", status.Members)
 
-    def ask_first(
+    def ask_any(
         self, path: str, kind: type[_T]
     ) -> result.Result[_T, admin.Failure]:
-        """Asks the first node alone."""
-        return self._client.ask(self._start, path, kind)
+        """Asks the first node that answers."""
+        if self._known is None:
+            return self._client.ask(self._start, path, kind)
+        answer: result.Result[_T, admin.Failure] = result.Err(
+            admin.Unreachable(authority="any node", reason="there is none")
+        )
+        for member in self._known.members:
+            answer = self._client.ask(format_authority(member), path, kind)
+            match answer:
+                case result.Err(admin.Unreachable()):
+                    continue
+            return answer
+        return answer
 
     def ask_each(
         self,
--- a/src/rhubarblead/operate/lookups.py
+++ b/src/rhubarblead/operate/lookups.py
@@ -96,9 +96,9 @@
     def ask_owner(
         self, *, pool: str, key: str
     ) -> result.Result[status.OwnerView, admin.Failure]:
-        """Asks the first node for the owner of a key."""
+        """Asks any node for the owner of a key."""
         query = urllib.parse.urlencode({"pool": pool, "key": key})
-        return self._fleet.ask_first(f"/-/owner?{query}", status.OwnerView)
+        return self._fleet.ask_any(f"/-/owner?{query}", status.OwnerView)
 
     def list_leases(self, *, is_json: bool) -> outcome.Outcome:
         """Lists the lease of each member with its granters."""
--- a/src/rhubarblead/operate/tables.py
+++ b/src/rhubarblead/operate/tables.py
@@ -128,7 +128,7 @@
         self, run: Callable[[store.Store], table_reports.Report]
     ) -> table_reports.Report:
         try:
-            platform = _find_platform(self._platform, self._settings)
+            platform = find_platform(self._platform, self._settings)
         except faults.CannotAccept as error:
             return table_calls.make_invalid(error)
         calls = store.Store(platform=platform, instance=table_calls.INSTANCE)
@@ -136,7 +136,20 @@
             return run(calls)
 
 
-def _find_platform(platform: str, path: str) -> settings.Platform:
+def find_platform(platform: str, path: str) -> settings.Platform:
+    """Finds the platform that the command line names.
+
+    Args:
+        platform: Table service and object store, as IP:PORT or as
+            IP:PORT,IP:PORT.
+        path: Path of a node's settings file, which names them.
+
+    Returns:
+        The platform.
+
+    Raises:
+        faults.CannotAccept: Both are given, or none, or one is not valid.
+    """
     if platform and path or not (platform or path):
         raise faults.CannotAccept(
             subject="command line",
--- a/tests/rhubarblead/cli.feature
+++ b/tests/rhubarblead/cli.feature
@@ -71,3 +71,23 @@
     Then the command's exit code is 0
     And the command printed "NODE_STARTED"
     And the command printed "1 lines are no events and were skipped"
+
+  Scenario Outline: Commands find the nodes through the platform
+    Given a platform stand-in
+    And the platform names the admin nodes as members
+    When the command "<command> --platform PLATFORM" is run
+    Then the command's exit code is <code>
+    And the command printed "<printed>"
+
+    Examples: commands
+      | command               | code | printed                         |
+      | status                | 0    | 2 nodes, 0 lagging, 0 silent    |
+      | members               | 0    | ownership revision 2            |
+      | owner --pool p --key k | 0   | k is hashed to shard 4          |
+      | timeline              | 0    | SHARDS_GAINED                   |
+      | lease --node NODE     | 2    | give --node or --platform       |
+
+  Scenario: A platform out of reach is told by the command
+    When the command "status --platform 127.0.0.1:1" is run
+    Then the command's exit code is 4
+    And the command printed "platform: unavailable"
--- a/tests/steps/cli.py
+++ b/tests/steps/cli.py
@@ -16,11 +16,15 @@
 import msgspec
 
 from rhubarblead import __main__ as program
+from rhubarblead import membership
+from rhubarblead import ownership
 from rhubarblead import status
 from rhubarblead.events import catalog
 from rhubarblead.events import filters
 from rhubarblead.events import log
 from rhubarblead.events import record
+from rhubarblead.platform import ownership_log
+from tests import platform_calls
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -170,6 +174,31 @@
     )
 
 
+@behave.given("the platform names the admin nodes as members")
+def given_stored(context: runner.Context) -> None:
+    calls = platform_calls.make_store(context, instance="a")
+    events = ownership_log.OwnershipLog(store=calls, author="a")
+    state = ownership.State()
+    for view in context.nodes["a"].members.members:
+        member = membership.Member(
+            member_id=view.member_id,
+            instance=view.instance,
+            incarnation="1",
+            failure_domain=view.failure_domain,
+            region=view.region,
+            pool=view.pool,
+            ip_address=view.ip_address,
+            http_port=view.http_port,
+            data_port=1,
+            control_port=1,
+        )
+        change = membership.MemberJoined(member=member)
+        events.append(
+            state=state, changes=(change,), write_id=view.member_id
+        ).unwrap()
+        state = events.read(state=state).unwrap().state
+
+
 @behave.given('the admin node "{name}" has {fault}')
 def given_fault(context: runner.Context, name: str, fault: str) -> None:
     context.nodes[name].fault = fault
@@ -202,6 +231,8 @@
 
 @behave.when('the command "{command}" is run')
 def run(context: runner.Context, command: str) -> None:
+    platform = f"127.0.0.1:{getattr(context, 'platform_port', 1)}"
+    command = command.replace("PLATFORM", platform)
     words = command.replace("NODE", context.authority).split()
     printed = io.StringIO()
     here = os.getcwd()
--- /dev/null
+++ b/tools/control_cost.py
@@ -0,0 +1,346 @@
+"""Measures what heartbeats cost: CPU, memory and bytes on the wire.
+
+Small stand-ins for nodes run the real lease decisions over real zmq sockets
+on the loopback interface, all in one process and one thread. A pair is one
+heartbeat with its promise; its cost is that of both ends together, with the
+ticks in between. In `large_state` each keeps a state of `--state-members`
+members that doesn't change meanwhile.
+
+Usage: python -m tools.control_cost [--seconds 6] [--output FILE]
+"""
+
+import argparse
+import contextlib
+import dataclasses
+import json
+import pathlib
+import platform
+import random
+import resource
+import select
+import socket
+import sys
+import threading
+import time
+
+import zmq
+
+from rhubarblead import clock
+from rhubarblead import membership
+from rhubarblead import messages
+from rhubarblead import ownership
+from rhubarblead import settings
+from rhubarblead.leases import granter
+from rhubarblead.leases import holder
+
+_MEMBER_COUNTS = (4, 16, 64, 128)
+_GRANTERS = 3
+_WARM_UP_S = 1.5
+_TICK_MS = 50
+_CHUNK_BYTES = 65_536
+_KIB = 1_024
+_REVISIONS = messages.Revisions(ownership=1, tables=1)
+
+
+class CannotMeasure(Exception):
+    """The stand-ins did not keep their leases, so the figures mean nothing."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class StandIn:
+    """One member: a listening socket, three links, and its decisions."""
+
+    member: membership.Member
+    holder: holder.Holder
+    granter: granter.Granter
+    listener: zmq.Socket[bytes]
+    links: dict[str, zmq.Socket[bytes]]
+    pairs_count: int = 0
+
+    def tick(self, now_ms: int) -> None:
+        """Sends the heartbeats that are due."""
+        if self.holder.is_held(now_ms=now_ms):
+            self.granter.confirm_membership(as_of_ms=now_ms)
+        self.granter.list_lapses(now_ms=now_ms)
+        due = self.holder.list_heartbeats(now_ms=now_ms, revisions=_REVISIONS)
+        for granter_id, heartbeat in due:
+            self.links[granter_id].send(messages.encode(heartbeat))
+
+    def serve(self) -> None:
+        """Answers one heartbeat."""
+        sender, frame = self.listener.recv_multipart()
+        heartbeat = messages.decode(frame)
+        assert isinstance(heartbeat, messages.Heartbeat)
+        promise = self.granter.take_heartbeat(
+            heartbeat=heartbeat,
+            now_ms=clock.read_monotonic_ms(),
+            revisions=_REVISIONS,
+        )
+        self.listener.send_multipart([sender, messages.encode(promise)])
+
+    def receive(self, link: zmq.Socket[bytes]) -> None:
+        """Takes one promise."""
+        promise = messages.decode(link.recv())
+        assert isinstance(promise, messages.Promise)
+        self.holder.take_promise(
+            promise=promise, now_ms=clock.read_monotonic_ms()
+        )
+        self.pairs_count += 1
+
+
+class Relay:
+    """Passes one connection on and counts its bytes."""
+
+    def __init__(self, *, target_port: int) -> None:
+        self.sent_bytes = 0
+        self.returned_bytes = 0
+        self._target_port = target_port
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self.port: int = self._listener.getsockname()[1]
+        self._thread = threading.Thread(target=self._run)
+        self._closing, self._closed = socket.socketpair()
+        self._thread.start()
+
+    def close(self) -> None:
+        """Ends the connection."""
+        self._closing.close()
+        self._thread.join()
+        self._closed.close()
+        self._listener.close()
+
+    def _run(self) -> None:
+        ready, _, _ = select.select([self._listener, self._closed], [], [])
+        if self._closed in ready:
+            return
+        near, _ = self._listener.accept()
+        with (
+            near,
+            socket.create_connection(("127.0.0.1", self._target_port)) as far,
+        ):
+            while self._pass_on(near, far):
+                pass
+
+    def _pass_on(self, near: socket.socket, far: socket.socket) -> bool:
+        ready, _, _ = select.select([near, far, self._closed], [], [])
+        if self._closed in ready:
+            return False
+        for source, target in ((near, far), (far, near)):
+            if source not in ready:
+                continue
+            chunk = source.recv(_CHUNK_BYTES)
+            target.sendall(chunk)
+            if source is near:
+                self.sent_bytes += len(chunk)
+            else:
+                self.returned_bytes += len(chunk)
+            if not chunk:
+                return False
+        return True
+
+
+def make_state(count: int, ring: int) -> ownership.State:
+    """Makes a state with members that grant to one another in rings.
+
+    Args:
+        count: How many members there are.
+        ring: How many of the first ones grant only among themselves.
+
+    Returns:
+        The state.
+    """
+    members = {}
+    for index in range(count):
+        name = _name(index)
+        members[name] = membership.Member(
+            member_id=name,
+            instance=f"instance-{index}",
+            incarnation="0190a5d2-7c4e-7000-8000-000000000000",
+            failure_domain=f"domain-{index % 24}",
+            region=f"region-{index % 8}",
+            pool="dispatch",
+            ip_address="10.0.0.1",
+            http_port=8080,
+            data_port=8081,
+            control_port=8082,
+            granters=_list_granters(index, ring if index < ring else count),
+            granters_epoch=1,
+        )
+    return ownership.State(revision=1, members=members)
+
+
+def open_stand_ins(
+    stack: contextlib.ExitStack, count: int, state: ownership.State
+) -> list[StandIn]:
+    """Opens the first members of a state, each granting to three others."""
+    context = stack.enter_context(zmq.Context())
+    context.set(zmq.MAX_SOCKETS, 4_096)
+    lease = settings.Lease()
+    ports = {}
+    stand_ins = []
+    for index in range(count):
+        name = _name(index)
+        listener = stack.enter_context(context.socket(zmq.ROUTER))
+        ports[name] = listener.bind_to_random_port("tcp://127.0.0.1")
+        member = state.members[name]
+        stand_ins.append(
+            StandIn(
+                member=member,
+                holder=holder.Holder(
+                    member_id=name,
+                    granters=member.granters,
+                    granters_epoch=1,
+                    lease=lease,
+                ),
+                granter=granter.Granter(member_id=name, lease=lease),
+                listener=listener,
+                links={},
+            )
+        )
+    for item in stand_ins:
+        item.granter.follow_state(state=state, now_ms=clock.read_monotonic_ms())
+        item.granter.confirm_membership(as_of_ms=clock.read_monotonic_ms())
+        for granter_id in item.holder.granters:
+            link = stack.enter_context(context.socket(zmq.DEALER))
+            link.setsockopt(zmq.LINGER, 0)
+            link.setsockopt(zmq.IDENTITY, item.member.member_id.encode())
+            link.connect(f"tcp://127.0.0.1:{ports[granter_id]}")
+            item.links[granter_id] = link
+    return stand_ins
+
+
+def run(stand_ins: list[StandIn], seconds: float) -> int:
+    """Lets the stand-ins keep their leases; returns the pairs exchanged."""
+    poller = zmq.Poller()
+    owners = {}
+    for item in stand_ins:
+        for link in item.links.values():
+            owners[link] = item
+            poller.register(link, zmq.POLLIN)
+        owners[item.listener] = item
+        poller.register(item.listener, zmq.POLLIN)
+    start_count = sum(item.pairs_count for item in stand_ins)
+    start_ms = clock.read_monotonic_ms()
+    chance = random.Random(1)
+    due_ms = {id(s): start_ms + chance.randrange(_TICK_MS) for s in stand_ins}
+    while (now_ms := clock.read_monotonic_ms()) - start_ms < seconds * 1_000:
+        _tick(stand_ins, due_ms, now_ms)
+        for ready, _ in poller.poll(max(0, min(due_ms.values()) - now_ms)):
+            owner = owners[ready]
+            if ready is owner.listener:
+                owner.serve()
+            else:
+                owner.receive(ready)
+    return sum(item.pairs_count for item in stand_ins) - start_count
+
+
+def _tick(
+    stand_ins: list[StandIn], due_ms: dict[int, int], now_ms: int
+) -> None:
+    for item in stand_ins:
+        if due_ms[id(item)] > now_ms:
+            continue
+        due_ms[id(item)] = now_ms + _TICK_MS
+        item.tick(now_ms)
+
+
+def measure_cost(
+    count: int, state_members: int, seconds: float
+) -> dict[str, float]:
+    """Measures CPU and memory with a number of stand-ins."""
+    state = make_state(max(count, state_members), count)
+    before_kib = _read_rss_kib()
+    with contextlib.ExitStack() as stack:
+        stand_ins = open_stand_ins(stack, count, state)
+        run(stand_ins, _WARM_UP_S)
+        cpu_start = time.process_time()
+        start = time.monotonic()
+        pairs = run(stand_ins, seconds)
+        cpu_s = time.process_time() - cpu_start
+        wall_s = time.monotonic() - start
+        held = sum(
+            s.holder.is_held(now_ms=clock.read_monotonic_ms())
+            for s in stand_ins
+        )
+        grown_kib = _read_rss_kib() - before_kib
+    if held < count:
+        raise CannotMeasure(f"only {held} of {count} leases were held")
+    return {
+        "members_count": count,
+        "state_members_count": len(state.members),
+        "pairs_count": pairs,
+        "seconds": round(wall_s, 2),
+        "cpu_us_per_pair": round(cpu_s / pairs * 1e6, 1),
+        "cpu_per_mille_per_member": round(cpu_s / wall_s / count * 1_000, 2),
+        "pairs_per_s_per_member": round(pairs / wall_s / count, 2),
+        "rss_grown_kib_per_member": round(grown_kib / count, 1),
+    }
+
+
+def measure_bytes(seconds: float) -> dict[str, float]:
+    """Counts the bytes of the TCP stream of one link, headers left out."""
+    state = make_state(4, 4)
+    with contextlib.ExitStack() as stack:
+        stand_ins = open_stand_ins(stack, 4, state)
+        first = stand_ins[0]
+        granter_id, link = next(iter(first.links.items()))
+        endpoint = link.getsockopt_string(zmq.LAST_ENDPOINT)
+        relay = Relay(target_port=int(endpoint.rpartition(":")[2]))
+        stack.callback(relay.close)
+        link.disconnect(endpoint)
+        link.connect(f"tcp://127.0.0.1:{relay.port}")
+        run(stand_ins, _WARM_UP_S)
+        start = (relay.sent_bytes, relay.returned_bytes, first.pairs_count)
+        run(stand_ins, seconds)
+        pairs = (first.pairs_count - start[2]) / _GRANTERS
+        sent = relay.sent_bytes - start[0]
+        returned = relay.returned_bytes - start[1]
+    return {
+        "heartbeat_stream_bytes": round(sent / pairs, 1),
+        "promise_stream_bytes": round(returned / pairs, 1),
+        "pairs_count": round(pairs, 1),
+    }
+
+
+def main(arguments: list[str]) -> int:
+    """Measures and prints; writes the results to a file when asked to."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=6.0)
+    parser.add_argument("--state-members", type=int, default=1_800)
+    parser.add_argument("--output", type=pathlib.Path)
+    given = parser.parse_args(arguments)
+    report = {
+        "command": "python -m tools.control_cost " + " ".join(arguments),
+        "python": platform.python_version(),
+        "zmq": zmq.zmq_version(),
+        "wire": measure_bytes(given.seconds),
+        "small_state": [
+            measure_cost(count, 0, given.seconds) for count in _MEMBER_COUNTS
+        ],
+        "large_state": [
+            measure_cost(count, given.state_members, given.seconds)
+            for count in _MEMBER_COUNTS[:2]
+        ],
+    }
+    text = json.dumps(report, indent=2)
+    print(text)
+    if given.output:
+        given.output.write_text(text + "\n", encoding="utf-8")
+    return 0
+
+
+def _list_granters(index: int, ring: int) -> tuple[str, ...]:
+    steps = range(1, _GRANTERS + 1)
+    return tuple(_name((index + step) % ring) for step in steps)
+
+
+def _name(index: int) -> str:
+    return f"instance-{index}/0190a5d2-7c4e-7000-8000-{index:012}"
+
+
+def _read_rss_kib() -> int:
+    pages = int(pathlib.Path("/proc/self/statm").read_text().split()[1])
+    return pages * resource.getpagesize() // _KIB
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
