Show how to embed the parts, and keep the client's retries to a budget

The client uses the package's idempotency keys and retry budget in place of its own; following a key to its owner is outside the budget, so that a takeover with an old map doesn't use it up.

--- /dev/null
+++ b/examples/embedding/run_once.py
@@ -0,0 +1,75 @@
+"""Runs each request at most once with the ledger alone.
+
+Run it as: python -m examples.embedding.run_once
+"""
+
+from collections.abc import Callable
+import secrets
+
+from rhubarblead import clock
+from rhubarblead.requests import idempotency
+from rhubarblead.requests import ledger
+
+_POOL = "dispatch"
+_SHARD = 3
+_REMEMBER_MS = 600_000
+_RANDOM_BYTES = 10
+
+
+def run_once(
+    kept: ledger.Ledger, claim: ledger.Claim, work: Callable[[], bytes]
+) -> str:
+    """Runs a piece of work unless it ran before.
+
+    A program would copy each entry to another place before it goes on, so
+    that the memory survives the loss of this process.
+
+    Args:
+        kept: The ledger.
+        claim: The request.
+        work: What to do; it returns the answer.
+
+    Returns:
+        What happened.
+    """
+    match kept.begin(claim=claim, wall_ms=clock.read_wall_ms()):
+        case ledger.Run():
+            body = work()
+            kept.finish(claim=claim, status=200, headers=(), body=body)
+            return f"ran: {body.decode()}"
+        case ledger.Replay(entry=entry):
+            return f"ran before: {entry.body.decode()}"
+        case ledger.Refuse(refused=refused, verdict=verdict):
+            return f"refused, {verdict.value}: {refused.refusal.value}"
+
+
+def run() -> list[str]:
+    """Sends one request twice, and its key with another request.
+
+    Returns:
+        What happened, one line each.
+    """
+    kept = ledger.Ledger(capacity=1_000)
+    kept.adopt(pool=_POOL, shards=(_SHARD,), entries=(), lost_before_ms=0)
+    key = idempotency.make_key(
+        random=secrets.token_bytes(_RANDOM_BYTES), wall_ms=clock.read_wall_ms()
+    )
+    return [
+        run_once(kept, make_claim(key, digest), lambda: b"drop confirmed")
+        for digest in (1, 1, 2)
+    ]
+
+
+def make_claim(key: str, digest: int) -> ledger.Claim:
+    """Makes a claim; `digest` tells different requests apart."""
+    return ledger.Claim(
+        pool=_POOL,
+        shard=_SHARD,
+        idempotency_key=key,
+        digest=digest,
+        remember_ms=_REMEMBER_MS,
+    )
+
+
+if __name__ == "__main__":
+    print("\n".join(run()))
--- a/src/rhubarblead/client/decision.py
+++ b/src/rhubarblead/client/decision.py
@@ -84,6 +84,14 @@
     return SendAgain(after_ms=after_ms)
 
 
+def is_redirect(attempt: Attempt) -> bool:
+    """Tells whether a node only said that another one owns the key."""
+    match attempt:
+        case Refused(refusal=refusal.Refusal.NOT_OWNER.value):
+            return True
+    return False
+
+
 def find_verdict(attempt: Attempt) -> verdict.Verdict:
     """Finds what one try says of the execution of the request."""
     match attempt:
@@ -105,10 +113,6 @@
     match attempt:
         case Refused(retry_after_ms=wanted_ms) if wanted_ms:
             return wanted_ms + int(jittered_ms * jitter)
-        case Refused(refusal=refusal.Refusal.NOT_OWNER.value):
-            return 0 if tries_count == 1 else jittered_ms
-        case Refused():
+        case Refused() if not is_redirect(attempt):
             return None
-        case Silent():
-            return 0 if tries_count == 1 else jittered_ms
-    return None
+    return 0 if tries_count == 1 else jittered_ms
--- a/src/rhubarblead/client/routing.py
+++ b/src/rhubarblead/client/routing.py
@@ -18,11 +18,13 @@
 from rhubarblead.client import connections
 from rhubarblead.client import decision
 from rhubarblead.client import exchange
-from rhubarblead.client import idempotency
 from rhubarblead.client import routes
+from rhubarblead.requests import idempotency
+from rhubarblead.requests import retries
 
 _MS_PER_S = 1_000
 _AVOID_MS = 1_000
+_KEY_BYTES = 10
 _VERDICTS = {item.value: item for item in verdict.Verdict}
 
 
@@ -32,12 +34,14 @@
 
     The map is fetched again when it is older than `refresh_ms`, and at once,
     though not within `min_refresh_ms`, when it proved wrong. One try waits at
-    most `try_timeout_ms`.
+    most `try_timeout_ms`. Tries after the first, but for those that follow a
+    key to its owner, are at most `retry_per_mille` of the requests.
     """
 
     refresh_ms: int = 5_000
     min_refresh_ms: int = 200
     try_timeout_ms: int = 1_500
+    retry_per_mille: int = 100
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -54,6 +58,7 @@
     """Sends requests for the keys of one pool; any thread may use it."""
 
     __slots__ = (
+        "_budget",
         "_chance",
         "_connections",
         "_fetched_at_ms",
@@ -91,6 +96,9 @@
         self._chance = chance or secrets.SystemRandom()
         self._read_ms = read_ms
         self._sleep_ms = sleep_ms or _sleep_ms
+        self._budget = retries.SharedRetryBudget(
+            per_mille=self._options.retry_per_mille
+        )
         self._lock = threading.Lock()
         self._connections = connections.Connections()
         self._routes = routes.KeyRoutes(nodes=nodes, chance=self._chance)
@@ -118,6 +126,7 @@
         Returns:
             The upstream's answer, or why there is none.
         """
+        self._budget.take_request()
         whole = self._add_key(request)
         progress = _Progress(
             request=whole, deadline_ms=self._read_ms() + request.timeout_ms
@@ -159,14 +168,19 @@
             remaining_ms=progress.deadline_ms - self._read_ms(),
             jitter=self._chance.random(),
         )
-        if isinstance(decided, decision.SendAgain):
+        if isinstance(decided, decision.SendAgain) and (
+            decision.is_redirect(attempt) or self._budget.take_retry()
+        ):
             return result.Err(decided)
         return result.Err(_make_failure(attempt, reply, progress))
 
     def _add_key(self, request: exchange.Request) -> exchange.Request:
         if request.is_repeatable or request.idempotency_key:
             return request
-        key = idempotency.make_key(clock.read_wall_ms(), self._chance)
+        key = idempotency.make_key(
+            random=self._chance.randbytes(_KEY_BYTES),
+            wall_ms=clock.read_wall_ms(),
+        )
         return dataclasses.replace(request, idempotency_key=key)
 
     def _choose(self, progress: _Progress) -> str:
--- a/tests/rhubarblead/client/routing.feature
+++ b/tests/rhubarblead/client/routing.feature
@@ -40,6 +40,11 @@
     When a unrepeatable routed request is sent
     Then the routed nodes saw 1 idempotency key
 
+  Scenario: Tries of the routing client stay within a budget
+    Given the routed node "n1" does "no-owner" 100 times
+    When 40 unrepeatable routed requests are sent
+    Then the routed nodes saw 53 tries
+
   Scenario Outline: The embedding example tells what became of its request
     Given the routed node "n1" does "<fault>" 1 times
     When the embedding example sends a routed request
--- a/tests/steps/client_routing.py
+++ b/tests/steps/client_routing.py
@@ -33,6 +33,7 @@
     fault: str = "serve"
     faults_left: int = 0
     runs_count: int = 0
+    tries_count: int = 0
     keys: set[str] = dataclasses.field(default_factory=set)
     shard_map: status.ShardMap | None = None
     owner: str = ""
@@ -70,6 +71,7 @@
         """Serves work, or commits the fault."""
         self.rfile.read(int(self.headers["Content-Length"] or 0))
         self.node.keys.add(self.headers["Idempotency-Key"])
+        self.node.tries_count += 1
         fault = self.node.take_fault()
         if fault in _REFUSALS:
             self._refuse(fault)
@@ -191,6 +193,18 @@
     )
 
 
+@behave.when("{count:d} unrepeatable routed requests are sent")
+def send_many(context: runner.Context, count: int) -> None:
+    for _ in range(count):
+        send(context, "unrepeatable")
+
+
+@behave.then("the routed nodes saw {count:d} tries")
+def check_tries(context: runner.Context, count: int) -> None:
+    found = sum(node.tries_count for node in context.routed.values())
+    assert found == count, found
+
+
 @behave.then(
     "the routed request is answered by {server:w} after {tries:d} tries"
 )
