--- a/src/rhubarblead/platform/ownership_row.py
+++ b/src/rhubarblead/platform/ownership_row.py
@@ -11,10 +11,10 @@
 
 NAME = "ownership"
 ENTRIES = 256
-SIZE_BYTES = 2**17
+SIZE_BYTES = 2**18
 WRITE_IDS = 256
-_RETAINED_ENTRIES = 64
-_RETAINED_BYTES = SIZE_BYTES // 4
+_RETAINED_ENTRIES = ENTRIES // 2
+_RETAINED_BYTES = SIZE_BYTES // 2
 
 
 class CannotDecode(Exception):
@@ -131,7 +131,8 @@
         digest: The digest of the snapshot of the state after the row.
 
     Returns:
-        A row within the limits.
+        A row with half of what the limits allow, or with the last entry alone
+        when that is larger, or with none when that is over the limit.
     """
     kept = _retain(row.entries)
     folded = row.entries[: len(row.entries) - len(kept)]
@@ -189,7 +190,9 @@
     kept_count = 0
     for entry in reversed(entries[-_RETAINED_ENTRIES:]):
         size_bytes += len(_ENCODER.encode(entry))
-        if size_bytes > _RETAINED_BYTES:
+        # Nearly all readers lack only the last entry.
+        limit_bytes = _RETAINED_BYTES if kept_count else SIZE_BYTES
+        if size_bytes > limit_bytes:
             break
         kept_count += 1
     return _take_last(entries, kept_count)
--- a/tests/steps/ownership_log.py
+++ b/tests/steps/ownership_log.py
@@ -119,6 +119,24 @@
     assert context.state == before
 
 
+@behave.given(
+    "{large:d} entries with {moves:d} moves each follow,"
+    " then {small:d} with 1"
+)
+def given_large_entries(
+    context: runner.Context, large: int, moves: int, small: int
+) -> None:
+    for count in [moves] * large + [1] * small:
+        changes = _plan_moves(context.state.revision, count)
+        appended = context.other_log.append(
+            state=context.state, changes=changes, write_id=str(uuid.uuid4())
+        ).unwrap()
+        context.state = ownership.apply_entries(
+            context.state, (appended.entry,)
+        )
+        context.states[context.state.revision] = context.state
+
+
 @behave.given("the ownership row is replaced by {row}")
 def given_row(context: runner.Context, row: str) -> None:
     put = store.Put(
