--- /dev/null
+++ b/tests/steps/promises.py
@@ -0,0 +1,20 @@
+"""Steps for the page of promises."""
+
+import pathlib
+import re
+
+import behave
+from behave import runner
+
+_ROOT = pathlib.Path(__file__).resolve().parents[2]
+
+
+@behave.then("every proof that the page of promises names exists")
+def check_proofs(context: runner.Context) -> None:
+    text = (_ROOT / "docs/PROMISES.md").read_text(encoding="utf-8")
+    named = re.findall(r"`([a-z_/.]+\.(?:feature|py))`", text)
+    places = (_ROOT, _ROOT / "tests/rhubarblead")
+    missing = [
+        name for name in named if not any((p / name).exists() for p in places)
+    ]
+    assert named and not missing, missing
--- a/tests/steps/reference.py
+++ b/tests/steps/reference.py
@@ -7,6 +7,7 @@
 import behave
 from behave import runner
 
+from rhubarblead import refusal
 from rhubarblead.events import catalog
 from tools import reference
 
@@ -41,3 +42,14 @@
         if (surplus := fields - set(catalog.Event[name].value.fields))
     ]
     assert not faults, faults
+
+
+@behave.then("the operators' guide lists every refusal with its status")
+def check_refusals(context: runner.Context) -> None:
+    guide = (reference.DOCS / "OPERATORS.md").read_text(encoding="utf-8")
+    missing = [
+        item.value
+        for item in refusal.Refusal
+        if f"| `{item.value}` | {int(refusal.find_status(item))} |" not in guide
+    ]
+    assert not missing, missing
--- a/tests/tools/reference.feature
+++ b/tests/tools/reference.feature
@@ -11,3 +11,9 @@
 
   Scenario: Events are emitted with the fields of the catalogue
     Then every event emitted in the source carries only fields of the catalogue
+
+  Scenario: Operators find every refusal and its status in their guide
+    Then the operators' guide lists every refusal with its status
+
+  Scenario: The page of promises names proofs that exist
+    Then every proof that the page of promises names exists
