Keep unrepeatable requests from using up an upstream's connections

Each unrepeatable request opens a fresh connection, which was kept afterwards. They piled up to the upstream's limit of 130, about 8 s into a load of 80 unrepeatable requests a second on 6 servers. The node's probe then got no connection, and one after the other all six nodes left as if their upstreams had gone. A fresh connection now takes the place of the one idle longest. The new scenario failed before.

--- a/src/rhubarblead/upstream/connections.py
+++ b/src/rhubarblead/upstream/connections.py
@@ -266,12 +266,18 @@
         self.discard_idle()
 
     def _reserve(self) -> None:
+        """Makes room for a fresh connection.
+
+        It takes the place of the one that was idle longest: were that one kept
+        too, requests that always take a fresh connection would use up all that
+        the upstream allows, and leave none for its probes.
+        """
         with self._lock:
-            if self._open_count < self._capacity:
+            if not self._idle:
+                if self._open_count >= self._capacity:
+                    raise NoConnectionLeft(f"{self._capacity} are in use")
                 self._open_count += 1
                 return
-            if not self._idle:
-                raise NoConnectionLeft(f"{self._capacity} are in use")
             evicted = self._idle.pop(0)
         evicted.close()
 
--- a/tests/rhubarblead/upstream/client.feature
+++ b/tests/rhubarblead/upstream/client.feature
@@ -131,6 +131,11 @@
     When a request is sent while the client's only connection is in use
     Then the client reports "overloaded" and verdict "not-run"
 
+  Scenario: Unrepeatable requests don't use up the upstream's connections
+    Given a stand-in upstream
+    When 300 unrepeatable requests are sent one after the other
+    Then the client has had an answer to each of them
+
   Scenario: Nothing ran where nobody listens
     Given no upstream
     When the client sends a request to it
--- a/tests/steps/upstream_client.py
+++ b/tests/steps/upstream_client.py
@@ -367,6 +367,19 @@
     watcher.cancel(request.request_id)
 
 
+@behave.when("{count:d} unrepeatable requests are sent one after the other")
+def send_many(context: runner.Context, count: int) -> None:
+    open_client(context, context.stand_in.port, count=count)
+    context.outcomes = [
+        context.client.send(make_request()) for _ in range(count)
+    ]
+
+
+@behave.then("the client has had an answer to each of them")
+def check_all_answered(context: runner.Context) -> None:
+    assert all(outcome.is_ok() for outcome in context.outcomes)
+
+
 @behave.then('the client reports "{outcome}" and verdict "{verdict}"')
 def check_outcome(context: runner.Context, outcome: str, verdict: str) -> None:
     if outcome == "answered":
