--- a/tools/injection.py
+++ b/tools/injection.py
@@ -21,6 +21,7 @@
 _SLOW_MS = 200
 _ANSWERS_LOST_COUNT = 3
 _APPLY_TIMEOUT_S = 30.0
+_CONFLICT_CODE = 3
 _TARGET_MS = 2_000
 _NODE = (processes.Role.NODE,)
 _UPSTREAM = (processes.Role.UPSTREAM,)
@@ -271,12 +272,16 @@
     def _edit_twice(self) -> None:
         """Lets two operators edit at once.
 
-        One of them must be refused, or both edits be made one after the other;
-        within 5 s every node must have the same tables in force.
+        Both edited the same revision, so one must be told of a conflict, and
+        within 5 s every node must have the other's tables in force.
         """
+        first = next(iter(self._launcher.nodes))
+        revision = self._launcher.read_status(first).tables_revision
         commands = [
             self._launcher.write_apply_command(
-                self._write_edit(timeout_ms), author=f"operator-{timeout_ms}"
+                self._write_edit(timeout_ms),
+                author=f"operator-{timeout_ms}",
+                expected_revision=revision,
             )
             for timeout_ms in (1_900, 1_950)
         ]
@@ -289,9 +294,9 @@
             )
             for command in commands
         ]
-        codes = [child.wait(_APPLY_TIMEOUT_S) for child in children]
-        if all(codes):
-            self.injected.notes.append(f"both edits refused: {codes}")
+        codes = sorted(child.wait(_APPLY_TIMEOUT_S) for child in children)
+        if codes != [0, _CONFLICT_CODE]:
+            self.injected.notes.append(f"exit codes of two edits: {codes}")
         self._check_same_tables()
 
     def _write_edit(self, timeout_ms: int) -> pathlib.Path:
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -27,6 +27,7 @@
 _Answer = TypeVar("_Answer")
 _PORTS_PER_INSTANCE = 4
 _POLL_S = 0.1
+_STEADY_S = 1.5
 _APPLY_TIMEOUT_S = 30.0
 _ACCEPTED = frozenset({200, 204})
 
@@ -65,6 +66,8 @@
         self._described = described
         self._given_folder = folder
         self._stack = contextlib.ExitStack()
+        self._steady_owners: list[list[str]] | None = None
+        self._steady_since_s = 0.0
         self.nodes: dict[str, processes.Process] = {}
         self.upstreams: dict[str, processes.Process] = {}
 
@@ -95,15 +98,20 @@
         for process in (*self.nodes.values(), *self.upstreams.values()):
             process.start()
         self._wait("the nodes", self._are_nodes_ready)
-        self.apply_tables(self.folder / "tables.json", author="launcher")
+        self.apply_tables(
+            self.folder / "tables.json", author="launcher", expected_revision=0
+        )
         self._wait("the shards", self.is_settled)
 
-    def apply_tables(self, path: pathlib.Path, *, author: str) -> str:
+    def apply_tables(
+        self, path: pathlib.Path, *, author: str, expected_revision: int
+    ) -> str:
         """Applies tables as an operator does.
 
         Args:
             path: The file with both tables.
             author: Who is recorded as the author.
+            expected_revision: The revision that the file was edited from.
 
         Returns:
             What the command printed.
@@ -112,7 +120,9 @@
             CannotApply: The command refused.
         """
         done = subprocess.run(
-            self.write_apply_command(path, author=author),
+            self.write_apply_command(
+                path, author=author, expected_revision=expected_revision
+            ),
             env=processes.make_environment(),
             capture_output=True,
             text=True,
@@ -124,7 +134,7 @@
         return done.stdout
 
     def write_apply_command(
-        self, path: pathlib.Path, *, author: str
+        self, path: pathlib.Path, *, author: str, expected_revision: int
     ) -> list[str]:
         """Writes the command line with which an operator applies tables."""
         return [
@@ -140,6 +150,8 @@
             author,
             "--comment",
             "by a development tool",
+            "--expected_revision",
+            str(expected_revision),
         ]
 
     def set_platform_mode(self, mode: PlatformMode) -> None:
@@ -210,27 +222,44 @@
         return [self._find_record_path(name) for name in self.upstreams]
 
     def is_settled(self) -> bool:
-        """Tells whether all running nodes agree and every key has an owner."""
-        running = [
-            name for name, process in self.nodes.items() if process.is_running()
-        ]
-        keyed = [
-            pool.name
-            for pool in self.deployment.operators_tables.pools
-            if pool.kind == "keyed"
-        ]
+        """Tells whether all running nodes agree, and every server is in use.
+
+        Of a keyed pool each running server must own some shard, and no shard
+        may be without an owner. That must have been so for `_STEADY_S`.
+        """
         try:
-            for pool in keyed:
-                maps = [self.read_owners(name, pool) for name in running]
-                if not maps[0] or "" in maps[0]:
-                    return False
-                if any(other != maps[0] for other in maps):
-                    return False
-                if not set(maps[0]) <= set(running):
-                    return False
-            return all(self._is_serving(name) for name in running)
+            owners = self._read_agreed_owners()
         except http_json.CannotReach:
-            return False
+            owners = None
+        now_s = time.monotonic()
+        if owners is None or owners != self._steady_owners:
+            self._steady_owners = owners
+            self._steady_since_s = now_s
+        return owners is not None and now_s - self._steady_since_s >= _STEADY_S
+
+    def _read_agreed_owners(self) -> list[list[str]] | None:
+        """Reads the owners in every keyed pool; nothing while nodes differ."""
+        running = [name for name in self.nodes if self.nodes[name].is_running()]
+        if not all(self._is_serving(name) for name in running):
+            return None
+        agreed = []
+        for pool in self.deployment.operators_tables.pools:
+            if pool.kind == "keyed":
+                found = [self.read_owners(name, pool.name) for name in running]
+                if any(other != found[0] for other in found):
+                    return None
+                if set(found[0]) != self._list_serving(pool.name):
+                    return None
+                agreed.append(found[0])
+        return agreed
+
+    def _list_serving(self, pool: str) -> set[str]:
+        return {
+            name
+            for name in self.deployment.list_servers(pool)
+            if self.nodes[name].is_running()
+            and self.upstreams[name].is_running()
+        }
 
     def wait_until_settled(self, timeout_s: float = START_TIMEOUT_S) -> None:
         """Waits for `is_settled`.
