Judge an upstream by its answers, and leave it spare connections

Cause: under 32 callers that only post, nodes left one after another: the upstream refused connections beyond its 130, so that probes failed three times in a row on servers that were answering requests, and 306 requests may have run without an answer. Ruled out: lapsed leases (two, both after the pool had shrunk). Change: an answered request counts against failed probes, and requests use at most three quarters of the connections that the upstream announced. Overload beyond the slots is still to be admitted by the node.

--- a/src/rhubarblead/node/daemon.py
+++ b/src/rhubarblead/node/daemon.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from concurrent import futures
 import contextlib
+import logging
 import random
 import signal
 import sys
@@ -276,6 +277,7 @@
         The exit code of the process.
     """
     log.configure_logging(node.logs.level)
+    logging.getLogger("waitress").setLevel(logging.ERROR)
     # Control must get its turn soon though many request threads are busy.
     sys.setswitchinterval(_SWITCH_INTERVAL_S)
     running = Node(node=node)
--- a/src/rhubarblead/node/local.py
+++ b/src/rhubarblead/node/local.py
@@ -140,9 +140,12 @@
         remaining_ms = work.find_remaining_ms()
         if remaining_ms <= 0:
             return _refuse(refusals.Refusal.DEADLINE, "no time is left")
-        return self._execution.run(
+        outcome = self._execution.run(
             lambda: self._send(upstream, work, headers, remaining_ms)
         )
+        if outcome.refusal is None:
+            self._upstream.take_answer()
+        return outcome
 
     def _send(
         self,
--- a/src/rhubarblead/node/probes.py
+++ b/src/rhubarblead/node/probes.py
@@ -12,6 +12,8 @@
 from rhubarblead.upstream import client
 from rhubarblead.upstream import monitor
 
+_REQUEST_SHARE_PERCENT = 75
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamView:
@@ -78,6 +80,10 @@
             self._monitor.take_announcement(announcement, now_ms)
             self._update(announcement, now_ms)
 
+    def take_answer(self) -> None:
+        """Takes note that the upstream has just answered a request."""
+        self._monitor.take_answer(clock.read_monotonic_ms())
+
     def stop(self) -> None:
         """Lets `run` return."""
         self._stop.set()
@@ -130,15 +136,18 @@
             reached = client.UpstreamClient(
                 ip_address=announcement.ip_address,
                 port=announcement.port,
-                connections=announcement.connections,
+                connections=_find_share(announcement.connections),
             )
         self._view = UpstreamView(
             announcement=announcement,
             client=reached,
             is_serving=is_serving,
         )
-        if not is_same or before is None or before.is_serving != is_serving:
+        was_serving = before is not None and before.is_serving
+        if was_serving != is_serving:
             self._report(announcement, is_serving)
+        elif not is_same:
+            self._on_change()
 
     def _report(
         self, announcement: monitor.Announcement, is_serving: bool
@@ -150,3 +159,12 @@
         )
         self._events.emit(event, server=announcement.server)
         self._on_change()
+
+
+def _find_share(connections: int) -> int:
+    """Finds how many connections requests may use.
+
+    The upstream counts a connection until it has seen its end, and probes
+    need connections too.
+    """
+    return max(1, connections * _REQUEST_SHARE_PERCENT // 100)
--- a/src/rhubarblead/upstream/monitor.py
+++ b/src/rhubarblead/upstream/monitor.py
@@ -92,6 +92,7 @@
 
     __slots__ = (
         "_announced_at_ms",
+        "_answered_at_ms",
         "_clock_gap_ms",
         "_failure_count",
         "_incarnation",
@@ -106,6 +107,7 @@
         self._state = _CHART.initial
         self._incarnation = ""
         self._announced_at_ms = _UNKNOWN_MS
+        self._answered_at_ms = _UNKNOWN_MS
         self._is_announced_draining = False
         self._failure_count = 0
         self._clock_gap_ms: int | None = None
@@ -144,9 +146,19 @@
         is_draining = self._is_announced_draining or health.state == "draining"
         self._follow("draining" if is_draining else health.state)
 
+    def take_answer(self, now_ms: int) -> None:
+        """Takes note of a whole answer to a request; needs no lock."""
+        self._answered_at_ms = now_ms
+
     def take_probe_failure(self, now_ms: int) -> None:
-        """Takes note of a probe without a good answer."""
-        del now_ms
+        """Takes note of a probe without a good answer.
+
+        A server that answers requests is not silent: a probe may fail on a
+        busy one.
+        """
+        if now_ms - self._answered_at_ms <= self._find_patience_ms():
+            self._failure_count = 0
+            return
         self._failure_count += 1
         if self._failure_count >= self._settings.probe_failures:
             self._follow("silent")
@@ -171,6 +183,9 @@
             return _UNKNOWN_MS
         return moment_ms + self._clock_gap_ms
 
+    def _find_patience_ms(self) -> int:
+        return self._settings.probe_ms + self._settings.probe_timeout_ms
+
     def _keep_clock(
         self, clock_ms: int, sent_at_ms: int, received_at_ms: int
     ) -> None:
