Keep the closing line of the tests at the end of a redirected output

Cause: behave opened the redirected standard output anew and wrote over what was there, the closing line included. Change: behave writes to the stream it was given. Measured: the line is last in a file and in a pipe.

--- a/tools/verify.py
+++ b/tools/verify.py
@@ -61,10 +61,9 @@
             sys.executable,
             "-m",
             "behave",
-            "--format=progress",
-            "--outfile=/dev/stdout",
             "--format=json",
             f"--outfile={report}",
+            "--format=progress",
             *(arguments or ["tests"]),
         ]
         environment = {**os.environ, "PYTHONHASHSEED": "0"}
