Plan off the control thread, by the load of shards

Cause: a plan over many shards would hold the control thread, and with it the heartbeats, and it was made anew twice a second though nothing had changed. It counted shards, not requests. Change: plans run on a thread of their own, when the state, the tables or the loads changed. Owners report the rates of their busiest shards to the member that plans. The shards of a lost member go to other failure domains first, as its neighbours may be lost a moment later.

--- a/src/rhubarblead/messages.py
+++ b/src/rhubarblead/messages.py
@@ -201,6 +201,20 @@
     entries: tuple[LedgerEntry, ...] = ()
 
 
+class ShardLoads(msgspec.Struct, frozen=True, kw_only=True, tag="loads"):
+    """The rates of an owner's shards, for whoever plans for the pool.
+
+    `rates_rps` belong to `shards` one by one; each other shard of the owner
+    has about `rest_rps`.
+    """
+
+    member_id: str
+    pool: str
+    shards: tuple[int, ...]
+    rates_rps: tuple[float, ...]
+    rest_rps: float
+
+
 class Suspect(msgspec.Struct, frozen=True, kw_only=True, tag="sus"):
     """Requests that were running when an upstream crashed.
 
@@ -225,6 +239,7 @@
     | LedgerWrite
     | LedgerRead
     | LedgerAnswer
+    | ShardLoads
     | Suspect
 )
 
--- a/src/rhubarblead/node/agenda.py
+++ b/src/rhubarblead/node/agenda.py
@@ -9,12 +9,12 @@
 from rhubarblead.assignment import handover
 from rhubarblead.node import gate
 from rhubarblead.node import journal as journals
+from rhubarblead.node import planning
 from rhubarblead.node import proposals
 from rhubarblead.node import tenure as tenures
 from rhubarblead.node import writing
 
 _WRITE_ID_BYTES = 12
-_PLANNING_INTERVAL_MS = 500
 _GRANTER_PATIENCE_MS = 3_000
 
 
@@ -29,7 +29,7 @@
         "_gate",
         "_joining",
         "_node",
-        "_planning_due_ms",
+        "_planned",
         "is_draining",
         "is_fit",
         "tenure",
@@ -41,7 +41,7 @@
         self._node = node
         self._gate = shard_gate
         self._joining: membership.Member | None = None
-        self._planning_due_ms = 0
+        self._planned: planning.Planned | None = None
         self.tenure: tenures.Tenure | None = None
         self.is_fit = False
         self.is_draining = False
@@ -79,6 +79,23 @@
             lambda decision: decision.follow_state(state=state, now_ms=now_ms)
         )
 
+    def take_plan(self, planned: planning.Planned) -> None:
+        """Takes a plan to propose, if its state is still the newest."""
+        self._planned = planned
+
+    def list_duties(self, state: ownership.State) -> list[str]:
+        """Lists the keyed pools that this member plans for."""
+        tenure = self.tenure
+        if tenure is None:
+            return []
+        return [
+            name
+            for name in sorted(state.assignments)
+            if proposals.has_planning_duty(
+                state=state, member_id=tenure.member_id, pool_name=name
+            )
+        ]
+
     def find_proposal(
         self, *, journal: journals.Journal, now_ms: int
     ) -> writing.Proposal | None:
@@ -97,7 +114,7 @@
             self._propose_evictions(journal, self.tenure, now_ms)
             or self._propose_granters(journal, self.tenure, now_ms)
             or self._propose_release(journal, self.tenure, now_ms)
-            or self._propose_plan(journal, self.tenure, now_ms)
+            or self._propose_plan(journal)
         )
 
     def begin(self, proposal: writing.Proposal) -> None:
@@ -227,24 +244,12 @@
         return _propose(writing.Purpose.RELEASE, journal, changes)
 
     def _propose_plan(
-        self, journal: journals.Journal, tenure: tenures.Tenure, now_ms: int
+        self, journal: journals.Journal
     ) -> writing.Proposal | None:
-        if now_ms < self._planning_due_ms:
+        planned, self._planned = self._planned, None
+        if planned is None or planned.state is not journal.state:
             return None
-        self._planning_due_ms = now_ms + _PLANNING_INTERVAL_MS
-        for name in sorted(journal.state.assignments):
-            if not proposals.has_planning_duty(
-                state=journal.state,
-                member_id=tenure.member_id,
-                pool_name=name,
-            ):
-                continue
-            changes = proposals.propose_assignment(
-                state=journal.state, tables=journal.tables, pool_name=name
-            )
-            if changes:
-                return _propose(writing.Purpose.PLAN, journal, changes)
-        return None
+        return _propose(writing.Purpose.PLAN, journal, planned.changes)
 
 
 def _propose(
--- a/src/rhubarblead/node/control.py
+++ b/src/rhubarblead/node/control.py
@@ -1,6 +1,7 @@
 """The control task: messages, reads and writes around the decisions."""
 
 from collections.abc import Callable
+from concurrent import futures
 import contextlib
 import dataclasses
 import secrets
@@ -23,10 +24,12 @@
 from rhubarblead.node import change as changes
 from rhubarblead.node import journal as journals
 from rhubarblead.node import observer as observers
+from rhubarblead.node import planning
 from rhubarblead.node import reading
 from rhubarblead.node import spread
 from rhubarblead.node import store_jobs
 from rhubarblead.node import tenure as tenures
+from rhubarblead.node import traffic
 from rhubarblead.node import view as views
 from rhubarblead.node import writing
 from rhubarblead.platform import ownership_log
@@ -38,6 +41,8 @@
 _NEWS_INTERVAL_MS = 100
 _LAPSE_INTERVAL_MS = 100
 _IDENTITY_BYTES = 4
+_LOADS_INTERVAL_MS = 5_000
+_LOADS_MS_PER_MEMBER = 20
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -55,7 +60,9 @@
     """The task is to return."""
 
 
-Item: TypeAlias = store_jobs.StoreResult | UpstreamChanged | Drain | Stop
+Item: TypeAlias = (
+    store_jobs.StoreResult | planning.Planned | UpstreamChanged | Drain | Stop
+)
 
 
 class Control:
@@ -73,11 +80,15 @@
         "_journal",
         "_lapses_due_ms",
         "_links",
+        "_loads",
+        "_loads_due_ms",
         "_news_due_ms",
         "_node",
         "_observer",
+        "_plans",
         "_reads",
         "_tick_due_ms",
+        "_traffic",
         "_writes",
     )
 
@@ -90,6 +101,8 @@
         agenda: agendas.Agenda,
         observer: observers.Observer,
         events: log.EventLog,
+        shard_traffic: traffic.ShardTraffic,
+        plan_executor: futures.Executor,
         make_jobs: Callable[
             [Callable[[store_jobs.StoreResult], None]], store_jobs.StoreJobs
         ],
@@ -106,11 +119,17 @@
         )
         self._jobs = make_jobs(self._inbox.put)
         self._journal = journals.Journal()
+        self._plans = planning.PlanJobs(
+            executor=plan_executor, post=self._inbox.put
+        )
+        self._traffic = shard_traffic
+        self._loads = traffic.LoadBook()
         self._reads = reading.ReadSchedule(platform=node.platform)
         self._writes = writing.WriteState()
         self._tick_due_ms = 0
         self._lapses_due_ms = 0
         self._news_due_ms = 0
+        self._loads_due_ms = 0
 
     def post(self, item: Item) -> None:
         """Sends the task a message."""
@@ -171,6 +190,8 @@
                 self._answer_news_request(revisions, sender)
             case messages.News():
                 self._take_news(message, now_ms)
+            case messages.ShardLoads():
+                self._loads.take(message, now_ms)
 
     def _answer_heartbeat(
         self, heartbeat: messages.Heartbeat, sender: bytes, now_ms: int
@@ -232,6 +253,9 @@
             case Drain():
                 self._agenda.is_draining = True
                 self._events.emit(catalog.Event.NODE_DRAINING)
+            case planning.Planned():
+                self._plans.end()
+                self._agenda.take_plan(item)
             case store_jobs.OwnershipRead():
                 self._take_ownership(item, now_ms)
             case store_jobs.TablesRead(outcome=outcome):
@@ -391,8 +415,10 @@
             self._send_heartbeats(tenure, now_ms)
             self._send_lapses(tenure, now_ms)
             self._publish_lease(tenure)
+            self._report_loads(tenure, now_ms)
         self._observer.observe_lease(tenure, now_ms)
         self._start_reads(now_ms)
+        self._start_plan(now_ms)
         self._start_write(now_ms)
 
     def _send_heartbeats(self, tenure: tenures.Tenure, now_ms: int) -> None:
@@ -440,6 +466,51 @@
         )
         return tenure.member_id in pollers
 
+    def _report_loads(self, tenure: tenures.Tenure, now_ms: int) -> None:
+        state = self._journal.state
+        record = state.members.get(tenure.member_id)
+        if record is None or record.pool not in state.assignments:
+            return
+        if now_ms < self._loads_due_ms:
+            return
+        pool = state.list_pool(record.pool)
+        self._loads_due_ms = now_ms + max(
+            _LOADS_INTERVAL_MS, _LOADS_MS_PER_MEMBER * len(pool)
+        )
+        owned = state.assignments[record.pool].owners.count(tenure.member_id)
+        report = traffic.make_report(
+            member_id=tenure.member_id,
+            pool=record.pool,
+            rates=self._traffic.take_rates(now_ms=now_ms),
+            owned_count=owned,
+        )
+        planner = pool[0].member_id
+        if planner == tenure.member_id:
+            self._loads.take(report, now_ms)
+        else:
+            self._send(planner, report)
+
+    def _start_plan(self, now_ms: int) -> None:
+        state = self._journal.state
+        tables = self._journal.tables
+        for pool in self._agenda.list_duties(state):
+            if not self._plans.is_due(
+                pool=pool, state=state, tables=tables, now_ms=now_ms
+            ):
+                continue
+            loads = self._loads.find_loads(
+                pool=pool,
+                owners=state.assignments[pool].owners,
+                now_ms=now_ms,
+            )
+            self._plans.start(
+                pool=pool,
+                state=state,
+                tables=tables,
+                loads=loads,
+                now_ms=now_ms,
+            )
+
     def _start_write(self, now_ms: int) -> None:
         doubtful = self._writes.find_doubtful(now_ms)
         if doubtful is not None:
--- a/src/rhubarblead/node/daemon.py
+++ b/src/rhubarblead/node/daemon.py
@@ -34,6 +34,7 @@
 from rhubarblead.node import replicas
 from rhubarblead.node import routing
 from rhubarblead.node import store_jobs
+from rhubarblead.node import traffic
 from rhubarblead.node import view
 from rhubarblead.platform import ownership_log
 from rhubarblead.platform import store
@@ -65,6 +66,7 @@
         self._metrics = metrics.open_metrics(node.metrics)
         self._board = view.ViewBoard()
         self._gate = gate.ShardGate()
+        self._traffic = traffic.ShardTraffic(now_ms=clock.read_monotonic_ms())
         self._stopping = threading.Event()
         self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         self._store = store.Store(
@@ -79,6 +81,7 @@
         self._ledger_executor = futures.ThreadPoolExecutor(
             _LEDGER_THREADS, "ledger"
         )
+        self._plan_executor = futures.ThreadPoolExecutor(1, "plan")
         self._task_executor = futures.ThreadPoolExecutor(_TASK_THREADS, "task")
         self._build()
 
@@ -113,6 +116,8 @@
                 followers=(self._replicas, self._protection),
             ),
             events=self._events,
+            shard_traffic=self._traffic,
+            plan_executor=self._plan_executor,
             make_jobs=self._make_jobs,
         )
         self._upstream = probes.UpstreamProbe(
@@ -126,6 +131,7 @@
             upstream=self._upstream,
             guard=self._protection,
             runner=self._execution,
+            shard_traffic=self._traffic,
         )
         self._peer_server = routing.PeerServer(local_server=self._local)
         self._router = routing.Router(
@@ -200,6 +206,7 @@
         stack.enter_context(self._store)
         stack.enter_context(self._store_executor)
         stack.enter_context(self._peer_executor)
+        stack.enter_context(self._plan_executor)
         stack.enter_context(self._ledger_executor)
         stack.enter_context(self._task_executor)
         self._exchange.listen(
--- a/src/rhubarblead/node/local.py
+++ b/src/rhubarblead/node/local.py
@@ -10,6 +10,7 @@
 from rhubarblead.node import outcome as outcomes
 from rhubarblead.node import probes
 from rhubarblead.node import protection
+from rhubarblead.node import traffic
 from rhubarblead.node import view as views
 from rhubarblead.node import work as works
 from rhubarblead.upstream import client
@@ -25,7 +26,14 @@
     sent it.
     """
 
-    __slots__ = ("_board", "_execution", "_gate", "_protection", "_upstream")
+    __slots__ = (
+        "_board",
+        "_execution",
+        "_gate",
+        "_protection",
+        "_traffic",
+        "_upstream",
+    )
 
     def __init__(
         self,
@@ -35,12 +43,14 @@
         upstream: probes.UpstreamProbe,
         guard: protection.Protection,
         runner: execution.Execution,
+        shard_traffic: traffic.ShardTraffic,
     ) -> None:
         self._board = board
         self._gate = shard_gate
         self._upstream = upstream
         self._protection = guard
         self._execution = runner
+        self._traffic = shard_traffic
 
     def execute(self, work: works.Work) -> outcomes.Outcome:
         """Runs one request, or refuses it.
@@ -64,6 +74,7 @@
             return _refuse(
                 refusals.Refusal.NO_OWNER, "the shard is being handed over"
             )
+        self._traffic.count(work.forward.shard)
         with counted:
             return self._run_owned(work)
 
--- /dev/null
+++ b/src/rhubarblead/node/planning.py
@@ -0,0 +1,109 @@
+"""Plans of assignments, made off the control thread."""
+
+from collections.abc import Callable
+from concurrent import futures
+import dataclasses
+
+from rhubarblead import membership
+from rhubarblead import ownership
+from rhubarblead import tables as tables_lib
+from rhubarblead.node import proposals
+
+_INTERVAL_MS = 250
+_LOADS_INTERVAL_MS = 10_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Planned:
+    """A plan for one pool, made on one state; it may have no changes."""
+
+    pool: str
+    state: ownership.State
+    changes: tuple[membership.Change, ...]
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Last:
+    """On what a pool was planned for last."""
+
+    revision: int
+    tables: tables_lib.Tables
+    at_ms: int
+
+
+class PlanJobs:
+    """Keeps to one plan at a time, and plans only when something changed."""
+
+    __slots__ = ("_executor", "_is_running", "_last", "_post")
+
+    def __init__(
+        self,
+        *,
+        executor: futures.Executor,
+        post: Callable[[Planned], None],
+    ) -> None:
+        self._executor = executor
+        self._post = post
+        self._last: dict[str, _Last] = {}
+        self._is_running = False
+
+    def is_due(
+        self,
+        *,
+        pool: str,
+        state: ownership.State,
+        tables: tables_lib.Tables,
+        now_ms: int,
+    ) -> bool:
+        """Tells whether to plan for a pool now.
+
+        Args:
+            pool: The pool.
+            state: The newest state.
+            tables: The tables in force.
+            now_ms: The monotonic time.
+
+        Returns:
+            True when no plan is being made, and the state or the tables have
+            changed since the last one, or the loads may have.
+        """
+        if self._is_running:
+            return False
+        last = self._last.get(pool)
+        if last is None:
+            return True
+        passed_ms = now_ms - last.at_ms
+        is_same = last.revision == state.revision and last.tables is tables
+        return passed_ms >= (_LOADS_INTERVAL_MS if is_same else _INTERVAL_MS)
+
+    def start(
+        self,
+        *,
+        pool: str,
+        state: ownership.State,
+        tables: tables_lib.Tables,
+        loads: dict[int, float],
+        now_ms: int,
+    ) -> None:
+        """Starts to plan; the plan is posted."""
+        self._is_running = True
+        self._last[pool] = _Last(
+            revision=state.revision, tables=tables, at_ms=now_ms
+        )
+        self._executor.submit(self._plan, pool, state, tables, loads)
+
+    def end(self) -> None:
+        """Records that the posted plan was taken."""
+        self._is_running = False
+
+    def _plan(
+        self,
+        pool: str,
+        state: ownership.State,
+        tables: tables_lib.Tables,
+        loads: dict[int, float],
+    ) -> None:
+        changes = proposals.propose_assignment(
+            state=state, tables=tables, pool_name=pool, loads=loads
+        )
+        self._post(Planned(pool=pool, state=state, changes=changes))
--- a/src/rhubarblead/node/proposals.py
+++ b/src/rhubarblead/node/proposals.py
@@ -5,14 +5,13 @@
 """
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 
 from rhubarblead import membership
 from rhubarblead import ownership
 from rhubarblead import tables as tables_lib
 from rhubarblead.assignment import planner
 
-_NO_LOADS: dict[int, float] = {}
-
 
 def list_eligible(
     *,
@@ -86,7 +85,11 @@
 
 
 def propose_assignment(
-    *, state: ownership.State, tables: tables_lib.Tables, pool_name: str
+    *,
+    state: ownership.State,
+    tables: tables_lib.Tables,
+    pool_name: str,
+    loads: Mapping[int, float],
 ) -> tuple[membership.Change, ...]:
     """Proposes owners for shards without one, or else better owners.
 
@@ -94,6 +97,7 @@
         state: The newest state.
         tables: The tables in force.
         pool_name: A keyed pool.
+        loads: Requests per second by shard, as far as they are known.
 
     Returns:
         One change; none when the shards are well placed.
@@ -112,7 +116,7 @@
         state=state,
         pool=pool_name,
         eligible=eligible,
-        loads=_NO_LOADS,
+        loads=loads,
         limits=planner.Limits(),
     )
     if {move.shard: move.owner for move in wanted} == assignment.wanted:
@@ -180,10 +184,16 @@
     pool = tables.find_pool(pool_name)
     if pool is None:
         return _abandon(state, pool_name, lost)
-    excluded = lost | suspects
-    eligible = list_eligible(state=state, pool=pool, excluded=excluded)
-    if not eligible:
-        eligible = list_eligible(state=state, pool=pool, excluded=lost)
+    # What took one member may take its neighbours a moment later.
+    near = frozenset(
+        member.member_id
+        for member in state.members.values()
+        if member.failure_domain in _list_domains(state, lost)
+    )
+    for excluded in (lost | suspects | near, lost | suspects, lost):
+        eligible = list_eligible(state=state, pool=pool, excluded=excluded)
+        if eligible:
+            break
     if not eligible:
         return _abandon(state, pool_name, lost)
     return planner.plan_takeover(
@@ -191,6 +201,16 @@
     )
 
 
+def _list_domains(
+    state: ownership.State, member_ids: frozenset[str]
+) -> frozenset[str]:
+    return frozenset(
+        state.members[member_id].failure_domain
+        for member_id in member_ids
+        if member_id in state.members
+    )
+
+
 def _abandon(
     state: ownership.State, pool_name: str, lost: frozenset[str]
 ) -> tuple[membership.ShardMove, ...]:
--- /dev/null
+++ b/src/rhubarblead/node/traffic.py
@@ -0,0 +1,108 @@
+"""How many requests the shards of a pool get."""
+
+from collections.abc import Mapping
+import threading
+
+from rhubarblead import messages
+
+_MS_PER_S = 1_000
+_LISTED_SHARDS = 32
+_STALE_MS = 120_000
+
+
+class ShardTraffic:
+    """Counts the requests to a node's own shards; called from many threads."""
+
+    __slots__ = ("_counts", "_lock", "_since_ms")
+
+    def __init__(self, *, now_ms: int) -> None:
+        self._counts: dict[int, int] = {}
+        self._lock = threading.Lock()
+        self._since_ms = now_ms
+
+    def count(self, shard: int) -> None:
+        """Counts one request."""
+        with self._lock:
+            self._counts[shard] = self._counts.get(shard, 0) + 1
+
+    def take_rates(self, *, now_ms: int) -> dict[int, float]:
+        """Takes the rates since the last call, in requests per second."""
+        with self._lock:
+            counts, self._counts = self._counts, {}
+            passed_ms, self._since_ms = now_ms - self._since_ms, now_ms
+        if passed_ms <= 0:
+            return {}
+        return {
+            shard: count * _MS_PER_S / passed_ms
+            for shard, count in counts.items()
+        }
+
+
+def make_report(
+    *, member_id: str, pool: str, rates: Mapping[int, float], owned_count: int
+) -> messages.ShardLoads:
+    """Builds a bounded report: the busiest shards, and the mean of the rest.
+
+    Args:
+        member_id: The owner.
+        pool: The pool of the shards.
+        rates: Requests per second of the shards that had any.
+        owned_count: How many shards the owner has.
+
+    Returns:
+        The report for whoever plans for the pool.
+    """
+    ranked = sorted(rates.items(), key=lambda item: (-item[1], item[0]))
+    listed = ranked[:_LISTED_SHARDS]
+    rest = ranked[_LISTED_SHARDS:]
+    rest_count = max(1, owned_count - len(listed))
+    return messages.ShardLoads(
+        member_id=member_id,
+        pool=pool,
+        shards=tuple(shard for shard, _ in listed),
+        rates_rps=tuple(rate for _, rate in listed),
+        rest_rps=sum(rate for _, rate in rest) / rest_count,
+    )
+
+
+class LoadBook:
+    """The newest reports of the owners of a pool, as a planner needs them."""
+
+    __slots__ = ("_reports",)
+
+    def __init__(self) -> None:
+        self._reports: dict[str, tuple[int, messages.ShardLoads]] = {}
+
+    def take(self, report: messages.ShardLoads, now_ms: int) -> None:
+        """Keeps a report in place of the owner's earlier one."""
+        self._reports[report.member_id] = (now_ms, report)
+
+    def find_loads(
+        self, *, pool: str, owners: list[str], now_ms: int
+    ) -> dict[int, float]:
+        """Finds the rates of a pool's shards, as far as they are known.
+
+        Args:
+            pool: The pool.
+            owners: The owner of each shard; reports of others don't count.
+            now_ms: The monotonic time; old reports are dropped.
+
+        Returns:
+            Requests per second by shard.
+        """
+        self._reports = {
+            member_id: (at_ms, report)
+            for member_id, (at_ms, report) in self._reports.items()
+            if now_ms - at_ms < _STALE_MS
+        }
+        loads = {}
+        listed = {
+            member_id: dict(zip(report.shards, report.rates_rps, strict=True))
+            for member_id, (_, report) in self._reports.items()
+            if report.pool == pool
+        }
+        for shard, owner in enumerate(owners):
+            if owner in listed:
+                rest = self._reports[owner][1].rest_rps
+                loads[shard] = listed[owner].get(shard, rest)
+        return loads
