--- a/src/rhubarblead/leases/selection.py
+++ b/src/rhubarblead/leases/selection.py
@@ -1,6 +1,9 @@
 """Choice of members for duties, by hash, the same on every node."""
 
 import collections
+import itertools
+import operator
+from typing import TypeAlias
 
 import xxhash
 
@@ -11,6 +14,10 @@
 TAKER_COUNT = 3
 _DUTIES_BOUND = 2
 
+# What makes a possible granter better, least first: avoided, in the member's
+# own failure domain, new, overloaded, of the same pool; then hash and id.
+_Rank: TypeAlias = tuple[bool, bool, bool, bool, bool, int, str]
+
 
 def choose_granters(
     *,
@@ -32,26 +39,19 @@
     Returns:
         At most three member ids; none when the member is alone.
     """
-    candidates = [
-        other
-        for other in state.members.values()
-        if other.member_id != member.member_id
-    ]
-    overloaded = _list_overloaded(state, member)
-    weighed = sorted(
-        (
-            other.member_id in avoid,
-            other.failure_domain == member.failure_domain,
-            other.member_id not in member.granters,
-            other.member_id in overloaded,
-            other.pool == member.pool,
-            _weigh(member.member_id, other.member_id),
-            other.member_id,
-            other.failure_domain,
-        )
-        for other in candidates
-    )
-    return _spread([(item[-2], item[-1]) for item in weighed], avoid)
+    ranks = _rank_candidates(state, member, avoid)
+    best: dict[str, _Rank] = {}
+    for rank in ranks:
+        domain = state.members[rank[-1]].failure_domain
+        if domain not in best or rank < best[domain]:
+            best[domain] = rank
+    is_avoided = operator.itemgetter(0)
+    chosen = sorted(itertools.filterfalse(is_avoided, best.values()))
+    del chosen[GRANTER_COUNT:]
+    if len(chosen) < GRANTER_COUNT:
+        rest = sorted(set(ranks).difference(chosen))
+        chosen += rest[: GRANTER_COUNT - len(chosen)]
+    return tuple(rank[-1] for rank in chosen)
 
 
 def improve_granters(
@@ -72,8 +72,10 @@
         and a new choice would have no more granters or failure domains;
         otherwise the new choice, unless it names the same ones.
     """
+    present = frozenset(member.granters)
+    if not present & silent and _are_ideal(state, member):
+        return member.granters
     chosen = choose_granters(state=state, member=member, avoid=silent)
-    present = set(member.granters)
     if present == set(chosen):
         return member.granters
     if present & silent or not present <= state.members.keys():
@@ -135,10 +137,44 @@
     return xxhash.xxh3_64_intdigest(f"{subject}\n{candidate}".encode())
 
 
+def _are_ideal(state: ownership.State, member: membership.Member) -> bool:
+    """Tells whether the granters are members in so many foreign domains."""
+    domains = {member.failure_domain}
+    for granter_id in member.granters:
+        granter = state.members.get(granter_id)
+        if granter is None:
+            return False
+        domains.add(granter.failure_domain)
+    return len(domains) == GRANTER_COUNT + 1
+
+
 def _count_domains(state: ownership.State, members: tuple[str, ...]) -> int:
     return len({state.members[name].failure_domain for name in members})
 
 
+def _rank_candidates(
+    state: ownership.State,
+    member: membership.Member,
+    avoid: frozenset[str],
+) -> list[_Rank]:
+    overloaded = _list_overloaded(state, member)
+    kept = frozenset(member.granters)
+    subject = member.member_id
+    return [
+        (
+            name in avoid,
+            other.failure_domain == member.failure_domain,
+            name not in kept,
+            name in overloaded,
+            other.pool == member.pool,
+            _weigh(subject, name),
+            name,
+        )
+        for name, other in state.members.items()
+        if name != subject
+    ]
+
+
 def _list_overloaded(
     state: ownership.State, member: membership.Member
 ) -> set[str]:
@@ -150,23 +186,3 @@
     )
     bound = _DUTIES_BOUND * GRANTER_COUNT
     return {granter for granter, count in duties.items() if count >= bound}
-
-
-def _spread(
-    ranked: list[tuple[str, str]], avoid: frozenset[str]
-) -> tuple[str, ...]:
-    chosen: list[str] = []
-    domains: set[str] = set()
-    for member_id, domain in ranked:
-        if domain in domains or member_id in avoid:
-            continue
-        chosen.append(member_id)
-        domains.add(domain)
-        if len(chosen) == GRANTER_COUNT:
-            return tuple(chosen)
-    rest = (member_id for member_id, _ in ranked if member_id not in chosen)
-    for member_id in rest:
-        chosen.append(member_id)
-        if len(chosen) == GRANTER_COUNT:
-            break
-    return tuple(chosen)
--- /dev/null
+++ b/tests/steps/lease_search.py
@@ -0,0 +1,23 @@
+"""Steps for the random search over leases."""
+
+import behave
+from behave import runner
+
+from tests.rhubarblead.leases import broken
+from tests.rhubarblead.leases import search
+
+
+@behave.when("{count:d} random sequences of lease faults are searched")
+def run_search(context: runner.Context, count: int) -> None:
+    parts = getattr(context, "parts", broken.VARIANTS["nothing is broken"])
+    context.found = search.search(parts, count)
+
+
+@behave.then("the lease search found nothing")
+def check_nothing(context: runner.Context) -> None:
+    assert context.found is None, context.found
+
+
+@behave.then("the lease search found two owners")
+def check_found(context: runner.Context) -> None:
+    assert context.found is not None
