Close holes of the ledger that a search and fault tables showed

Cause: tests for the ledger were missing. They showed that a request in doubt was forgotten by a later abandon; that a full ledger forgot running requests; that a key issued exactly at the end of the allowed skew, or taken by an owner whose wall clock was ahead, could run again after a takeover with lost memory; that one UUID in two spellings was two keys; that an unknown key from the lost time could be refused as not run; and that kept answers were bounded only by entries (50,000 of 16 KiB).

Change: abandon forgets only started entries; a ledger full of running requests refuses; the lost time reaches 250 ms and one further, and is asked first; keys are taken in their usual spelling only; all kept answers together hold at most 32 MiB.

--- a/src/rhubarblead/requests/idempotency.py
+++ b/src/rhubarblead/requests/idempotency.py
@@ -44,7 +44,8 @@
         Milliseconds since 1970.
 
     Raises:
-        CannotReadKey: The key is no UUID of version 7.
+        CannotReadKey: The key is no UUID of version 7, or not in the one
+            spelling that is taken: a key in another would be another key.
     """
     try:
         parsed = uuid.UUID(key)
@@ -52,4 +53,6 @@
         raise CannotReadKey(f"{key!r} is no UUID") from error
     if parsed.version != _VERSION:
         raise CannotReadKey(f"{key!r} has version {parsed.version}")
+    if str(parsed) != key:
+        raise CannotReadKey(f"{key!r} is not spelled {str(parsed)!r}")
     return parsed.int >> _MS_SHIFT
--- a/src/rhubarblead/requests/ledger.py
+++ b/src/rhubarblead/requests/ledger.py
@@ -24,7 +24,10 @@
 ADOPTED = "adopted"
 
 _SKEW_MS = 2_000
+_NODE_SKEW_MS = 250
 _KEPT_BODY_BYTES = 16_384
+_KEPT_TOTAL_BYTES = 2**25
+_FULL_RETRY_AFTER_MS = 1_000
 _RETRY_AFTER_MS = 200
 _MARKER_KEY = ""
 
@@ -78,6 +81,7 @@
     __slots__ = (
         "_capacity",
         "_entries",
+        "_kept_bytes",
         "_lost_before_ms",
         "_sequence",
     )
@@ -89,6 +93,7 @@
             capacity: How many requests are remembered at the most.
         """
         self._capacity = capacity
+        self._kept_bytes = 0
         self._entries: collections.OrderedDict[
             tuple[str, int, str], messages.LedgerEntry
         ] = collections.OrderedDict()
@@ -145,7 +150,7 @@
         for shard in gone:
             self._lost_before_ms.pop(shard, None)
         for key in [key for key in self._entries if key[:2] in gone]:
-            del self._entries[key]
+            self._remove(key)
 
     def list_entries(
         self, *, pool: str, shards: Iterable[int]
@@ -197,6 +202,12 @@
         refused = self._find_obstacle(claim, wall_ms)
         if refused is not None:
             return refused
+        if not self._make_room():
+            return _refuse(
+                refusals.Refusal.OVERLOADED,
+                "too many unrepeatable requests are running",
+                retry_after_ms=_FULL_RETRY_AFTER_MS,
+            )
         entry = self._make(claim, STARTED)
         self._put(entry)
         return Run(entry=entry)
@@ -220,7 +231,11 @@
         Returns:
             The entry to be remembered elsewhere.
         """
-        has_body = len(body) <= _KEPT_BODY_BYTES
+        size_bytes = _count_bytes(headers, body)
+        has_body = (
+            size_bytes <= _KEPT_BODY_BYTES
+            and self._kept_bytes + size_bytes <= _KEPT_TOTAL_BYTES
+        )
         entry = messages.LedgerEntry(
             pool=claim.pool,
             shard=claim.shard,
@@ -249,9 +264,13 @@
             claim: The request.
 
         Returns:
-            The entry that lets the copies forget it too.
+            The entry that lets the copies forget it too. A request that has
+            finished or is in doubt is kept, and its entry returned.
         """
-        self._entries.pop(_key(claim), None)
+        entry = self._entries.get(_key(claim))
+        if entry is not None and entry.state != STARTED:
+            return entry
+        self._remove(_key(claim))
         return self._make(claim, ABANDONED)
 
     def _decide_known(
@@ -291,6 +310,14 @@
             issued_ms = idempotency.read_issued_ms(claim.idempotency_key)
         except idempotency.CannotReadKey as error:
             return _refuse(refusals.Refusal.MISSING_IDEMPOTENCY_KEY, str(error))
+        # Only from this moment on does an unknown key mean that no earlier
+        # send has run, which the refusals with "not run" state.
+        if issued_ms < lost_before_ms:
+            return _refuse(
+                refusals.Refusal.MEMORY_LOST,
+                "what was remembered when the key was issued is lost",
+                verdicts.Verdict.MAY_HAVE_RUN,
+            )
         if issued_ms > wall_ms + _SKEW_MS:
             return _refuse(
                 refusals.Refusal.MALFORMED,
@@ -302,12 +329,6 @@
                 "the idempotency key is older than what is remembered",
                 verdicts.Verdict.MAY_HAVE_RUN,
             )
-        if issued_ms < lost_before_ms:
-            return _refuse(
-                refusals.Refusal.MEMORY_LOST,
-                "what was remembered when the key was issued is lost",
-                verdicts.Verdict.MAY_HAVE_RUN,
-            )
         return None
 
     def _inherit(self, entry: messages.LedgerEntry) -> None:
@@ -337,17 +358,33 @@
 
     def _put(self, entry: messages.LedgerEntry) -> None:
         key = (entry.pool, entry.shard, entry.idempotency_key)
+        self._remove(key)
         self._entries[key] = entry
-        self._entries.move_to_end(key)
-        while len(self._entries) > self._capacity:
-            self._drop_oldest()
+        self._kept_bytes += _count_bytes(entry.headers, entry.body)
+        while len(self._entries) > self._capacity and self._drop_oldest():
+            pass
 
-    def _drop_oldest(self) -> None:
-        _, entry = self._entries.popitem(last=False)
+    def _remove(self, key: tuple[str, int, str]) -> None:
+        entry = self._entries.pop(key, None)
+        if entry is not None:
+            self._kept_bytes -= _count_bytes(entry.headers, entry.body)
+
+    def _make_room(self) -> bool:
+        return len(self._entries) < self._capacity or self._drop_oldest()
+
+    def _drop_oldest(self) -> bool:
+        """Forgets the entry that was put first, unless its request runs."""
+        entry = next(
+            (e for e in self._entries.values() if e.state != STARTED), None
+        )
+        if entry is None:
+            return False
+        self._remove((entry.pool, entry.shard, entry.idempotency_key))
         issued_ms = idempotency.read_issued_ms(entry.idempotency_key)
         shard = (entry.pool, entry.shard)
         known_ms = self._lost_before_ms.get(shard, 0)
         self._lost_before_ms[shard] = max(known_ms, issued_ms + 1)
+        return True
 
 
 def find_lost_before_ms(wall_ms: int) -> int:
@@ -357,10 +394,15 @@
         wall_ms: The wall time of the new owner.
 
     Returns:
-        The wall time before which keys may have been used; keys whose makers'
-        clocks run ahead by the allowed skew are covered.
+        The wall time before which keys may have been used. The previous owner
+        took keys that were issued up to the allowed skew ahead of its clock,
+        which may itself have been ahead of this node's.
     """
-    return wall_ms + _SKEW_MS
+    return wall_ms + _SKEW_MS + _NODE_SKEW_MS + 1
+
+
+def _count_bytes(headers: tuple[tuple[str, str], ...], body: bytes) -> int:
+    return len(body) + sum(len(name) + len(value) for name, value in headers)
 
 
 def _key(claim: Claim) -> tuple[str, int, str]:
