--- /dev/null
+++ b/src/rhubarblead/requests/admission.py
@@ -0,0 +1,249 @@
+"""Decides which requests may run, wait or be refused at one upstream."""
+
+import collections
+import dataclasses
+import math
+from typing import TypeAlias
+
+from rhubarblead import refusal
+
+KEY_SHARE_PER_MILLE = 250
+FIRST_SERVICE_MS = 5.0
+SERVICE_WEIGHT = 0.1
+MIN_RETRY_AFTER_MS = 20
+ALONE_GAP_MS = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Ticket:
+    """A request that asks for a slot.
+
+    `deadline_ms` is a monotonic moment. A request with `is_alone` runs while
+    nothing else does.
+    """
+
+    request_id: str
+    key: str
+    deadline_ms: int
+    is_alone: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Start:
+    """The request runs now."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Wait:
+    """The request waits for a slot."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Refuse:
+    """The request is refused, and certainly didn't run."""
+
+    refused: refusal.Refused
+
+
+Offer: TypeAlias = Start | Wait | Refuse
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Turn:
+    """Waiting requests that start now, and those that are too late."""
+
+    started: tuple[str, ...] = ()
+    refused: tuple[str, ...] = ()
+
+
+class Admission:
+    """Slots and a bounded queue, which is fair among keys.
+
+    Keys take turns, and one key may fill only a part of the queue. Not safe
+    between threads.
+    """
+
+    def __init__(
+        self,
+        *,
+        slots: int,
+        queue_length: int,
+        key_share_per_mille: int = KEY_SHARE_PER_MILLE,
+    ) -> None:
+        """Makes an admission with free slots and an empty queue.
+
+        Args:
+            slots: How many requests run at a time.
+            queue_length: How many wait at a time.
+            key_share_per_mille: Most of the queue that one key may fill.
+        """
+        self._slots = slots
+        self._queue_length = queue_length
+        self._key_limit = max(1, queue_length * key_share_per_mille // 1_000)
+        self._queues: collections.OrderedDict[
+            str, collections.deque[Ticket]
+        ] = collections.OrderedDict()
+        self._waiting_count = 0
+        self._running: dict[str, int] = {}
+        self._service_ms = FIRST_SERVICE_MS
+        self._alone_id = ""
+        self._alone_waiting: Ticket | None = None
+        self._alone_after_ms = 0
+
+    @property
+    def running_count(self) -> int:
+        """How many requests run."""
+        return len(self._running)
+
+    @property
+    def waiting_count(self) -> int:
+        """How many requests wait."""
+        return self._waiting_count + (self._alone_waiting is not None)
+
+    @property
+    def service_ms(self) -> float:
+        """The measured time of one run."""
+        return self._service_ms
+
+    def set_slots(self, slots: int, now_ms: int) -> Turn:
+        """Changes how many requests run at a time, at least one."""
+        self._slots = max(1, slots)
+        return self._advance(now_ms)
+
+    def offer(self, ticket: Ticket, now_ms: int) -> Offer:
+        """Decides on a request that just came.
+
+        Args:
+            ticket: The request.
+            now_ms: The present moment.
+
+        Returns:
+            Whether it runs, waits or is refused.
+        """
+        if ticket.is_alone:
+            return self._offer_alone(ticket, now_ms)
+        if self._is_free() and not self._waiting_count:
+            self._start(ticket, now_ms)
+            return Start()
+        waiting = self._queues.get(ticket.key, ())
+        if self._waiting_count >= self._queue_length:
+            return self._refuse("the queue is full")
+        if len(waiting) >= self._key_limit:
+            return self._refuse("too many requests wait for this key")
+        wait_ms = self._find_wait_ms(len(waiting))
+        if now_ms + wait_ms + self._service_ms > ticket.deadline_ms:
+            return self._refuse("it can't be served in time")
+        self._queues.setdefault(ticket.key, collections.deque()).append(ticket)
+        self._waiting_count += 1
+        return Wait()
+
+    def finish(self, request_id: str, now_ms: int) -> Turn:
+        """Frees the slot of a request that ran.
+
+        Args:
+            request_id: The request.
+            now_ms: The present moment.
+
+        Returns:
+            What follows for those that wait.
+        """
+        started_at_ms = self._running.pop(request_id, None)
+        if started_at_ms is None:
+            return Turn()
+        taken_ms = now_ms - started_at_ms
+        self._service_ms += (taken_ms - self._service_ms) * SERVICE_WEIGHT
+        if request_id == self._alone_id:
+            self._alone_id = ""
+            self._alone_after_ms = now_ms + ALONE_GAP_MS
+        return self._advance(now_ms)
+
+    def withdraw(self, request_id: str, now_ms: int) -> Turn:
+        """Removes a waiting request whose caller has gone."""
+        alone = self._alone_waiting
+        if alone is not None and alone.request_id == request_id:
+            self._alone_waiting = None
+            return self._advance(now_ms)
+        for key, waiting in self._queues.items():
+            for ticket in waiting:
+                if ticket.request_id == request_id:
+                    waiting.remove(ticket)
+                    self._waiting_count -= 1
+                    if not waiting:
+                        del self._queues[key]
+                    return Turn()
+        return Turn()
+
+    def _offer_alone(self, ticket: Ticket, now_ms: int) -> Offer:
+        # Neighbours wait while one runs alone; the gap bounds how often.
+        is_busy = self._alone_id or self._alone_waiting is not None
+        if is_busy or now_ms < self._alone_after_ms:
+            return self._refuse("another suspect runs alone", ALONE_GAP_MS)
+        if not self._running:
+            self._alone_id = ticket.request_id
+            self._start(ticket, now_ms)
+            return Start()
+        self._alone_waiting = ticket
+        return Wait()
+
+    def _is_free(self) -> bool:
+        if self._alone_id or self._alone_waiting is not None:
+            return False
+        return len(self._running) < self._slots
+
+    def _start(self, ticket: Ticket, now_ms: int) -> None:
+        self._running[ticket.request_id] = now_ms
+
+    def _advance(self, now_ms: int) -> Turn:
+        started: list[str] = []
+        refused: list[str] = []
+        self._advance_alone(now_ms, started, refused)
+        while self._waiting_count and self._is_free():
+            ticket = self._take_next()
+            if now_ms >= ticket.deadline_ms:
+                refused.append(ticket.request_id)
+                continue
+            self._start(ticket, now_ms)
+            started.append(ticket.request_id)
+        return Turn(started=tuple(started), refused=tuple(refused))
+
+    def _advance_alone(
+        self, now_ms: int, started: list[str], refused: list[str]
+    ) -> None:
+        ticket = self._alone_waiting
+        if ticket is None:
+            return
+        if now_ms >= ticket.deadline_ms:
+            self._alone_waiting = None
+            refused.append(ticket.request_id)
+            return
+        if not self._running:
+            self._alone_waiting = None
+            self._alone_id = ticket.request_id
+            self._start(ticket, now_ms)
+            started.append(ticket.request_id)
+
+    def _take_next(self) -> Ticket:
+        key, waiting = self._queues.popitem(last=False)
+        ticket = waiting.popleft()
+        if waiting:
+            self._queues[key] = waiting
+        self._waiting_count -= 1
+        return ticket
+
+    def _find_wait_ms(self, ahead_of_key: int) -> float:
+        """Estimates the wait behind a number of requests of the same key."""
+        rounds = ahead_of_key + 1
+        ahead = sum(min(len(q), rounds) for q in self._queues.values())
+        return (ahead + 1) * self._service_ms / self._slots
+
+    def _refuse(self, explanation: str, retry_after_ms: int = 0) -> Refuse:
+        drained_ms = self._waiting_count * self._service_ms / self._slots
+        return Refuse(
+            refused=refusal.Refused(
+                refusal=refusal.Refusal.OVERLOADED,
+                explanation=explanation,
+                retry_after_ms=max(
+                    MIN_RETRY_AFTER_MS, retry_after_ms, math.ceil(drained_ms)
+                ),
+            )
+        )
--- /dev/null
+++ b/src/rhubarblead/requests/balance.py
@@ -0,0 +1,264 @@
+"""Chooses a server of a balanced pool, by what the chooser itself observes.
+
+Of two random servers the one with the lower expected wait is taken: its own
+requests in flight, times the observed latency. What servers report of their
+load only tips the scales, the less the more it disagrees with observation.
+"""
+
+from collections.abc import Sequence
+import enum
+import math
+import random
+
+FIRST_LATENCY_MS = 5.0
+MIN_LATENCY_MS = 0.5
+RISE_WEIGHT = 0.3
+FALL_WEIGHT = 0.1
+LATENCY_HALF_LIFE_MS = 5_000
+FAILURES_TO_EJECT = 3
+FIRST_EJECTION_MS = 1_000
+MAX_EJECTION_MS = 30_000
+FIRST_SHED_BACK_OFF_MS = 2
+MAX_SHED_BACK_OFF_MS = 16
+MIN_RAMP = 0.1
+REENTRY_RAMP_MS = 1_000
+REPORT_WEIGHT = 0.5
+MAX_REPORT_AGE_MS = 2_000
+BUSY_SHARE = 0.8
+IDLE_SHARE = 0.3
+BUSY_LATENCY_RATIO = 2.0
+IDLE_LATENCY_RATIO = 1.3
+TRUST_GAIN = 0.1
+TRUST_LOSS = 0.5
+
+_CHOICES = 2
+
+
+class Ending(enum.Enum):
+    """How a request at a server ended, as far as balance is concerned."""
+
+    ANSWERED = "answered"
+    SHED = "shed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class _Server:
+    """What is known of one server."""
+
+    __slots__ = (
+        "back_off_ms",
+        "back_off_until_ms",
+        "ejected_until_ms",
+        "ejection_ms",
+        "failure_count",
+        "heard_at_ms",
+        "in_flight_count",
+        "is_probing",
+        "latency_ms",
+        "least_latency_ms",
+        "ramp_from_ms",
+        "ramp_length_ms",
+        "reported_at_ms",
+        "reported_share",
+        "trust",
+    )
+
+    def __init__(self) -> None:
+        self.in_flight_count = 0
+        self.latency_ms = FIRST_LATENCY_MS
+        self.least_latency_ms = 0.0
+        self.heard_at_ms = 0
+        self.failure_count = 0
+        self.ejection_ms = 0
+        self.ejected_until_ms = 0
+        self.is_probing = False
+        self.back_off_ms = 0
+        self.back_off_until_ms = 0
+        self.ramp_from_ms = 0
+        self.ramp_length_ms = 0
+        self.reported_share = 0.0
+        self.reported_at_ms = -MAX_REPORT_AGE_MS
+        self.trust = 1.0
+
+    def find_latency_ms(self, now_ms: int) -> float:
+        """Finds the latency, which fades while nothing is heard."""
+        silent_ms = max(0, now_ms - self.heard_at_ms)
+        fading = math.pow(0.5, silent_ms / LATENCY_HALF_LIFE_MS)
+        return max(MIN_LATENCY_MS, self.latency_ms * fading)
+
+    def find_ramp(self, now_ms: int) -> float:
+        """Finds the share of a full load that a starting server gets."""
+        if not self.ramp_length_ms:
+            return 1.0
+        age_ms = now_ms - self.ramp_from_ms
+        return min(1.0, max(MIN_RAMP, age_ms / self.ramp_length_ms))
+
+    def find_cost(self, now_ms: int) -> float:
+        """Finds the expected wait of one more request, in milliseconds."""
+        cost = (self.in_flight_count + 1) * self.find_latency_ms(now_ms)
+        if now_ms - self.reported_at_ms <= MAX_REPORT_AGE_MS:
+            cost *= 1 + REPORT_WEIGHT * self.trust * self.reported_share
+        return cost / self.find_ramp(now_ms)
+
+
+class Balancer:
+    """Chooses among the servers of one pool. Not safe between threads."""
+
+    def __init__(self, *, random_source: random.Random) -> None:
+        self._random = random_source
+        self._servers: dict[str, _Server] = {}
+
+    def choose(self, servers: Sequence[str], now_ms: int) -> str | None:
+        """Chooses a server; `begin` must follow.
+
+        Args:
+            servers: The servers that may be taken.
+            now_ms: The present moment.
+
+        Returns:
+            A server, or None when all of them shed load. When all others are
+            ejected, an ejected one is taken.
+        """
+        able = [s for s in servers if self._is_able(s, now_ms)]
+        if not able:
+            able = [s for s in servers if not self._is_backing_off(s, now_ms)]
+        if not able:
+            return None
+        drawn = self._random.sample(able, min(_CHOICES, len(able)))
+        return min(drawn, key=lambda s: self._find(s).find_cost(now_ms))
+
+    def begin(self, name: str, now_ms: int) -> None:
+        """Counts a request to a server in."""
+        server = self._find(name)
+        server.in_flight_count += 1
+        if server.ejection_ms and now_ms >= server.ejected_until_ms:
+            server.is_probing = True
+
+    def finish(
+        self,
+        name: str,
+        *,
+        ending: Ending,
+        latency_ms: float,
+        now_ms: int,
+        retry_after_ms: int = 0,
+    ) -> None:
+        """Counts a request to a server out.
+
+        Args:
+            name: The server.
+            ending: How the request ended.
+            latency_ms: From `begin` until now.
+            now_ms: The present moment.
+            retry_after_ms: The longest back-off that a shedding server asks
+                for.
+        """
+        server = self._find(name)
+        server.in_flight_count -= 1
+        server.is_probing = False
+        match ending:
+            case Ending.ANSWERED:
+                self._take_answer(server, latency_ms, now_ms)
+            case Ending.SHED:
+                self._take_shed(server, retry_after_ms, now_ms)
+            case Ending.FAILED:
+                self._take_failure(server, now_ms)
+            case Ending.CANCELLED:
+                pass
+
+    def take_report(
+        self, name: str, *, in_flight: int, slots: int, now_ms: int
+    ) -> None:
+        """Takes a server's report of its load, which is only a hint."""
+        server = self._find(name)
+        share = min(1.0, in_flight / max(1, slots))
+        server.reported_share = share
+        server.reported_at_ms = now_ms
+        if not server.least_latency_ms:
+            return
+        ratio = server.find_latency_ms(now_ms) / server.least_latency_ms
+        is_false_alarm = share > BUSY_SHARE and ratio < IDLE_LATENCY_RATIO
+        is_false_calm = share < IDLE_SHARE and ratio > BUSY_LATENCY_RATIO
+        if is_false_alarm or is_false_calm:
+            server.trust *= TRUST_LOSS
+        else:
+            server.trust += TRUST_GAIN * (1 - server.trust)
+
+    def take_start(self, name: str, *, cold_start_ms: int, now_ms: int) -> None:
+        """Takes note that a server started and has to be warmed up."""
+        server = _Server()
+        server.in_flight_count = self._find(name).in_flight_count
+        server.ramp_from_ms = now_ms
+        server.ramp_length_ms = cold_start_ms
+        server.heard_at_ms = now_ms
+        self._servers[name] = server
+
+    def keep(self, servers: Sequence[str]) -> None:
+        """Forgets all servers but these."""
+        kept = set(servers)
+        for name in [n for n in self._servers if n not in kept]:
+            del self._servers[name]
+
+    def is_ejected(self, name: str, now_ms: int) -> bool:
+        """Tells whether a server gets no work for its failures."""
+        server = self._find(name)
+        return server.is_probing or now_ms < server.ejected_until_ms
+
+    def find_trust(self, name: str) -> float:
+        """Finds how much a server's reports count, from 0 to 1."""
+        return self._find(name).trust
+
+    def _find(self, name: str) -> _Server:
+        server = self._servers.get(name)
+        if server is None:
+            server = self._servers[name] = _Server()
+        return server
+
+    def _is_able(self, name: str, now_ms: int) -> bool:
+        is_out = self.is_ejected(name, now_ms)
+        return not is_out and not self._is_backing_off(name, now_ms)
+
+    def _is_backing_off(self, name: str, now_ms: int) -> bool:
+        return now_ms < self._find(name).back_off_until_ms
+
+    def _take_answer(
+        self, server: _Server, latency_ms: float, now_ms: int
+    ) -> None:
+        if server.ejection_ms:
+            server.ejection_ms = 0
+            server.ramp_from_ms = now_ms
+            server.ramp_length_ms = REENTRY_RAMP_MS
+        server.failure_count = 0
+        server.back_off_ms = 0
+        before_ms = server.find_latency_ms(now_ms)
+        is_rising = latency_ms > before_ms
+        weight = RISE_WEIGHT if is_rising else FALL_WEIGHT
+        if not server.least_latency_ms:
+            weight = 1.0
+            server.least_latency_ms = latency_ms
+        server.latency_ms = before_ms + (latency_ms - before_ms) * weight
+        server.least_latency_ms = min(
+            server.least_latency_ms, server.latency_ms
+        )
+        server.heard_at_ms = now_ms
+
+    def _take_shed(
+        self, server: _Server, retry_after_ms: int, now_ms: int
+    ) -> None:
+        doubled_ms = max(FIRST_SHED_BACK_OFF_MS, 2 * server.back_off_ms)
+        # Seconds, in which a server asks callers to come back, are far more
+        # than it takes to free some slots.
+        longest_ms = min(MAX_SHED_BACK_OFF_MS, retry_after_ms)
+        server.back_off_ms = min(doubled_ms, longest_ms)
+        spread_ms = self._random.randint(0, server.back_off_ms // 2)
+        server.back_off_until_ms = now_ms + server.back_off_ms + spread_ms
+
+    def _take_failure(self, server: _Server, now_ms: int) -> None:
+        server.failure_count += 1
+        is_reentry = server.ejection_ms > 0
+        if server.failure_count < FAILURES_TO_EJECT and not is_reentry:
+            return
+        doubled_ms = max(FIRST_EJECTION_MS, 2 * server.ejection_ms)
+        server.ejection_ms = min(doubled_ms, MAX_EJECTION_MS)
+        server.ejected_until_ms = now_ms + server.ejection_ms
--- /dev/null
+++ b/src/rhubarblead/requests/slots.py
@@ -0,0 +1,126 @@
+"""Lets worker threads wait for their turn at the upstream."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import threading
+
+import result
+
+from rhubarblead import clock
+from rhubarblead import refusal
+from rhubarblead.requests import admission
+
+_MS_PER_S = 1_000
+
+
+class _Waiter:
+    """One thread that waits for its turn."""
+
+    __slots__ = ("is_refused", "turn")
+
+    def __init__(self) -> None:
+        self.turn = threading.Event()
+        self.is_refused = False
+
+
+class SlotQueue:
+    """An admission that is safe between threads.
+
+    Use:
+        entered = queue.enter(ticket)
+        if entered.is_ok():
+            with queue.leaving(ticket.request_id):
+                ...
+    """
+
+    def __init__(
+        self,
+        *,
+        decisions: admission.Admission,
+        read_ms: Callable[[], int] = clock.read_monotonic_ms,
+    ) -> None:
+        self._decisions = decisions
+        self._read_ms = read_ms
+        self._lock = threading.Lock()
+        self._waiters: dict[str, _Waiter] = {}
+
+    def enter(
+        self, ticket: admission.Ticket
+    ) -> result.Result[None, refusal.Refused]:
+        """Waits for a slot, at most until the request's deadline.
+
+        Args:
+            ticket: The request.
+
+        Returns:
+            Nothing when it may run; `leave` must follow. Otherwise why not.
+        """
+        with self._lock:
+            offer = self._decisions.offer(ticket, self._read_ms())
+            match offer:
+                case admission.Start():
+                    return result.Ok(None)
+                case admission.Refuse(refused=refused):
+                    return result.Err(refused)
+                case _:
+                    waiter = _Waiter()
+                    self._waiters[ticket.request_id] = waiter
+        remaining_ms = ticket.deadline_ms - self._read_ms()
+        waiter.turn.wait(max(0, remaining_ms) / _MS_PER_S)
+        return self._end_wait(ticket, waiter)
+
+    def leave(self, request_id: str) -> None:
+        """Frees the slot of a request."""
+        with self._lock:
+            self._take(self._decisions.finish(request_id, self._read_ms()))
+
+    @contextlib.contextmanager
+    def leaving(self, request_id: str) -> Iterator[None]:
+        """Frees the slot of a request at the end of a block."""
+        try:
+            yield
+        finally:
+            self.leave(request_id)
+
+    def set_slots(self, slots: int) -> None:
+        """Changes how many requests run at a time."""
+        with self._lock:
+            self._take(self._decisions.set_slots(slots, self._read_ms()))
+
+    def count_running(self) -> int:
+        """Counts the requests that run."""
+        with self._lock:
+            return self._decisions.running_count
+
+    def count_waiting(self) -> int:
+        """Counts the requests that wait."""
+        with self._lock:
+            return self._decisions.waiting_count
+
+    def _end_wait(
+        self, ticket: admission.Ticket, waiter: _Waiter
+    ) -> result.Result[None, refusal.Refused]:
+        with self._lock:
+            self._waiters.pop(ticket.request_id, None)
+            if waiter.turn.is_set() and not waiter.is_refused:
+                return result.Ok(None)
+            if not waiter.turn.is_set():
+                self._take(
+                    self._decisions.withdraw(ticket.request_id, self._read_ms())
+                )
+            return result.Err(
+                refusal.Refused(
+                    refusal=refusal.Refusal.OVERLOADED,
+                    explanation="no slot was free in time",
+                    retry_after_ms=admission.MIN_RETRY_AFTER_MS,
+                )
+            )
+
+    def _take(self, turn: admission.Turn) -> None:
+        for request_id in turn.started:
+            self._waiters[request_id].turn.set()
+        for request_id in turn.refused:
+            waiter = self._waiters[request_id]
+            waiter.is_refused = True
+            waiter.turn.set()
--- /dev/null
+++ b/tests/steps/admission.py
@@ -0,0 +1,168 @@
+"""Steps for the admission to the upstream's slots."""
+
+from concurrent import futures
+import itertools
+import threading
+
+import behave
+from behave import runner
+
+from rhubarblead import clock
+from rhubarblead.requests import admission
+from rhubarblead.requests import slots
+
+_LETTERS = {admission.Start: "s", admission.Wait: "w", admission.Refuse: "r"}
+
+
+@behave.given(
+    "an admission with {slot_count:d} slots and a queue of {length:d}"
+)
+def make_admission(
+    context: runner.Context, slot_count: int, length: int
+) -> None:
+    context.admission = admission.Admission(
+        slots=slot_count, queue_length=length
+    )
+    context.now_ms = 0
+    context.running = []
+    context.started = []
+    context.refused = []
+    context.together = []
+
+
+@behave.given("its runs were measured at {service_ms:d} ms")
+def measure(context: runner.Context, service_ms: int) -> None:
+    for number in range(200):
+        ticket = admission.Ticket(
+            request_id=f"{number}", key="k", deadline_ms=10**9
+        )
+        context.admission.offer(ticket, context.now_ms)
+        context.now_ms += service_ms
+        context.admission.finish(f"{number}", context.now_ms)
+
+
+@behave.when('the admission is offered "{offers}"')
+def offer(context: runner.Context, offers: str) -> None:
+    context.decisions = []
+    for number, text in enumerate(offers.split()):
+        name = text.lstrip("!")
+        ticket = admission.Ticket(
+            request_id=f"{name[0]}{number}",
+            key=name[0],
+            deadline_ms=context.now_ms + int(name[1:]),
+            is_alone=text.startswith("!"),
+        )
+        context.last = context.admission.offer(ticket, context.now_ms)
+        context.decisions.append(_LETTERS[type(context.last)])
+        if isinstance(context.last, admission.Start):
+            context.running.append(ticket.request_id)
+
+
+def take(context: runner.Context, turn: admission.Turn) -> None:
+    context.running.extend(turn.started)
+    context.started.extend(request_id[0] for request_id in turn.started)
+    context.refused.extend(request_id[0] for request_id in turn.refused)
+    context.together.append([request_id[0] for request_id in context.running])
+
+
+def end_first(context: runner.Context) -> None:
+    ended = context.running.pop(0)
+    take(context, context.admission.finish(ended, context.now_ms))
+
+
+@behave.when("the admission ends its runs one after another")
+def end_all(context: runner.Context) -> None:
+    while context.running:
+        context.now_ms += 1
+        end_first(context)
+
+
+@behave.when("a run of the admission ends after {wait_ms:d} ms")
+def end_one(context: runner.Context, wait_ms: int) -> None:
+    context.now_ms += wait_ms
+    end_first(context)
+
+
+@behave.when('the caller of "{name}" leaves the admission')
+def withdraw(context: runner.Context, name: str) -> None:
+    turn = context.admission.withdraw(f"{name}1", context.now_ms)
+    take(context, turn)
+
+
+@behave.when("the admission's slots become {count:d}")
+def set_slots(context: runner.Context, count: int) -> None:
+    take(context, context.admission.set_slots(count, context.now_ms))
+
+
+@behave.then('the admission decided "{decisions}"')
+def check_decisions(context: runner.Context, decisions: str) -> None:
+    assert context.decisions == decisions.split(), context.decisions
+
+
+@behave.then('the admission started "{names}" in turn')
+@behave.then('the admission started "" in turn')
+def check_started(context: runner.Context, names: str = "") -> None:
+    assert context.started == names.split(), context.started
+
+
+@behave.then('the admission refused "{names}" late')
+def check_refused(context: runner.Context, names: str) -> None:
+    assert context.refused == names.split(), context.refused
+
+
+@behave.then("the admission's last refusal asks to wait {wait_ms:d} ms")
+def check_wait(context: runner.Context, wait_ms: int) -> None:
+    found = context.last.refused.retry_after_ms
+    assert found == wait_ms, found
+
+
+@behave.then('the admission never ran "{name}" beside another')
+def check_alone(context: runner.Context, name: str) -> None:
+    crowds = [crowd for crowd in context.together if name in crowd]
+    assert crowds == [[name]], crowds
+
+
+@behave.when("{count:d} threads go through a queue with {slot_count:d} slots")
+def run_threads(context: runner.Context, count: int, slot_count: int) -> None:
+    queue = slots.SlotQueue(
+        decisions=admission.Admission(
+            slots=slot_count, queue_length=count, key_share_per_mille=1_000
+        )
+    )
+    running = itertools.count()
+    lock = threading.Lock()
+    context.present = []
+    context.most = 0
+
+    def go(number: int) -> bool:
+        ticket = admission.Ticket(
+            request_id=f"{number}",
+            key=f"{number % 5}",
+            deadline_ms=clock.read_monotonic_ms() + 5_000,
+        )
+        if queue.enter(ticket).is_err():
+            return False
+        with queue.leaving(ticket.request_id):
+            with lock:
+                context.present.append(number)
+                context.most = max(context.most, len(context.present))
+            next(running)
+            with lock:
+                context.present.remove(number)
+        return True
+
+    with futures.ThreadPoolExecutor(count) as executor:
+        context.outcomes = list(executor.map(go, range(count)))
+    context.queue = queue
+
+
+@behave.then("never more than {count:d} ran at a time")
+def check_most(context: runner.Context, count: int) -> None:
+    assert 1 <= context.most <= count
+
+
+@behave.then("each thread ran or was refused")
+def check_threads(context: runner.Context) -> None:
+    assert all(context.outcomes)
+    assert context.queue.count_running() == 0
+    assert context.queue.count_waiting() == 0
--- /dev/null
+++ b/tools/balancing.py
@@ -0,0 +1,283 @@
+"""Compares ways to balance load over servers, in a discrete-event loop.
+
+Usage: python -m tools.balancing [--seconds 4] [--seed 1]
+
+Five nodes each choose among five servers with 10 slots and a queue of 20; a
+run takes 20 ms in the mean. Prints one JSON document: for each policy, load and
+trouble the imbalance (busiest server over the mean), latency quantiles and the
+share of requests answered in time.
+"""
+
+import argparse
+from collections.abc import Callable
+import dataclasses
+import heapq
+import itertools
+import json
+import random
+import sys
+
+from rhubarblead.requests import balance
+
+SERVERS = tuple(f"server-{number}" for number in range(5))
+NODE_COUNT = 5
+SLOTS = 10
+QUEUE_LENGTH = 20
+SERVICE_MS = 20.0
+WAY_MS = 1.0
+DEADLINE_MS = 500
+REPORT_MS = 500
+SHED_RETRY_AFTER_MS = 1_000
+TRIES = 2
+COLD_START_MS = 2_000
+COLD_FROM_MS = 1_000
+COLD_SLOWDOWN = 4.0
+SLOWDOWN = 3.0
+LOADS = (0.5, 0.9, 1.3, 2.0)
+TROUBLES = ("none", "lying", "slow", "cold")
+CAPACITY_PER_MS = len(SERVERS) * SLOTS / SERVICE_MS
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Request:
+    """One request on its way."""
+
+    started_at_ms: float
+    node: int
+    tries: int = 0
+    sent_at_ms: float = 0.0
+    server: str = ""
+
+
+class Server:
+    """A server with slots, a queue and perhaps a trouble."""
+
+    def __init__(self, *, name: str, trouble: str) -> None:
+        self.name = name
+        self.trouble = trouble if name == SERVERS[0] else "none"
+        self.running_count = 0
+        self.busy_ms = 0.0
+        self.queue: list[Request] = []
+
+    def find_slowdown(self, now_ms: float) -> float:
+        """Finds how much longer a run takes now."""
+        if self.trouble in ("slow", "lying"):
+            return SLOWDOWN
+        if self.trouble == "cold":
+            age = (now_ms - COLD_FROM_MS) / COLD_START_MS
+            return max(1.0, COLD_SLOWDOWN - (COLD_SLOWDOWN - 1) * age)
+        return 1.0
+
+    def is_up(self, now_ms: float) -> bool:
+        """Tells whether the server has started."""
+        return self.trouble != "cold" or now_ms >= COLD_FROM_MS
+
+    def report(self) -> int:
+        """Reports the requests that it has; a lying one reports none."""
+        if self.trouble == "lying":
+            return 0
+        return self.running_count + len(self.queue)
+
+
+class Policy:
+    """Chooses by the product's balancer; the base of the others."""
+
+    def __init__(self, *, seed: int) -> None:
+        self.balancer = balance.Balancer(random_source=random.Random(seed))
+
+    def choose(self, servers: list[str], now_ms: float) -> str | None:
+        """Chooses a server."""
+        return self.balancer.choose(servers, int(now_ms))
+
+
+class RandomPolicy(Policy):
+    """Chooses at random."""
+
+    def __init__(self, *, seed: int) -> None:
+        super().__init__(seed=seed)
+        self._random = random.Random(seed)
+
+    def choose(self, servers: list[str], now_ms: float) -> str | None:
+        """Chooses a server."""
+        return self._random.choice(servers) if servers else None
+
+
+class RoundRobinPolicy(Policy):
+    """Chooses in turns."""
+
+    def __init__(self, *, seed: int) -> None:
+        super().__init__(seed=seed)
+        self._turn = seed
+
+    def choose(self, servers: list[str], now_ms: float) -> str | None:
+        """Chooses a server."""
+        self._turn += 1
+        return servers[self._turn % len(servers)] if servers else None
+
+
+POLICIES: dict[str, type[Policy]] = {
+    "balancer": Policy,
+    "round-robin": RoundRobinPolicy,
+    "random": RandomPolicy,
+}
+
+
+class Bench:
+    """One run of one policy under one load and trouble."""
+
+    def __init__(
+        self, *, policy: str, load: float, trouble: str, seed: int
+    ) -> None:
+        self._random = random.Random(seed)
+        self._policies = [
+            POLICIES[policy](seed=seed + node) for node in range(NODE_COUNT)
+        ]
+        self._servers = {
+            name: Server(name=name, trouble=trouble) for name in SERVERS
+        }
+        self._per_ms = load * CAPACITY_PER_MS
+        self._events: list[tuple[float, int, Callable[[float], None]]] = []
+        self._order = itertools.count()
+        self._latencies: list[float] = []
+        self._sent_count = 0
+
+    def run(self, length_ms: int) -> dict[str, float]:
+        """Runs the events, and reports."""
+        self._at(0, lambda now_ms: self._arrive(now_ms, length_ms))
+        self._at(REPORT_MS, lambda now_ms: self._report(now_ms, length_ms))
+        self._at(COLD_FROM_MS, self._start_cold)
+        while self._events:
+            now_ms, _, act = heapq.heappop(self._events)
+            act(now_ms)
+        return self._summarise()
+
+    def _at(self, moment_ms: float, act: Callable[[float], None]) -> None:
+        heapq.heappush(self._events, (moment_ms, next(self._order), act))
+
+    def _arrive(self, now_ms: float, length_ms: int) -> None:
+        if now_ms >= length_ms:
+            return
+        self._sent_count += 1
+        node = self._random.randrange(NODE_COUNT)
+        self._send(Request(started_at_ms=now_ms, node=node), now_ms)
+        gap_ms = self._random.expovariate(self._per_ms)
+        self._at(now_ms + gap_ms, lambda t: self._arrive(t, length_ms))
+
+    def _report(self, now_ms: float, length_ms: int) -> None:
+        for server in self._servers.values():
+            for policy in self._policies:
+                policy.balancer.take_report(
+                    server.name,
+                    in_flight=server.report(),
+                    slots=SLOTS,
+                    now_ms=int(now_ms),
+                )
+        if now_ms < length_ms:
+            self._at(now_ms + REPORT_MS, lambda t: self._report(t, length_ms))
+
+    def _start_cold(self, now_ms: float) -> None:
+        if self._servers[SERVERS[0]].trouble != "cold":
+            return
+        for policy in self._policies:
+            policy.balancer.take_start(
+                SERVERS[0], cold_start_ms=COLD_START_MS, now_ms=int(now_ms)
+            )
+
+    def _send(self, request: Request, now_ms: float) -> None:
+        policy = self._policies[request.node]
+        able = [s.name for s in self._servers.values() if s.is_up(now_ms)]
+        if request.server in able and len(able) > 1:
+            able.remove(request.server)
+        chosen = policy.choose(able, now_ms)
+        if chosen is None:
+            return
+        request.server = chosen
+        request.sent_at_ms = now_ms
+        request.tries += 1
+        policy.balancer.begin(chosen, int(now_ms))
+        self._at(now_ms + WAY_MS, lambda t: self._receive(request, t))
+
+    def _receive(self, request: Request, now_ms: float) -> None:
+        server = self._servers[request.server]
+        if server.running_count < SLOTS:
+            self._begin(server, request, now_ms)
+        elif len(server.queue) < QUEUE_LENGTH:
+            server.queue.append(request)
+        else:
+            self._at(now_ms + WAY_MS, lambda t: self._take_shed(request, t))
+
+    def _begin(self, server: Server, request: Request, now_ms: float) -> None:
+        server.running_count += 1
+        service_ms = self._random.expovariate(1 / SERVICE_MS)
+        service_ms *= server.find_slowdown(now_ms)
+        server.busy_ms += service_ms
+        self._at(now_ms + service_ms, lambda t: self._end(server, request, t))
+
+    def _end(self, server: Server, request: Request, now_ms: float) -> None:
+        server.running_count -= 1
+        self._at(now_ms + WAY_MS, lambda t: self._take_answer(request, t))
+        if server.queue:
+            self._begin(server, server.queue.pop(0), now_ms)
+
+    def _take_answer(self, request: Request, now_ms: float) -> None:
+        self._finish(request, balance.Ending.ANSWERED, now_ms)
+        self._latencies.append(now_ms - request.started_at_ms)
+
+    def _take_shed(self, request: Request, now_ms: float) -> None:
+        self._finish(request, balance.Ending.SHED, now_ms)
+        if request.tries < TRIES:
+            self._send(request, now_ms)
+
+    def _finish(
+        self, request: Request, ending: balance.Ending, now_ms: float
+    ) -> None:
+        self._policies[request.node].balancer.finish(
+            request.server,
+            ending=ending,
+            latency_ms=now_ms - request.sent_at_ms,
+            now_ms=int(now_ms),
+            retry_after_ms=SHED_RETRY_AFTER_MS,
+        )
+
+    def _summarise(self) -> dict[str, float]:
+        ordered = sorted(self._latencies)
+        busy = [server.busy_ms for server in self._servers.values()]
+        in_time = sum(latency <= DEADLINE_MS for latency in ordered)
+        return {
+            "imbalance": round(max(busy) * len(busy) / sum(busy), 3),
+            "p50_ms": _find_quantile(ordered, 0.5),
+            "p99_ms": _find_quantile(ordered, 0.99),
+            "p999_ms": _find_quantile(ordered, 0.999),
+            "in_time": round(in_time / self._sent_count, 4),
+        }
+
+
+def _find_quantile(ordered: list[float], share: float) -> float:
+    return round(ordered[min(len(ordered) - 1, int(share * len(ordered)))], 1)
+
+
+def main(arguments: list[str]) -> int:
+    """Runs all combinations and prints them as JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seconds", type=float, default=4)
+    parser.add_argument("--seed", type=int, default=1)
+    options = parser.parse_args(arguments)
+    results = [
+        {
+            "trouble": trouble,
+            "load": load,
+            "policy": policy,
+            **Bench(
+                policy=policy, load=load, trouble=trouble, seed=options.seed
+            ).run(int(options.seconds * 1_000)),
+        }
+        for trouble in TROUBLES
+        for load in LOADS
+        for policy in POLICIES
+    ]
+    print(json.dumps({"seed": options.seed, "results": results}, indent=1))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
