Admit requests at the node, balance by observation, stop poison requests

Cause: nothing bounded what waits at a node, the balanced choice counted only requests in flight, and a request that crashes servers could empty a pool. Change: requests take turns at the upstream's slots, fairly among keys; calls and callers beyond a bound are refused at once with when to come back; servers are chosen by observed latency and warm up; a crash makes suspects of all that ran, other nodes of the pool and the retry carry the mark, suspects run alone. The queue's length is a setting of the node, no longer a field of the pools.

--- a/src/rhubarblead/messages.py
+++ b/src/rhubarblead/messages.py
@@ -19,7 +19,7 @@
     sending. `shard` is -1 for a balanced pool. `ownership_revision` is the
     revision by which the sender chose the receiver. The receiver runs a call
     once, however often it arrives; a try anew of the same request is another
-    call.
+    call. `is_suspect` says that a server crashed while it ran the request.
     """
 
     call_id: str
@@ -38,6 +38,7 @@
     ownership_revision: int
     body_size: int
     body_digest: int
+    is_suspect: bool = False
 
 
 class Ack(msgspec.Struct, frozen=True, kw_only=True, tag="ack"):
@@ -63,6 +64,7 @@
     owner: str = ""
     ownership_revision: int = 0
     server: str = ""
+    is_suspect: bool = False
     body_size: int = 0
     body_digest: int = 0
 
--- a/src/rhubarblead/node/choice.py
+++ b/src/rhubarblead/node/choice.py
@@ -5,23 +5,60 @@
 import random
 import threading
 
+from rhubarblead import clock
 from rhubarblead import membership
+from rhubarblead import refusal as refusals
 from rhubarblead import tables as tables_lib
 from rhubarblead.node import outcome as outcomes
 from rhubarblead.node import view as views
+from rhubarblead.requests import balance
 
-_CHOICES = 2
+_SHEDDING = frozenset({refusals.Refusal.SHED, refusals.Refusal.OVERLOADED})
+_FAILING = frozenset({
+    refusals.Refusal.POOL_DOWN,
+    refusals.Refusal.DRAINING,
+    refusals.Refusal.DEADLINE,
+    refusals.Refusal.PEER_LOST,
+    refusals.Refusal.UPSTREAM_FAILED,
+    refusals.Refusal.ANSWER_BROKEN,
+})
+
+
+class Observation:
+    """The outcome of one request at one server, as far as it has come."""
+
+    __slots__ = ("outcome",)
+
+    def __init__(self) -> None:
+        self.outcome: outcomes.Outcome | None = None
+
+    def take(self, outcome: outcomes.Outcome) -> None:
+        """Takes the outcome."""
+        self.outcome = outcome
+
+    @property
+    def ending(self) -> balance.Ending:
+        """How the request ended, as far as balance is concerned."""
+        if self.outcome is None:
+            return balance.Ending.CANCELLED
+        if self.outcome.refusal is None:
+            return balance.Ending.ANSWERED
+        if self.outcome.refusal in _SHEDDING:
+            return balance.Ending.SHED
+        if self.outcome.refusal in _FAILING:
+            return balance.Ending.FAILED
+        return balance.Ending.CANCELLED
 
 
 class ServerChoice:
-    """Chooses the less busy of two random servers, by own requests."""
+    """A balancer for all balanced pools, called from many threads."""
 
-    __slots__ = ("_in_flight", "_lock", "_random")
+    __slots__ = ("_balancer", "_lock", "_seen")
 
     def __init__(self, *, generator: random.Random) -> None:
-        self._in_flight: dict[str, int] = {}
+        self._balancer = balance.Balancer(random_source=generator)
         self._lock = threading.Lock()
-        self._random = generator
+        self._seen: dict[str, frozenset[str]] = {}
 
     def choose(
         self, *, view: views.View, pool: tables_lib.Pool, excluded: set[str]
@@ -34,43 +71,56 @@
             excluded: Members that were tried.
 
         Returns:
-            A member; None when there is none left.
+            A member; None when there is none left, or all shed load.
         """
-        able = [
-            member
+        members = {
+            member.member_id: member
             for member in view.state.list_pool(pool.name)
-            if member.member_id not in excluded
-            and pool.is_naming(member.instance)
-        ]
-        if not able:
-            return None
+            if pool.is_naming(member.instance)
+        }
+        now_ms = clock.read_monotonic_ms()
         with self._lock:
-            drawn = self._random.sample(able, min(_CHOICES, len(able)))
-            return min(drawn, key=lambda m: self._in_flight.get(m.member_id, 0))
+            self._follow(pool, frozenset(members), now_ms)
+            chosen = self._balancer.choose(
+                [name for name in members if name not in excluded], now_ms
+            )
+        return members[chosen] if chosen else None
 
     @contextlib.contextmanager
-    def observe(self, member: membership.Member) -> Iterator["Observation"]:
-        """Counts a request in progress at a member."""
-        self._add(member.member_id, 1)
+    def observe(self, member: membership.Member) -> Iterator[Observation]:
+        """Counts a request in progress at a member, and notes its end."""
+        name = member.member_id
+        observation = Observation()
+        began_ms = clock.read_monotonic_ms()
+        with self._lock:
+            self._balancer.begin(name, began_ms)
         try:
-            yield Observation()
+            yield observation
         finally:
-            self._add(member.member_id, -1)
-
-    def _add(self, member_id: str, change: int) -> None:
-        with self._lock:
-            count = self._in_flight.get(member_id, 0) + change
-            if count:
-                self._in_flight[member_id] = count
-            else:
-                self._in_flight.pop(member_id, None)
-
-
-class Observation:
-    """Takes the outcome of one request at one server."""
-
-    __slots__ = ()
-
-    def take(self, outcome: outcomes.Outcome) -> None:
-        """Takes the outcome."""
-        del outcome
+            now_ms = clock.read_monotonic_ms()
+            outcome = observation.outcome
+            with self._lock:
+                self._balancer.finish(
+                    name,
+                    ending=observation.ending,
+                    latency_ms=now_ms - began_ms,
+                    now_ms=now_ms,
+                    retry_after_ms=outcome.retry_after_ms if outcome else 0,
+                )
+
+    def _follow(
+        self, pool: tables_lib.Pool, members: frozenset[str], now_ms: int
+    ) -> None:
+        """Lets members that joined later warm up."""
+        seen = self._seen.get(pool.name)
+        if seen == members:
+            return
+        self._seen[pool.name] = members
+        if seen is None:
+            return
+        for member_id in members - seen:
+            self._balancer.take_start(
+                member_id, cold_start_ms=pool.cold_start_ms, now_ms=now_ms
+            )
+        known = frozenset().union(*self._seen.values())
+        self._balancer.keep(sorted(known))
--- a/src/rhubarblead/node/control.py
+++ b/src/rhubarblead/node/control.py
@@ -52,6 +52,13 @@
     is_serving: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SuspectFound:
+    """The upstream crashed; the other nodes of its pool should know."""
+
+    suspect: messages.Suspect
+
+
 class Drain:
     """The node is to hand over everything and leave."""
 
@@ -61,7 +68,12 @@
 
 
 Item: TypeAlias = (
-    store_jobs.StoreResult | planning.Planned | UpstreamChanged | Drain | Stop
+    store_jobs.StoreResult
+    | planning.Planned
+    | UpstreamChanged
+    | SuspectFound
+    | Drain
+    | Stop
 )
 
 
@@ -87,6 +99,7 @@
         "_observer",
         "_plans",
         "_reads",
+        "_take_suspect",
         "_tick_due_ms",
         "_traffic",
         "_writes",
@@ -102,6 +115,7 @@
         observer: observers.Observer,
         events: log.EventLog,
         shard_traffic: traffic.ShardTraffic,
+        take_suspect: Callable[[messages.Suspect], None],
         plan_executor: futures.Executor,
         make_jobs: Callable[
             [Callable[[store_jobs.StoreResult], None]], store_jobs.StoreJobs
@@ -123,6 +137,7 @@
             executor=plan_executor, post=self._inbox.put
         )
         self._traffic = shard_traffic
+        self._take_suspect = take_suspect
         self._loads = traffic.LoadBook()
         self._reads = reading.ReadSchedule(platform=node.platform)
         self._writes = writing.WriteState()
@@ -190,6 +205,8 @@
                 self._answer_news_request(revisions, sender)
             case messages.News():
                 self._take_news(message, now_ms)
+            case messages.Suspect():
+                self._take_suspect(message)
             case messages.ShardLoads():
                 self._loads.take(message, now_ms)
 
@@ -250,6 +267,8 @@
         match item:
             case UpstreamChanged(is_serving=is_serving):
                 self._agenda.is_fit = is_serving
+            case SuspectFound(suspect=suspect):
+                self._spread_suspect(suspect)
             case Drain():
                 self._agenda.is_draining = True
                 self._events.emit(catalog.Event.NODE_DRAINING)
@@ -328,6 +347,17 @@
                 self._agenda.end(proposal, is_committed=False, now_ms=now_ms)
                 self._reads.want_ownership()
 
+    def _spread_suspect(self, suspect: messages.Suspect) -> None:
+        tenure = self._agenda.tenure
+        state = self._journal.state
+        record = state.members.get(tenure.member_id) if tenure else None
+        if record is None:
+            return
+        frame = messages.encode(suspect)
+        for member in state.list_pool(record.pool):
+            if member.member_id != record.member_id:
+                self._send_frame(member.member_id, frame)
+
     # What follows from newer facts.
 
     def _follow(
--- a/src/rhubarblead/node/daemon.py
+++ b/src/rhubarblead/node/daemon.py
@@ -24,6 +24,7 @@
 from rhubarblead.node import choice
 from rhubarblead.node import control
 from rhubarblead.node import copies
+from rhubarblead.node import crashes
 from rhubarblead.node import execution
 from rhubarblead.node import front
 from rhubarblead.node import gate
@@ -39,13 +40,16 @@
 from rhubarblead.platform import ownership_log
 from rhubarblead.platform import store
 from rhubarblead.platform import table_log
+from rhubarblead.requests import admission
 from rhubarblead.requests import retries
+from rhubarblead.requests import slots
 from rhubarblead.transport import exchange
 from rhubarblead.transport import links
 
 _STORE_THREADS = 3
 _TASK_THREADS = 4
 _LEDGER_THREADS = 2
+_FIRST_SLOTS = 1
 _LEAVE_POLL_S = 0.05
 _FLUSH_S = 1.0
 _SWITCH_INTERVAL_S = 0.001
@@ -98,7 +102,17 @@
         self._replicas = replicas.ReplicaBook(
             capacity=node.limits.ledger_entries
         )
-        self._execution = execution.Execution(instance=node.instance)
+        self._slots = slots.SlotQueue(
+            decisions=admission.Admission(
+                slots=_FIRST_SLOTS, queue_length=node.limits.queue_length
+            )
+        )
+        self._crashes = crashes.CrashWatch(
+            events=self._events,
+            spread=lambda suspect: self._control.post(
+                control.SuspectFound(suspect=suspect)
+            ),
+        )
         self._protection = protection.Protection(
             capacity=node.limits.ledger_entries,
             keeper=copies.CopyKeeper(peers=self._exchange),
@@ -117,6 +131,7 @@
             ),
             events=self._events,
             shard_traffic=self._traffic,
+            take_suspect=self._crashes.take_suspect,
             plan_executor=self._plan_executor,
             make_jobs=self._make_jobs,
         )
@@ -125,6 +140,13 @@
             events=self._events,
             on_change=self._report_upstream,
         )
+        self._execution = execution.Execution(
+            instance=node.instance,
+            queue=self._slots,
+            watch=self._crashes,
+            find_crash=self._upstream.find_crash,
+            events=self._events,
+        )
         self._local = local.LocalServer(
             board=self._board,
             shard_gate=self._gate,
@@ -184,6 +206,8 @@
     def _report_upstream(self) -> None:
         upstream = self._upstream.read()
         is_serving = upstream is not None and upstream.is_serving
+        if upstream is not None:
+            self._slots.set_slots(upstream.announcement.slots)
         self._control.post(control.UpstreamChanged(is_serving=is_serving))
 
     def run(self) -> None:
--- a/src/rhubarblead/node/execution.py
+++ b/src/rhubarblead/node/execution.py
@@ -1,49 +1,93 @@
-"""Sends admitted requests to the upstream and counts those in progress."""
+"""Runs requests at the upstream, as many at a time as it has slots."""
 
 from collections.abc import Callable
-import threading
+import dataclasses
 from typing import TypeAlias
 
 import result
 
 from rhubarblead import refusal as refusals
 from rhubarblead import verdict as verdicts
+from rhubarblead.events import catalog
+from rhubarblead.events import log
+from rhubarblead.node import crashes
 from rhubarblead.node import outcome as outcomes
+from rhubarblead.node import work as works
+from rhubarblead.requests import admission
+from rhubarblead.requests import poison
+from rhubarblead.requests import slots
 from rhubarblead.upstream import client
 
-Send: TypeAlias = Callable[
-    [], result.Result[client.UpstreamAnswer, client.UpstreamFailure]
-]
+Sent: TypeAlias = result.Result[client.UpstreamAnswer, client.UpstreamFailure]
+Send: TypeAlias = Callable[[], Sent]
 
 
 class Execution:
-    """Turns what the upstream did into outcomes; called from many threads."""
+    """Admits requests and turns what the upstream did into outcomes.
 
-    __slots__ = ("_count", "_instance", "_lock")
+    Called from many threads. `find_crash` names the run of the upstream that
+    has just ended, and is empty while it still answers.
+    """
 
-    def __init__(self, *, instance: str) -> None:
+    __slots__ = ("_crashes", "_events", "_find_crash", "_instance", "_slots")
+
+    def __init__(
+        self,
+        *,
+        instance: str,
+        queue: slots.SlotQueue,
+        watch: crashes.CrashWatch,
+        find_crash: Callable[[], str],
+        events: log.EventLog,
+    ) -> None:
         self._instance = instance
-        self._count = 0
-        self._lock = threading.Lock()
+        self._slots = queue
+        self._crashes = watch
+        self._find_crash = find_crash
+        self._events = events
 
     def count_in_flight(self) -> int:
-        """Counts the requests in progress at the upstream."""
-        return self._count
+        """Counts the requests that run or wait here."""
+        return self._slots.count_running() + self._slots.count_waiting()
 
-    def run(self, send: Send) -> outcomes.Outcome:
+    def run(self, work: works.Work, send: Send) -> outcomes.Outcome:
         """Runs a request.
 
         Args:
+            work: The request.
             send: Sends it to the upstream.
 
         Returns:
             The upstream's answer, or a refusal with its verdict.
         """
-        self._add(1)
+        judgement = self._crashes.judge(work)
+        if judgement is poison.Judgement.CONDEMNED:
+            return self._condemn(work)
+        ticket = admission.Ticket(
+            request_id=work.forward.call_id,
+            key=work.forward.key,
+            deadline_ms=work.deadline_ms,
+            is_alone=judgement is poison.Judgement.ALONE,
+        )
+        entered = self._slots.enter(ticket)
+        if isinstance(entered, result.Err):
+            return outcomes.refuse(entered.err_value)
+        with self._slots.leaving(ticket.request_id):
+            return self._run_admitted(work, send)
+
+    def _run_admitted(
+        self, work: works.Work, send: Send
+    ) -> outcomes.Outcome:
+        self._crashes.begin(work)
+        is_answered = False
         try:
             sent = send()
+            is_answered = sent.is_ok()
+            return self._conclude(sent)
         finally:
-            self._add(-1)
+            self._crashes.end(work, is_answered=is_answered)
+
+    def _conclude(self, sent: Sent) -> outcomes.Outcome:
         match sent:
             case result.Ok(answer):
                 return outcomes.Outcome(
@@ -55,15 +99,34 @@
                     server=self._instance,
                 )
             case result.Err(failure):
-                return outcomes.refuse(
-                    refusals.Refused(
-                        refusal=failure.refusal,
-                        explanation=failure.explanation,
-                        retry_after_ms=failure.retry_after_ms,
-                    ),
-                    failure.verdict,
-                )
+                return self._conclude_failure(failure)
+
+    def _conclude_failure(
+        self, failure: client.UpstreamFailure
+    ) -> outcomes.Outcome:
+        crash_id = self._find_crash() if failure.is_crash_suspected else ""
+        if crash_id:
+            self._crashes.take_crash(crash_id)
+        refused = outcomes.refuse(
+            refusals.Refused(
+                refusal=failure.refusal,
+                explanation=failure.explanation,
+                retry_after_ms=failure.retry_after_ms,
+            ),
+            failure.verdict,
+        )
+        return dataclasses.replace(refused, is_suspect=bool(crash_id))
 
-    def _add(self, change: int) -> None:
-        with self._lock:
-            self._count += change
+    def _condemn(self, work: works.Work) -> outcomes.Outcome:
+        self._events.emit(
+            catalog.Event.REQUEST_CONDEMNED,
+            fingerprint=f"{crashes.identify(work):016x}",
+            pool=work.forward.pool,
+            route=work.forward.route,
+        )
+        return outcomes.refuse(
+            refusals.Refused(
+                refusal=refusals.Refusal.POISON,
+                explanation="this request crashes the servers that run it",
+            )
+        )
--- a/src/rhubarblead/node/intake.py
+++ b/src/rhubarblead/node/intake.py
@@ -63,7 +63,12 @@
     timeout_ms: int
 
     def build_forward(
-        self, *, shard: int, remaining_ms: int, ownership_revision: int
+        self,
+        *,
+        shard: int,
+        remaining_ms: int,
+        ownership_revision: int,
+        is_suspect: bool,
     ) -> messages.Forward:
         """Builds the message that carries the request to a node.
 
@@ -71,6 +76,7 @@
             shard: The key's shard; -1 for a balanced pool.
             remaining_ms: How long the caller still waits.
             ownership_revision: The revision by which the node was chosen.
+            is_suspect: Whether a server crashed while it ran the request.
 
         Returns:
             The message, without the digest of its body.
@@ -92,6 +98,7 @@
             ownership_revision=ownership_revision,
             body_size=len(self.request.body),
             body_digest=0,
+            is_suspect=is_suspect,
         )
 
 
--- a/src/rhubarblead/node/outcome.py
+++ b/src/rhubarblead/node/outcome.py
@@ -16,7 +16,8 @@
     """An upstream's answer, or a refusal.
 
     `server` is the instance that answered and `owner` the `ip:port` of the
-    owner's node for callers; both are empty when not known.
+    owner's node for callers; both are empty when not known. `is_suspect` says
+    that the server crashed while it ran the request.
     """
 
     verdict: verdicts.Verdict
@@ -29,6 +30,7 @@
     server: str = ""
     owner: str = ""
     ownership_revision: int = 0
+    is_suspect: bool = False
 
 
 class _RefusalBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -95,6 +97,7 @@
         owner=outcome.owner,
         ownership_revision=outcome.ownership_revision,
         server=outcome.server,
+        is_suspect=outcome.is_suspect,
         body_size=len(outcome.body),
         body_digest=exchange.digest_body(outcome.body),
     )
@@ -114,4 +117,5 @@
         server=answer.server,
         owner=answer.owner,
         ownership_revision=answer.ownership_revision,
+        is_suspect=answer.is_suspect,
     )
--- a/src/rhubarblead/node/probes.py
+++ b/src/rhubarblead/node/probes.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import http.client
+import socket
 import threading
 
 from rhubarblead import clock
@@ -84,6 +85,28 @@
         """Takes note that the upstream has just answered a request."""
         self._monitor.take_answer(clock.read_monotonic_ms())
 
+    def find_crash(self) -> str:
+        """Finds out whether the upstream's process has just ended.
+
+        Returns:
+            A name for that run of the upstream; empty when it still answers
+            or may do so.
+        """
+        view = self._view
+        if view is None:
+            return ""
+        announced = view.announcement
+        try:
+            with socket.create_connection(
+                (announced.ip_address, announced.port),
+                timeout=self._settings.probe_timeout_ms / 1000,
+            ):
+                return ""
+        except ConnectionRefusedError:
+            return f"{announced.server}.{announced.incarnation}"
+        except OSError:
+            return ""
+
     def stop(self) -> None:
         """Lets `run` return."""
         self._stop.set()
--- a/src/rhubarblead/node/routing.py
+++ b/src/rhubarblead/node/routing.py
@@ -58,8 +58,13 @@
     accepted: intake.Accepted
     deadline_ms: int
     verdict: verdicts.Verdict = verdicts.Verdict.NOT_RUN
+    is_suspect: bool = False
     tried: set[str] = dataclasses.field(default_factory=set)
 
+    def note(self, outcome: outcomes.Outcome) -> None:
+        self.verdict = verdicts.join_verdicts(self.verdict, outcome.verdict)
+        self.is_suspect = self.is_suspect or outcome.is_suspect
+
     def find_remaining_ms(self) -> int:
         return self.deadline_ms - clock.read_monotonic_ms()
 
@@ -140,9 +145,7 @@
             outcome = self._try_owner(view, state)
             if not self._is_owner_awaited(state, outcome):
                 return outcome
-            state.verdict = verdicts.join_verdicts(
-                state.verdict, outcome.verdict
-            )
+            state.note(outcome)
             if not self._wait_for_owner(view, state, outcome):
                 return outcome
 
@@ -208,9 +211,7 @@
                 observation.take(outcome)
             if not self._may_try_elsewhere(state, outcome):
                 return outcome
-            state.verdict = verdicts.join_verdicts(
-                state.verdict, outcome.verdict
-            )
+            state.note(outcome)
 
     def _may_try_elsewhere(
         self, state: _Try, outcome: outcomes.Outcome
@@ -244,6 +245,7 @@
             shard=shard,
             remaining_ms=remaining_ms,
             ownership_revision=view.state.revision,
+            is_suspect=state.is_suspect,
         )
         body = state.accepted.request.body
         if member.member_id == view.member_id:
--- a/src/rhubarblead/settings.py
+++ b/src/rhubarblead/settings.py
@@ -85,6 +85,8 @@
     """Threads for requests that other nodes pass on."""
     request_bytes: Annotated[int, pydantic.Field(ge=1024, le=2**30)] = 2**26
     """Bodies that the node holds at a time."""
+    queue_length: Annotated[int, pydantic.Field(ge=0, le=100_000)] = 64
+    """Requests that wait for a slot of the upstream."""
     ledger_entries: Annotated[int, pydantic.Field(ge=16, le=10**7)] = 50_000
     """Unrepeatable requests that the node remembers."""
     retry_per_mille: Annotated[int, pydantic.Field(ge=0, le=1000)] = 100
--- a/src/rhubarblead/tables.py
+++ b/src/rhubarblead/tables.py
@@ -89,7 +89,6 @@
     settle_ms: Annotated[int, pydantic.Field(ge=0, le=60_000)] = 400
     slots: Annotated[int, pydantic.Field(ge=1, le=10_000)] = 20
     connections: Annotated[int, pydantic.Field(ge=1, le=100_000)] = 130
-    queue_length: Annotated[int, pydantic.Field(ge=0, le=100_000)] = 64
     cold_start_ms: Annotated[int, pydantic.Field(ge=0, le=600_000)] = 10_000
     remember_ms: Annotated[int, pydantic.Field(ge=0, le=86_400_000)] = 600_000
 
