--- a/src/rhubarblead/node/choice.py
+++ b/src/rhubarblead/node/choice.py
@@ -14,14 +14,16 @@
 from rhubarblead.requests import balance
 
 _SHEDDING = frozenset({refusals.Refusal.SHED, refusals.Refusal.OVERLOADED})
-_FAILING = frozenset({
-    refusals.Refusal.POOL_DOWN,
-    refusals.Refusal.DRAINING,
-    refusals.Refusal.DEADLINE,
-    refusals.Refusal.PEER_LOST,
-    refusals.Refusal.UPSTREAM_FAILED,
-    refusals.Refusal.ANSWER_BROKEN,
-})
+_FAILING = frozenset(
+    {
+        refusals.Refusal.POOL_DOWN,
+        refusals.Refusal.DRAINING,
+        refusals.Refusal.DEADLINE,
+        refusals.Refusal.PEER_LOST,
+        refusals.Refusal.UPSTREAM_FAILED,
+        refusals.Refusal.ANSWER_BROKEN,
+    }
+)
 
 
 class Observation:
--- a/src/rhubarblead/node/daemon.py
+++ b/src/rhubarblead/node/daemon.py
@@ -97,6 +97,7 @@
             limits=node.limits,
             executor=self._peer_executor,
             serve=self._serve,
+            refuse=routing.refuse_call,
         )
         self._agenda = agenda.Agenda(node=node, shard_gate=self._gate)
         self._replicas = replicas.ReplicaBook(
@@ -265,10 +266,14 @@
         self._stopping.set()
 
     def _start_front(self) -> None:
+        application = front.Application(
+            route=self._router.handle,
+            admin=self._admin.handle,
+            refuse=routing.refuse_overload,
+            queue_length=self._node.limits.queue_length,
+        )
         server = waitress.server.create_server(
-            front.Application(
-                route=self._router.handle, admin=self._admin.handle
-            ),
+            application,
             host=str(self._node.ip_address),
             port=self._node.http_port,
             threads=self._node.limits.threads,
@@ -278,6 +283,7 @@
             ident=None,
         )
         server.channel_class = front.Channel
+        application.watch(lambda: len(server.task_dispatcher.queue))
         thread = threading.Thread(target=server.run, daemon=True)
         thread.start()
         self._stack.callback(server.close)
--- a/src/rhubarblead/node/execution.py
+++ b/src/rhubarblead/node/execution.py
@@ -75,9 +75,7 @@
         with self._slots.leaving(ticket.request_id):
             return self._run_admitted(work, send)
 
-    def _run_admitted(
-        self, work: works.Work, send: Send
-    ) -> outcomes.Outcome:
+    def _run_admitted(self, work: works.Work, send: Send) -> outcomes.Outcome:
         self._crashes.begin(work)
         is_answered = False
         try:
--- a/src/rhubarblead/node/front.py
+++ b/src/rhubarblead/node/front.py
@@ -37,28 +37,57 @@
 
 
 class Application:
-    """Hands each request to the router or the operators' handler."""
+    """Hands each request to the router or the operators' handler.
 
-    __slots__ = ("_admin", "_owner_of", "_route")
+    While more requests wait for a thread than `queue_length`, those of callers
+    are refused at once: they would be answered too late.
+    """
+
+    __slots__ = (
+        "_admin",
+        "_count_waiting",
+        "_queue_length",
+        "_refuse",
+        "_route",
+    )
 
-    def __init__(self, *, route: Handler, admin: Handler) -> None:
+    def __init__(
+        self,
+        *,
+        route: Handler,
+        admin: Handler,
+        refuse: Handler,
+        queue_length: int,
+    ) -> None:
         self._route = route
         self._admin = admin
+        self._refuse = refuse
+        self._queue_length = queue_length
+        self._count_waiting: Callable[[], int] = lambda: 0
+
+    def watch(self, count_waiting: Callable[[], int]) -> None:
+        """Sets what counts the requests that wait for a thread."""
+        self._count_waiting = count_waiting
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answers one request, by the WSGI protocol."""
         request = read_request(environ)
-        is_admin = request.path.startswith(ADMIN_PREFIX)
-        handler = self._admin if is_admin else self._route
-        outcome = handler(request)
+        outcome = self._choose_handler(request)(request)
         start_response(
             f"{outcome.status} {outcome.reason}",
             build_headers(request.request_id, outcome),
         )
         return [outcome.body]
 
+    def _choose_handler(self, request: intake.CallerRequest) -> Handler:
+        if request.path.startswith(ADMIN_PREFIX):
+            return self._admin
+        if self._count_waiting() > self._queue_length:
+            return self._refuse
+        return self._route
+
 
 def read_request(environ: dict[str, Any]) -> intake.CallerRequest:
     """Reads a request from a WSGI environment."""
--- a/src/rhubarblead/node/local.py
+++ b/src/rhubarblead/node/local.py
@@ -152,8 +152,7 @@
         if remaining_ms <= 0:
             return _refuse(refusals.Refusal.DEADLINE, "no time is left")
         outcome = self._execution.run(
-            work,
-            lambda: self._send(upstream, work, headers, remaining_ms)
+            work, lambda: self._send(upstream, work, headers, remaining_ms)
         )
         if outcome.refusal is None:
             self._upstream.take_answer()
--- a/src/rhubarblead/node/routing.py
+++ b/src/rhubarblead/node/routing.py
@@ -346,6 +346,22 @@
         return outcomes.encode_reply(forward.call_id, outcome)
 
 
+def refuse_call(forward: messages.Forward) -> exchange.Reply:
+    """Refuses a forwarded request that would wait too long for a thread."""
+    refused = _refuse(
+        refusals.Refusal.OVERLOADED, "too many requests are in progress"
+    )
+    return outcomes.encode_reply(forward.call_id, refused)
+
+
+def refuse_overload(request: intake.CallerRequest) -> outcomes.Outcome:
+    """Refuses a caller's request while too many wait for a thread."""
+    del request
+    return _refuse(
+        refusals.Refusal.OVERLOADED, "too many requests are in progress"
+    )
+
+
 def _refuse_unowned(view: views.View, pool: str) -> outcomes.Outcome:
     if not view.state.list_pool(pool):
         return _refuse(
--- a/src/rhubarblead/requests/poison.py
+++ b/src/rhubarblead/requests/poison.py
@@ -112,6 +112,14 @@
                 self._condemned[fingerprint] = now_ms
         self._forget(now_ms)
 
+    def has_suspects(self) -> bool:
+        """Tells whether any request might not be judged free."""
+        return bool(self._crashes or self._condemned)
+
+    def is_known(self, crash_id: str) -> bool:
+        """Tells whether a crash was taken before, and still counts."""
+        return crash_id in self._crashes
+
     def take_answer(self, fingerprint: int) -> None:
         """Clears a request that ran and was answered."""
         for crash in self._crashes.values():
@@ -119,7 +127,7 @@
 
     def judge(self, fingerprint: int, now_ms: int) -> Judgement:
         """Judges how a request may run now."""
-        if not self._crashes and not self._condemned:
+        if not self.has_suspects():
             return Judgement.FREE
         self._forget(now_ms)
         if fingerprint in self._condemned:
--- a/src/rhubarblead/transport/exchange.py
+++ b/src/rhubarblead/transport/exchange.py
@@ -61,7 +61,7 @@
 class _Answered:
     sender: bytes
     call_id: str
-    frames: list[bytes]
+    reply: Reply
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -74,12 +74,15 @@
 
 
 Serve: TypeAlias = Callable[[CallMessage, bytes], Reply]
+Refuse: TypeAlias = Callable[[messages.Forward], Reply]
 
 
 class Exchange:
     """Sends calls to peers, and serves theirs on an executor.
 
-    `run` is the task; all other methods may be called from any thread.
+    Calls beyond a number in progress are refused at once, as they would only
+    wait for a thread. `run` is the task; all other methods may be called from
+    any thread.
     """
 
     __slots__ = (
@@ -89,7 +92,9 @@
         "_inbox",
         "_links",
         "_outgoing",
+        "_refuse",
         "_running",
+        "_running_limit",
         "_serve",
     )
 
@@ -101,6 +106,7 @@
         limits: settings.Limits,
         executor: futures.Executor,
         serve: Serve,
+        refuse: Refuse,
     ) -> None:
         self._inbox: wakeup.Inbox[_Outgoing | _Answered | _PeerGone | _Stop] = (
             wakeup.Inbox()
@@ -109,6 +115,8 @@
         self._calls = calls.CallTable(ack_timeout_ms=limits.ack_timeout_ms)
         self._executor = executor
         self._serve = serve
+        self._refuse = refuse
+        self._running_limit = limits.peer_threads + limits.queue_length
         self._outgoing: dict[str, _Outgoing] = {}
         self._running: dict[str, bytes] = {}
         self._answered: collections.OrderedDict[str, list[bytes]] = (
@@ -192,8 +200,7 @@
                 self._start(item, now_ms)
             case _Answered():
                 self._running.pop(item.call_id, None)
-                self._remember(item.call_id, item.frames)
-                self._links.reply(item.sender, item.frames)
+                self._answer(item.sender, item.call_id, item.reply)
             case _PeerGone(address=address):
                 self._links.reset(address)
                 self._give_up(self._calls.drop_peer(address))
@@ -294,6 +301,10 @@
         if call_id in self._running:
             self._running[call_id] = sender
             return
+        if len(self._running) >= self._running_limit:
+            reply = self._refuse(message)
+            self._answer(sender, call_id, reply)
+            return
         self._running[call_id] = sender
         self._executor.submit(self._run_call, sender, message, body)
 
@@ -305,10 +316,15 @@
             _Answered(
                 sender=sender,
                 call_id=message.call_id,
-                frames=[messages.encode(reply.message), reply.body],
+                reply=reply,
             )
         )
 
+    def _answer(self, sender: bytes, call_id: str, reply: Reply) -> None:
+        frames = [messages.encode(reply.message), reply.body]
+        self._remember(call_id, frames)
+        self._links.reply(sender, frames)
+
     def _remember(self, call_id: str, frames: list[bytes]) -> None:
         if sum(len(frame) for frame in frames) > _REMEMBERED_BYTES:
             return
--- a/tests/rhubarblead/transport/exchange.feature
+++ b/tests/rhubarblead/transport/exchange.feature
@@ -31,3 +31,7 @@
   Scenario: A lost peer ends its calls before their deadline
     When the exchange calls "slow" and the peer is declared lost
     Then the exchange is told that "slow" may have been received
+
+  Scenario: A call beyond those that may be in progress is refused at once
+    When the exchange calls "slow" 3 times at once, then "a"
+    Then the exchange gets "a" refused as overloaded
--- a/tests/steps/transport_exchange.py
+++ b/tests/steps/transport_exchange.py
@@ -60,7 +60,7 @@
         self, message: exchange.CallMessage, body: bytes
     ) -> exchange.Reply:
         self.ran.append(message.call_id)
-        if message.call_id == "slow":
+        if message.call_id.startswith("slow"):
             self.released.wait()
         answer = messages.Answer(
             call_id=message.call_id,
@@ -74,6 +74,19 @@
         return exchange.Reply(message=answer, body=body)
 
 
+def _refuse(forward: messages.Forward) -> exchange.Reply:
+    answer = messages.Answer(
+        call_id=forward.call_id,
+        verdict=verdict.Verdict.NOT_RUN,
+        status=503,
+        reason="",
+        headers=(),
+        refusal="overloaded",
+        body_digest=exchange.digest_body(b""),
+    )
+    return exchange.Reply(message=answer, body=b"")
+
+
 def _start(
     stack: contextlib.ExitStack, name: str, serve: exchange.Serve
 ) -> tuple[exchange.Exchange, links.Address]:
@@ -83,9 +96,12 @@
     made = exchange.Exchange(
         context=context,
         identity=name,
-        limits=settings.Limits(ack_timeout_ms=50),
+        limits=settings.Limits(
+            ack_timeout_ms=50, peer_threads=2, queue_length=1
+        ),
         executor=pool,
         serve=serve,
+        refuse=_refuse,
     )
     address = links.Address("127.0.0.1", _find_free_port())
     made.listen(address)
@@ -180,3 +196,21 @@
 @behave.then("the serving exchange ran {count:d} calls")
 def then_ran(context: runner.Context, count: int) -> None:
     assert len(context.server.ran) == count, context.server.ran
+
+
+@behave.when('the exchange calls "slow" {count:d} times at once, then "{name}"')
+def when_crowded(context: runner.Context, count: int, name: str) -> None:
+    for number in range(count):
+        message = _make_forward(f"slow{number}", b"")
+        _call(context, context.address, message, b"", _LONG_MS)
+    message = _make_forward(name, b"")
+    future = _call(context, context.address, message, b"", _LONG_MS)
+    context.outcome = future.result()
+
+
+@behave.then('the exchange gets "{name}" refused as overloaded')
+def then_overloaded(context: runner.Context, name: str) -> None:
+    answer = context.outcome.message
+    assert answer.call_id == name
+    assert answer.refusal == "overloaded", answer
+    assert answer.verdict is verdict.Verdict.NOT_RUN
