Spare an answer the set-up and end of its base class

Cause: http.client's answer opens a file on the socket and is closed as an I/O object at the end of its life; neither is needed, as the reader belongs to the connection. Change: the subclass sets what it uses itself and has nothing to close.

--- a/src/rhubarblead/upstream/answers.py
+++ b/src/rhubarblead/upstream/answers.py
@@ -20,18 +20,6 @@
     """The body of an answer is larger than the caller accepts."""
 
 
-class _Source:
-    """Gives `http.client` a reader that outlives one answer."""
-
-    __slots__ = ("_reader",)
-
-    def __init__(self, reader: io.BufferedReader) -> None:
-        self._reader = reader
-
-    def makefile(self, *_: object) -> io.BufferedReader:
-        return self._reader
-
-
 class Answer(http.client.HTTPResponse):
     """An answer that is read as a whole, and strictly.
 
@@ -42,11 +30,16 @@
     """
 
     def __init__(self, *, reader: io.BufferedReader, method: str) -> None:
-        super().__init__(_Source(reader), method=method)  # type: ignore[arg-type]
+        # The base opens a file on the socket, and closes it at the end of its
+        # life; this reader is the connection's.
+        self.fp = reader
         self._reader = reader
         self._is_head = method == "HEAD"
         self.fields: headers.AnswerHead
 
+    def __del__(self) -> None:
+        """Closes nothing, as the connection owns the reader."""
+
     def begin(self) -> None:
         """Reads status line and headers, and passes over interim answers.
 
@@ -91,9 +84,6 @@
             raise AnswerTooLarge(f"{length} bytes")
         return self._read_exactly(length)
 
-    def _close_conn(self) -> None:
-        self.fp = None  # type: ignore[assignment]
-
     def _read_head(self) -> None:
         head = self._read_head_bytes()
         line, _, block = head[:-2].partition(b"\r\n")
