--- a/src/rhubarblead/requests/admission.py
+++ b/src/rhubarblead/requests/admission.py
@@ -18,8 +18,9 @@
 class Ticket:
     """A request that asks for a slot.
 
-    `deadline_ms` is a monotonic moment. A request with `is_alone` runs while
-    nothing else does.
+    `key` is empty where requests have no key; those share the queue without a
+    bound of their own. `deadline_ms` is a monotonic moment. A request with
+    `is_alone` runs while nothing else does.
     """
 
     request_id: str
@@ -128,7 +129,7 @@
         waiting = self._queues.get(ticket.key, ())
         if self._waiting_count >= self._queue_length:
             return self._refuse("the queue is full")
-        if len(waiting) >= self._key_limit:
+        if ticket.key and len(waiting) >= self._key_limit:
             return self._refuse("too many requests wait for this key")
         wait_ms = self._find_wait_ms(len(waiting))
         if now_ms + wait_ms + self._service_ms > ticket.deadline_ms:
