--- a/src/rhubarblead/leases/granter.py
+++ b/src/rhubarblead/leases/granter.py
@@ -80,6 +80,10 @@
         """
         self._is_retired = True
 
+    def reinstate(self) -> None:
+        """Promises again, after the own leave certainly did not take effect."""
+        self._is_retired = False
+
     def take_heartbeat(
         self,
         *,
