--- a/tools/control_cost.py
+++ b/tools/control_cost.py
@@ -153,8 +153,8 @@
         name = _name(index)
         members[name] = membership.Member(
             member_id=name,
-            instance=f"instance-{index}",
-            incarnation="0190a5d2-7c4e-7000-8000-000000000000",
+            instance=f"dispatch-{index:04}",
+            incarnation=f"{index:016x}",
             failure_domain=f"domain-{index % 24}",
             region=f"region-{index % 8}",
             pool="dispatch",
@@ -334,7 +334,7 @@
 
 
 def _name(index: int) -> str:
-    return f"instance-{index}/0190a5d2-7c4e-7000-8000-{index:012}"
+    return f"dispatch-{index:04}.{index:016x}"
 
 
 def _read_rss_kib() -> int:
