Show owners whose events are lost, and order events by a hybrid clock

Trial with eleven running nodes: after the owner of a key was killed, the time line named the owner before it as owner until the takeover. An owner's tenure now ends where it lost the shard or was evicted, and what no event tells is shown as unknown, or by the name that the next owner gives. Key queries bring evictions along. A request without start events is no longer said to have been given to an upstream 0 times.

Lamport times counted events of each process alone, as long as messages don't carry them, so that events 12 s apart came out in reverse. They now begin at the wall clock.

--- a/src/rhubarblead/events/filters.py
+++ b/src/rhubarblead/events/filters.py
@@ -7,9 +7,13 @@
 
 import result
 
+from rhubarblead.events import catalog
 from rhubarblead.events import record
 from rhubarblead.events import shards
 
+_OWNER_LOSSES = frozenset({catalog.Event.MEMBER_EVICTED.number})
+"""Events that may explain why a shard has another owner."""
+
 _NUMBERS = frozenset({"shard", "since_ms", "until_ms", "limit"})
 
 
@@ -17,10 +21,10 @@
 class Filter:
     """Which events are wanted; None means all.
 
-    With `pool` and `shard`, events about that shard are wanted besides those
-    about `key`. `since_ms` and `until_ms` are compared with the wall time of
-    the process that reported the event. `limit` bounds the answer to the
-    newest events; 0 means no bound.
+    With `pool` and `shard`, events about that shard and evictions are wanted
+    besides those about `key`. `since_ms` and `until_ms` are compared with the
+    wall time of the process that reported the event. `limit` bounds the answer
+    to the newest events; 0 means no bound.
     """
 
     key: str | None = None
@@ -60,6 +64,8 @@
             return self.pool in (None, item.fields.get("pool"))
         if self.key is not None and item.fields.get("key") == self.key:
             return True
+        if self.shard is not None and item.number in _OWNER_LOSSES:
+            return True
         if self.shard is None or item.fields.get("pool") != self.pool:
             return False
         return shards.has_shard(item.fields.get("shards"), self.shard)
--- a/src/rhubarblead/events/log.py
+++ b/src/rhubarblead/events/log.py
@@ -16,6 +16,9 @@
 
 LOGGER_NAME = "rhubarblead"
 
+_COUNTER_BITS = 16
+"""Low bits of a Lamport time, which count within one millisecond."""
+
 _Fields: TypeAlias = dict[str, record.Value]
 _Row: TypeAlias = tuple[catalog.Event, int, int, int, int, _Fields]
 
@@ -27,7 +30,9 @@
     """Takes the events of one process; any thread may use it.
 
     Events of requests have a ring of their own, so that they don't push the
-    rarer ones out of the time line.
+    rarer ones out of the time line. The Lamport clock is a hybrid one: it
+    begins at the wall clock and never goes back, so that events of processes
+    that haven't exchanged messages come out in the order of their wall clocks.
     """
 
     __slots__ = (
@@ -86,7 +91,7 @@
         monotonic_ms = self._read_monotonic_ms()
         with self._lock:
             self._sequence += 1
-            self._lamport += 1
+            self._lamport = max(self._lamport + 1, wall_ms << _COUNTER_BITS)
             row = (
                 event,
                 self._sequence,
@@ -101,8 +106,9 @@
 
     def tick(self) -> int:
         """Advances the Lamport clock; returns the time for a message."""
+        wall_ms = self._read_wall_ms()
         with self._lock:
-            self._lamport += 1
+            self._lamport = max(self._lamport + 1, wall_ms << _COUNTER_BITS)
             return self._lamport
 
     def observe(self, lamport: int) -> None:
--- a/src/rhubarblead/events/record.py
+++ b/src/rhubarblead/events/record.py
@@ -11,9 +11,9 @@
 class Record(msgspec.Struct, frozen=True, kw_only=True):
     """An event with its place in the order of events.
 
-    `lamport` orders events of different processes, `sequence` those of one
-    process. `wall_ms` and `monotonic_ms` are read for people only: clocks
-    differ between instances.
+    `lamport`, a hybrid logical clock, orders events of different processes,
+    `sequence` those of one process. `wall_ms` and `monotonic_ms` are for people
+    only: clocks differ between instances.
     """
 
     number: int
--- a/src/rhubarblead/operate/lookups.py
+++ b/src/rhubarblead/operate/lookups.py
@@ -172,13 +172,16 @@
             line.member_id,
             line.lease_left_ms,
             line.granters_epoch,
-            ", ".join(
-                f"{g.member_id} ({g.promise_age_ms} ms ago)"
-                for g in line.granters
-            )
+            ", ".join(_format_granter(granter) for granter in line.granters)
             or line.fault,
         )
         for line in lines
     ]
     heads = ("instance", "member", "left ms", "epoch", "granters")
     return text_table.format_table(heads, rows)
+
+
+def _format_granter(granter: status.GranterView) -> str:
+    if granter.promise_age_ms < 0:
+        return granter.member_id
+    return f"{granter.member_id} ({granter.promise_age_ms} ms ago)"
--- a/src/rhubarblead/operate/timeline.py
+++ b/src/rhubarblead/operate/timeline.py
@@ -1,7 +1,8 @@
 """The time line of all processes, merged in causal order.
 
-Wall clocks of instances differ, so they order nothing. Lamport times do: an
-event that could have caused another has the lower one.
+Wall clocks of instances differ, so they order nothing here. Lamport times do:
+an event that could have caused another has the lower one, as far as messages
+between processes carry these times.
 """
 
 from collections.abc import Iterable
@@ -15,6 +16,9 @@
 _OWNER_EVENTS = frozenset(
     {catalog.Event.SHARDS_GAINED.name, catalog.Event.KEY_SPLIT.name}
 )
+UNKNOWN = "nobody, or an owner whose events are lost"
+"""Stands for the owner of a time that no event tells of."""
+
 _ANSWER_EVENTS = frozenset(
     {catalog.Event.REQUEST_ANSWERED.name, catalog.Event.REQUEST_REFUSED.name}
 )
@@ -38,7 +42,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Tenure:
-    """One owner of a key, from the revision at which it became that."""
+    """One owner of a key, from the revision at which it became that.
+
+    `wall_ms` is 0 when no event of the owner tells of it.
+    """
 
     owner: str
     revision: int
@@ -102,24 +109,22 @@
         records: Events about one shard or key.
 
     Returns:
-        The owners by rising revision, which is the order of the store.
+        The owners by rising revision, which is the order of the store. Where
+        the events of an owner are missing, its tenure says so.
     """
-    gains: dict[int, record.Record] = {}
-    for item in records:
-        if item.name in _OWNER_EVENTS and _get_int(item, "revision"):
-            gains.setdefault(_get_int(item, "revision"), item)
+    items = list(records)
+    gains = _index_by_revision(items, _OWNER_EVENTS)
+    losses = _index_losses(items)
+    tenures = []
     revisions = sorted(gains)
-    following = [*revisions[1:], None]
-    return tuple(
-        Tenure(
-            owner=gains[revision].instance,
-            revision=revision,
-            fence=_get_int(gains[revision], "fence") or revision,
-            wall_ms=gains[revision].wall_ms,
-            until_revision=until,
-        )
-        for revision, until in zip(revisions, following, strict=True)
-    )
+    for revision, until in zip(revisions, [*revisions[1:], None], strict=True):
+        gain = gains[revision]
+        lost_at = _find_loss(losses, gain.instance, revision, until)
+        tenures.append(_make_tenure(gain, lost_at or until))
+        if lost_at and lost_at != until:
+            heir = _find_heir(items, until)
+            tenures.append(_make_unknown(heir, lost_at, until))
+    return tuple(tenures)
 
 
 def find_fate(request_id: str, records: Iterable[record.Record]) -> RequestFate:
@@ -148,6 +153,93 @@
     )
 
 
+def _index_by_revision(
+    items: Iterable[record.Record], names: frozenset[str]
+) -> dict[int, record.Record]:
+    found: dict[int, record.Record] = {}
+    for item in items:
+        if item.name in names and _get_int(item, "revision"):
+            found.setdefault(_get_int(item, "revision"), item)
+    return found
+
+
+def _index_losses(items: Iterable[record.Record]) -> set[tuple[str, int]]:
+    losses = set()
+    for item in items:
+        if item.name == catalog.Event.SHARDS_LOST.name:
+            losses.add((item.instance, _get_int(item, "revision")))
+        if item.name == catalog.Event.MEMBER_EVICTED.name:
+            losses.add((_find_evicted(item), _get_int(item, "revision")))
+    return losses
+
+
+def _find_loss(
+    losses: set[tuple[str, int]], owner: str, since: int, until: int | None
+) -> int | None:
+    """Finds the revision at which an owner lost the shard."""
+    return min(
+        (
+            revision
+            for instance, revision in losses
+            if instance == owner
+            and revision > since
+            and (until is None or revision <= until)
+        ),
+        default=None,
+    )
+
+
+def _find_heir(
+    items: Iterable[record.Record], revision: int | None
+) -> record.Record | None:
+    """Finds the event in which the next owner names the one before it."""
+    after = [
+        item
+        for item in items
+        if item.name == catalog.Event.LEDGER_ADOPTED.name
+        and _get_text(item, "previous_owner")
+    ]
+    gained = [
+        item
+        for item in items
+        if item.name == catalog.Event.SHARDS_GAINED.name
+        and _get_int(item, "revision") == revision
+    ]
+    return next(
+        (
+            item
+            for gain in gained
+            for item in after
+            if item.instance == gain.instance and item.sequence > gain.sequence
+        ),
+        None,
+    )
+
+
+def _make_tenure(gain: record.Record, until: int | None) -> Tenure:
+    revision = _get_int(gain, "revision")
+    return Tenure(
+        owner=gain.instance,
+        revision=revision,
+        fence=_get_int(gain, "fence") or revision,
+        wall_ms=gain.wall_ms,
+        until_revision=until,
+    )
+
+
+def _make_unknown(
+    heir: record.Record | None, since: int, until: int | None
+) -> Tenure:
+    named = _get_text(heir, "previous_owner")
+    return Tenure(
+        owner=f"{named} (its own events are lost)" if named else UNKNOWN,
+        revision=since,
+        fence=since,
+        wall_ms=0,
+        until_revision=until,
+    )
+
+
 def _identify(item: record.Record) -> tuple[str, str, int]:
     return item.instance, item.incarnation, item.sequence
 
@@ -177,7 +269,7 @@
     heard = {item.instance for item in ordered}
     heard.update(gap.instance for gap in lost)
     evicted = {
-        _get_text(item, "member_instance")
+        _find_evicted(item)
         for item in ordered
         if item.name == catalog.Event.MEMBER_EVICTED.name
     }
@@ -187,6 +279,12 @@
     ]
 
 
+def _find_evicted(item: record.Record) -> str:
+    """Finds the instance of an evicted member; its id begins with it."""
+    named = _get_text(item, "member_instance")
+    return named or _get_text(item, "member_id").rpartition(".")[0]
+
+
 def _get_text(item: record.Record | None, field: str) -> str:
     value = item.fields.get(field) if item else None
     return value if isinstance(value, str) else ""
--- a/src/rhubarblead/operate/timeline_command.py
+++ b/src/rhubarblead/operate/timeline_command.py
@@ -179,16 +179,7 @@
 def _list_lines(answer: Answer) -> list[str]:
     lines = [_format_record(item) for item in answer.events]
     lines += [f"gap: {gap.instance}: {gap.reason}" for gap in answer.gaps]
-    lines += [
-        f"owner: {tenure.owner} from revision {tenure.revision}"
-        f" ({_format_time(tenure.wall_ms)} by its own clock)"
-        + (
-            f" until revision {tenure.until_revision}"
-            if tenure.until_revision
-            else ""
-        )
-        for tenure in answer.tenures
-    ]
+    lines += [_format_tenure(tenure) for tenure in answer.tenures]
     if answer.fate:
         lines.append(_format_fate(answer.fate))
     return lines
@@ -197,7 +188,7 @@
 def _format_record(item: record.Record) -> str:
     fields = " ".join(f"{name}={value}" for name, value in item.fields.items())
     return (
-        f"{item.lamport:>8} {_format_time(item.wall_ms)} {item.instance}"
+        f"{_format_time(item.wall_ms)} {item.instance}"
         f" {item.number} {item.name} {fields}"
     )
 
@@ -207,8 +198,21 @@
     return moment.isoformat(timespec="milliseconds").replace("+00:00", "Z")
 
 
+def _format_tenure(tenure: timeline.Tenure) -> str:
+    line = f"owner: {tenure.owner} from revision {tenure.revision}"
+    if tenure.wall_ms:
+        line += f" ({_format_time(tenure.wall_ms)} by its own clock)"
+    if tenure.until_revision:
+        line += f" until revision {tenure.until_revision}"
+    return line
+
+
 def _format_fate(fate: timeline.RequestFate) -> str:
-    started = f"given to an upstream {fate.starts_count} times"
+    started = (
+        f"given to an upstream {fate.starts_count} times"
+        if fate.starts_count
+        else "no start at an upstream is among these events"
+    )
     if not fate.verdict:
         return (
             f"request {fate.request_id}: {started}; no answer to the caller is"
--- a/src/rhubarblead/status.py
+++ b/src/rhubarblead/status.py
@@ -10,7 +10,7 @@
 
 
 class GranterView(msgspec.Struct, frozen=True, kw_only=True):
-    """A granter and how old its last promise is; -1 when there was none."""
+    """A granter and how old its last promise is; -1 if not known."""
 
     member_id: str
     promise_age_ms: int
--- a/tests/rhubarblead/operate/timeline.feature
+++ b/tests/rhubarblead/operate/timeline.feature
@@ -45,6 +45,29 @@
       | c        | 1   | 5       | 50      | KEY_SPLIT     | {"pool": "p", "key": "k", "shard": 9, "revision": 15} |
     Then the timeline's owners are "a 7-12, b 12-15, c 15-"
 
+  Scenario Outline: An owner whose events are lost is not passed over
+    Given the timeline events
+      | instance | seq | lamport | wall_ms | name          | fields                                         |
+      | a        | 1   | 1       | 1       | SHARDS_GAINED | {"pool": "p", "shards": "4", "revision": 7}    |
+      | a        | 2   | 2       | 2       | SHARDS_LOST   | {"pool": "p", "shards": "4", "revision": <lost>} |
+      | c        | 1   | 3       | 3       | SHARDS_GAINED | {"pool": "p", "shards": "4", "revision": 12}   |
+      | c        | 2   | 4       | 4       | LEDGER_ADOPTED | {"pool": "p", "shards": "4", "previous_owner": "<previous>"} |
+    Then the timeline's owners are "<owners>"
+
+    Examples: losses
+      | lost | previous | owners                                                       |
+      | 12   | a.1      | a 7-12, c 12-                                                |
+      | 9    | b.1      | a 7-9, b.1 (its own events are lost) 9-12, c 12-             |
+      | 9    |          | a 7-9, nobody, or an owner whose events are lost 9-12, c 12- |
+
+  Scenario: An evicted owner's tenure ends with its eviction
+    Given the timeline events
+      | instance | seq | lamport | wall_ms | name           | fields                                       |
+      | a        | 1   | 1       | 1       | SHARDS_GAINED  | {"pool": "p", "shards": "4", "revision": 7}  |
+      | c        | 1   | 2       | 2       | MEMBER_EVICTED | {"member_id": "a.1", "revision": 9}          |
+      | c        | 2   | 3       | 3       | SHARDS_GAINED  | {"pool": "p", "shards": "4", "revision": 12} |
+    Then the timeline's owners are "a 7-9, nobody, or an owner whose events are lost 9-12, c 12-"
+
   Scenario Outline: What became of a request is told
     Given the timeline events
       | instance | seq | lamport | wall_ms | name             | fields                                                                                |
