Release the shards of a silent server safely, and extend long grants

Cause: a frozen server kept its shards until every request to it had timed out, up to the route's timeout plus 5 s. A request longer than a lease could never commit, as its grant could not be extended. At a server that checks no grants, a request left in its socket buffer could run after its shard had moved. Change: probes extend the member's grants; a member whose server goes silent extends no more, leaves for good and releases its shards when the last grant has ended. At a server that checks no grants such a request keeps its shard until the server has ended, or has answered probes for its settling time.

--- a/src/rhubarblead/assignment/handover.py
+++ b/src/rhubarblead/assignment/handover.py
@@ -61,12 +61,14 @@
         "_revision",
         "_running",
         "_targets",
+        "_void_at_ms",
     )
 
     def __init__(self, *, member_id: str, limits: settings.Limits) -> None:
         self._member_id = member_id
         self._drain_ms = limits.drain_ms
         self._is_leaving = False
+        self._void_at_ms: int | None = None
         self._revision = 0
         self._fences: dict[int, int] = {}
         self._targets: dict[int, str] = {}
@@ -74,12 +76,18 @@
         self._backoffs: dict[int, _Backoff] = {}
         self._running: dict[int, int] = {}
 
-    def begin_leaving(self) -> None:
+    def begin_leaving(self, *, void_at_ms: int | None = None) -> None:
         """Closes every shard that this member owns.
 
         A shard that no member is to have is released to nobody; whoever
         commits the release may name an owner for it.
+
+        Args:
+            void_at_ms: From when on requests in progress can't take effect
+                any more, as the upstream refuses what they were granted; their
+                shards are ready then. None where that is not known.
         """
+        self._void_at_ms = void_at_ms
         if self._is_leaving:
             return
         self._is_leaving = True
@@ -150,7 +158,8 @@
         return tuple(
             membership.ShardMove(shard=shard, owner=self._targets[shard])
             for shard, closing in sorted(self._closings.items())
-            if closing.phase == "draining" and shard not in self._running
+            if closing.phase == "draining"
+            and (shard not in self._running or self._is_void(now_ms))
         )
 
     def mark_committing(self, *, moves: Iterable[membership.ShardMove]) -> None:
@@ -250,6 +259,9 @@
             closing.take("reopen")
             del self._closings[shard]
 
+    def _is_void(self, now_ms: int) -> bool:
+        return self._void_at_ms is not None and now_ms >= self._void_at_ms
+
     def _give_up(self, now_ms: int) -> None:
         for shard, closing in list(self._closings.items()):
             if closing.phase != "draining" or now_ms < closing.deadline_ms:
--- a/src/rhubarblead/node/agenda.py
+++ b/src/rhubarblead/node/agenda.py
@@ -27,9 +27,11 @@
 
     __slots__ = (
         "_gate",
+        "_is_forfeit",
         "_joining",
         "_node",
         "_planned",
+        "_void_at_ms",
         "is_draining",
         "is_fit",
         "tenure",
@@ -43,6 +45,8 @@
         self._joining: membership.Member | None = None
         self._planned: planning.Planned | None = None
         self.tenure: tenures.Tenure | None = None
+        self._void_at_ms: int | None = None
+        self._is_forfeit = False
         self.is_fit = False
         self.is_draining = False
 
@@ -55,7 +59,23 @@
         is_moved = record is not None and (
             pool is None or pool.name != record.pool
         )
-        return self.is_draining or not self.is_fit or is_moved
+        is_unfit = self._is_forfeit or not self.is_fit
+        return self.is_draining or is_unfit or is_moved
+
+    def forfeit(self, *, void_at_ms: int | None) -> None:
+        """Lets the member leave for good, as its upstream has gone silent.
+
+        It leaves even if the upstream comes back meanwhile: what was sent to
+        it before must not take effect under a grant that goes on.
+
+        Args:
+            void_at_ms: When the last grant given to the upstream ends; None
+                where the upstream doesn't check grants.
+        """
+        if self.tenure is None or self._is_forfeit:
+            return
+        self._is_forfeit = True
+        self._void_at_ms = void_at_ms
 
     def follow(self, *, state: ownership.State, now_ms: int) -> None:
         """Follows the newest state; begins or ends the node's tenure.
@@ -73,6 +93,8 @@
         tenure.follow_state(state=state, now_ms=now_ms)
         if tenure.member_id not in state.members:
             self.tenure = None
+            self._is_forfeit = False
+            self._void_at_ms = None
             self._gate.replace(None)
             return
         self._gate.decide(
@@ -226,7 +248,10 @@
         self, journal: journals.Journal, tenure: tenures.Tenure, now_ms: int
     ) -> writing.Proposal | None:
         if self.is_leaving(journal):
-            self._gate.decide(lambda decision: decision.begin_leaving())
+            void_at_ms = self._void_at_ms
+            self._gate.decide(
+                lambda decision: decision.begin_leaving(void_at_ms=void_at_ms)
+            )
         ready = self._gate.decide(lambda decision: decision.list_ready(now_ms))
         if self.is_leaving(journal):
             changes = proposals.propose_leave(
--- a/src/rhubarblead/node/control.py
+++ b/src/rhubarblead/node/control.py
@@ -47,9 +47,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamChanged:
-    """The upstream beside the node began or ceased to serve."""
+    """The upstream beside the node began or ceased to serve.
+
+    `is_silent` says that it ceased without a word; `is_fenced` that it refuses
+    what it was granted once the grant has ended.
+    """
 
     is_serving: bool
+    is_silent: bool
+    is_fenced: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -265,8 +271,8 @@
     def _take_item(self, item: Item) -> None:
         now_ms = clock.read_monotonic_ms()
         match item:
-            case UpstreamChanged(is_serving=is_serving):
-                self._agenda.is_fit = is_serving
+            case UpstreamChanged():
+                self._take_upstream(item)
             case SuspectFound(suspect=suspect):
                 self._spread_suspect(suspect)
             case Drain():
@@ -347,6 +353,16 @@
                 self._agenda.end(proposal, is_committed=False, now_ms=now_ms)
                 self._reads.want_ownership()
 
+    def _take_upstream(self, change: UpstreamChanged) -> None:
+        self._agenda.is_fit = change.is_serving
+        tenure = self._agenda.tenure
+        if not change.is_silent or tenure is None:
+            return
+        void_at_ms = self._board.forfeit(tenure.member_id)
+        self._agenda.forfeit(
+            void_at_ms=void_at_ms if change.is_fenced else None
+        )
+
     def _spread_suspect(self, suspect: messages.Suspect) -> None:
         tenure = self._agenda.tenure
         state = self._journal.state
--- a/src/rhubarblead/node/daemon.py
+++ b/src/rhubarblead/node/daemon.py
@@ -36,6 +36,7 @@
 from rhubarblead.node import routing
 from rhubarblead.node import store_jobs
 from rhubarblead.node import traffic
+from rhubarblead.node import unresolved
 from rhubarblead.node import view
 from rhubarblead.platform import ownership_log
 from rhubarblead.platform import store
@@ -70,6 +71,7 @@
         self._metrics = metrics.open_metrics(node.metrics)
         self._board = view.ViewBoard()
         self._gate = gate.ShardGate()
+        self._unresolved = unresolved.UnresolvedRuns()
         self._traffic = traffic.ShardTraffic(now_ms=clock.read_monotonic_ms())
         self._stopping = threading.Event()
         self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
@@ -139,6 +141,9 @@
         self._upstream = probes.UpstreamProbe(
             upstream=node.upstream,
             events=self._events,
+            find_extension=self._board.find_extension,
+            unresolved_runs=self._unresolved,
+            find_settle_ms=self._find_settle_ms,
             on_change=self._report_upstream,
         )
         self._execution = execution.Execution(
@@ -155,6 +160,7 @@
             guard=self._protection,
             runner=self._execution,
             shard_traffic=self._traffic,
+            unresolved_runs=self._unresolved,
         )
         self._peer_server = routing.PeerServer(local_server=self._local)
         self._router = routing.Router(
@@ -204,12 +210,23 @@
                     message=self._replicas.read(message), body=b""
                 )
 
+    def _find_settle_ms(self) -> int:
+        pool = self._board.read().tables.find_pool_of(self._node.instance)
+        return pool.settle_ms if pool else 0
+
     def _report_upstream(self) -> None:
         upstream = self._upstream.read()
         is_serving = upstream is not None and upstream.is_serving
         if upstream is not None:
             self._slots.set_slots(upstream.announcement.slots)
-        self._control.post(control.UpstreamChanged(is_serving=is_serving))
+        self._control.post(
+            control.UpstreamChanged(
+                is_serving=is_serving,
+                is_silent=upstream is not None and upstream.is_silent,
+                is_fenced=upstream is not None
+                and upstream.announcement.is_fenced,
+            )
+        )
 
     def run(self) -> None:
         """Runs the node until `stop`; then hands over and leaves."""
--- a/src/rhubarblead/node/local.py
+++ b/src/rhubarblead/node/local.py
@@ -1,7 +1,10 @@
 """Runs requests at the upstream beside the node."""
 
+import contextlib
+
 import result
 
+from rhubarblead import clock
 from rhubarblead import ownership
 from rhubarblead import refusal as refusals
 from rhubarblead import verdict as verdicts
@@ -11,6 +14,7 @@
 from rhubarblead.node import probes
 from rhubarblead.node import protection
 from rhubarblead.node import traffic
+from rhubarblead.node import unresolved
 from rhubarblead.node import view as views
 from rhubarblead.node import work as works
 from rhubarblead.upstream import client
@@ -32,6 +36,7 @@
         "_gate",
         "_protection",
         "_traffic",
+        "_unresolved",
         "_upstream",
     )
 
@@ -44,6 +49,7 @@
         guard: protection.Protection,
         runner: execution.Execution,
         shard_traffic: traffic.ShardTraffic,
+        unresolved_runs: unresolved.UnresolvedRuns,
     ) -> None:
         self._board = board
         self._gate = shard_gate
@@ -51,6 +57,7 @@
         self._protection = guard
         self._execution = runner
         self._traffic = shard_traffic
+        self._unresolved = unresolved_runs
 
     def execute(self, work: works.Work) -> outcomes.Outcome:
         """Runs one request, or refuses it.
@@ -76,7 +83,34 @@
             )
         self._traffic.count(work.forward.shard)
         with counted:
-            return self._run_owned(work)
+            outcome = self._run_owned(work)
+            self._keep_unresolved(view, work, outcome, counted)
+            return outcome
+
+    def _keep_unresolved(
+        self,
+        view: views.View,
+        work: works.Work,
+        outcome: outcomes.Outcome,
+        counted: contextlib.ExitStack,
+    ) -> None:
+        """Keeps the shard closed to a handover while the request may run.
+
+        A server that checks grants refuses it after a takeover; another one
+        would run it.
+        """
+        upstream = self._upstream.read()
+        pool = view.tables.find_pool(work.forward.pool)
+        if upstream is None or pool is None:
+            return
+        if pool.is_fenced and upstream.announcement.is_fenced:
+            return
+        if outcome.verdict is verdicts.Verdict.MAY_HAVE_RUN:
+            self._unresolved.add(
+                counted=counted.pop_all(),
+                incarnation=upstream.announcement.incarnation,
+                now_ms=clock.read_monotonic_ms(),
+            )
 
     def _check_owner(
         self, view: views.View, work: works.Work
@@ -131,6 +165,7 @@
         return (
             ("Rhubarb-Shard", str(forward.shard)),
             ("Rhubarb-Key", forward.key),
+            ("Rhubarb-Grant", view.member_id),
             ("Rhubarb-Fence", str(fence)),
             ("Rhubarb-Expires-Ms", str(expiry_ms)),
         )
--- a/src/rhubarblead/node/probes.py
+++ b/src/rhubarblead/node/probes.py
@@ -10,10 +10,12 @@
 from rhubarblead import settings
 from rhubarblead.events import catalog
 from rhubarblead.events import log
+from rhubarblead.node import unresolved
 from rhubarblead.upstream import client
 from rhubarblead.upstream import monitor
 
 _REQUEST_SHARE_PERCENT = 75
+_FOLLOW_UP_DIVISOR = 4
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -23,6 +25,7 @@
     announcement: monitor.Announcement
     client: client.UpstreamClient
     is_serving: bool
+    is_silent: bool
 
 
 class UpstreamProbe:
@@ -33,12 +36,15 @@
 
     __slots__ = (
         "_events",
-        "_is_stopping",
+        "_find_extension",
+        "_find_settle_ms",
+        "_interval_ms",
         "_lock",
         "_monitor",
         "_on_change",
         "_settings",
         "_stop",
+        "_unresolved",
         "_view",
     )
 
@@ -47,11 +53,18 @@
         *,
         upstream: settings.Upstream,
         events: log.EventLog,
+        find_extension: Callable[[], tuple[str, int] | None],
+        unresolved_runs: unresolved.UnresolvedRuns,
+        find_settle_ms: Callable[[], int],
         on_change: Callable[[], None],
     ) -> None:
         self._settings = upstream
         self._events = events
+        self._find_extension = find_extension
+        self._unresolved = unresolved_runs
+        self._find_settle_ms = find_settle_ms
         self._on_change = on_change
+        self._interval_ms = upstream.probe_ms
         self._monitor = monitor.Monitor(upstream=upstream)
         self._view: UpstreamView | None = None
         self._lock = threading.Lock()
@@ -113,7 +126,7 @@
 
     def run(self) -> None:
         """Probes until stopped."""
-        while not self._stop.wait(self._settings.probe_ms / 1000):
+        while not self._stop.wait(self._interval_ms / 1000):
             view = self._view
             if view is not None:
                 self._probe(view)
@@ -122,12 +135,36 @@
         sent_at_ms = clock.read_monotonic_ms()
         health = self._ask_health(view.announcement)
         now_ms = clock.read_monotonic_ms()
+        # A failure is followed up soon: a lost server has to be found fast.
+        is_urgent = health is None and view.is_serving
+        self._interval_ms = self._settings.probe_ms
+        if is_urgent:
+            self._interval_ms //= _FOLLOW_UP_DIVISOR
         with self._lock:
             if health is None:
                 self._monitor.take_probe_failure(now_ms)
             else:
                 self._monitor.take_health(health, sent_at_ms, now_ms)
             self._update(view.announcement, now_ms)
+        self._resolve(view.announcement, health is not None, now_ms)
+
+    def _resolve(
+        self,
+        announcement: monitor.Announcement,
+        is_healthy: bool,
+        now_ms: int,
+    ) -> None:
+        """Lets requests go whose fate is no longer with the upstream."""
+        if not self._unresolved.count():
+            return
+        if not is_healthy and self.find_crash():
+            self._unresolved.take_end(announcement.incarnation)
+        self._unresolved.take_probe(
+            incarnation=announcement.incarnation,
+            is_healthy=is_healthy,
+            settle_ms=self._find_settle_ms(),
+            now_ms=now_ms,
+        )
 
     def _ask_health(
         self, announcement: monitor.Announcement
@@ -138,13 +175,26 @@
             timeout=self._settings.probe_timeout_ms / 1000,
         )
         try:
-            connection.request("GET", "/-/health")
+            connection.request(
+                "GET", "/-/health", headers=self._build_extension()
+            )
             return monitor.decode_health(connection.getresponse().read())
         except (OSError, http.client.HTTPException, monitor.CannotDecode):
             return None
         finally:
             connection.close()
 
+    def _build_extension(self) -> dict[str, str]:
+        """Builds the headers that extend the member's grants."""
+        extension = self._find_extension()
+        if extension is None:
+            return {}
+        member_id, lease_end_ms = extension
+        return {
+            "Rhubarb-Grant": member_id,
+            "Rhubarb-Expires-Ms": str(self.find_expiry_ms(lease_end_ms)),
+        }
+
     def _update(self, announcement: monitor.Announcement, now_ms: int) -> None:
         before = self._view
         is_serving = self._monitor.is_serving(now_ms)
@@ -165,6 +215,7 @@
             announcement=announcement,
             client=reached,
             is_serving=is_serving,
+            is_silent=self._monitor.find_state() == "silent",
         )
         was_serving = before is not None and before.is_serving
         if was_serving != is_serving:
--- a/src/rhubarblead/node/view.py
+++ b/src/rhubarblead/node/view.py
@@ -42,11 +42,12 @@
     Control writes, all other threads read.
     """
 
-    __slots__ = ("_changed", "_lease", "_view")
+    __slots__ = ("_changed", "_forfeited", "_lease", "_view")
 
     def __init__(self) -> None:
         self._view = EMPTY_VIEW
         self._lease: tuple[str, int] = ("", 0)
+        self._forfeited = ""
         self._changed = threading.Condition()
 
     def read(self) -> View:
@@ -63,6 +64,25 @@
         """Sets the end of the lease of one member id, monotonic."""
         self._lease = (member_id, end_ms)
 
+    def forfeit(self, member_id: str) -> int:
+        """Ends the extension of a member's grants at the upstream.
+
+        Args:
+            member_id: The member, whose upstream has gone silent.
+
+        Returns:
+            The end of the latest grant that may have been given.
+        """
+        self._forfeited = member_id
+        return self.find_lease_end_ms(member_id)
+
+    def find_extension(self) -> tuple[str, int] | None:
+        """Finds the member whose grants go on, and the end of its lease."""
+        holder, end_ms = self._lease
+        if not holder or holder == self._forfeited:
+            return None
+        return holder, end_ms
+
     def find_lease_end_ms(self, member_id: str) -> int:
         """Finds the end of the lease of a member id; 0 without a lease."""
         holder, end_ms = self._lease
--- a/tests/rhubarblead/assignment/handover.feature
+++ b/tests/rhubarblead/assignment/handover.feature
@@ -28,6 +28,10 @@
       | leave alone tick                                        | none      | 1 2   |
       | leave tick                                              | none      | 1 2   |
       | leave unwanted tick                                     | none      | 1 2   |
+      | begin leave tick                                        | none      | 2     |
+      | begin lose tick                                         | none      | 2     |
+      | begin lose tick void                                    | none      | 1 2   |
+      | begin lose tick void commit done end                    | none      | none  |
 
   Scenario: A handover closes no more shards at once than one transaction moves
     Given a handover of 3000 shards that are all wanted elsewhere
--- a/tests/steps/handing_over.py
+++ b/tests/steps/handing_over.py
@@ -77,6 +77,11 @@
                 outcome=handover.Outcome(event),
                 now_ms=context.now_ms,
             )
+        case "lose":
+            subject.begin_leaving(void_at_ms=context.now_ms + 100)
+        case "void":
+            context.now_ms += 100
+            context.moves = subject.list_ready(context.now_ms)
         case "leave":
             subject.begin_leaving()
         case _:
--- a/tools/standins/upstream.py
+++ b/tools/standins/upstream.py
@@ -131,6 +131,9 @@
         body = self._read_body()
         match (self.command, self.path):
             case ("GET", "/-/health"):
+                grant = self._read_grant()
+                if grant.grant_id and grant.expires_ms is not None:
+                    state.extend(grant.grant_id, grant.expires_ms)
                 self._answer_json(200, _write_health(state))
             case ("GET", "/-/load"):
                 self._answer_json(200, _write_load(state))
@@ -289,6 +292,7 @@
             shard=-1 if shard is None else shard,
             fence=self._read_int("Rhubarb-Fence") or 0,
             expires_ms=self._read_int("Rhubarb-Expires-Ms"),
+            grant_id=self._read_header("Rhubarb-Grant"),
         )
 
 
--- a/tools/standins/upstream_state.py
+++ b/tools/standins/upstream_state.py
@@ -52,6 +52,7 @@
     shard: int
     fence: int
     expires_ms: int | None
+    grant_id: str = ""
 
 
 class Run(msgspec.Struct, frozen=True, kw_only=True):
@@ -116,6 +117,7 @@
         self._in_flight = 0
         self._serial = 0
         self._fences: dict[int, int] = {}
+        self._extensions: dict[str, int] = {}
         self._report: Report | None = None
         self._records = -1
         if options.records:
@@ -176,7 +178,7 @@
             The serial number of the commit, or why it takes no effect.
         """
         with self._lock:
-            reason = self._check_grant(grant)
+            reason = self._check_grant(grant, self._find_extended_ms(grant))
             if reason is not None:
                 return reason
             self._serial += 1
@@ -260,17 +262,36 @@
             return Reason.DRAINING
         if deadline_ms is not None and deadline_ms <= 0:
             return Reason.DEADLINE
-        reason = self._check_grant(grant)
+        reason = self._check_grant(grant, grant.expires_ms)
         if reason is not None:
             return reason
         if self._in_flight >= self.options.slots:
             return Reason.SHED
         return None
 
-    def _check_grant(self, grant: Grant) -> Reason | None:
+    def extend(self, grant_id: str, expires_ms: int) -> None:
+        """Extends the grants that are given under an id.
+
+        Args:
+            grant_id: The id that came with the grants.
+            expires_ms: Their end on this server's clock; an earlier one than
+                before changes nothing.
+        """
+        with self._lock:
+            known_ms = self._extensions.get(grant_id, 0)
+            self._extensions = {grant_id: max(known_ms, expires_ms)}
+
+    def _find_extended_ms(self, grant: Grant) -> int | None:
+        if grant.expires_ms is None:
+            return None
+        extended_ms = self._extensions.get(grant.grant_id, 0)
+        return max(grant.expires_ms, extended_ms)
+
+    def _check_grant(
+        self, grant: Grant, expires_ms: int | None
+    ) -> Reason | None:
         if not self.options.is_fenced:
             return None
-        expires_ms = grant.expires_ms
         if expires_ms is not None and read_clock_ms() >= expires_ms:
             return Reason.EXPIRED
         if grant.shard < 0:
