Give the upstream shorter grants than the lease

Cause: after a server froze, its shards were released when the last grant had ended, up to a lease after the loss was found. Change: a grant lasts 600 ms unless a probe extends it.

--- a/src/rhubarblead/node/daemon.py
+++ b/src/rhubarblead/node/daemon.py
@@ -69,7 +69,7 @@
             timeline_capacity=node.logs.timeline_events,
         )
         self._metrics = metrics.open_metrics(node.metrics)
-        self._board = view.ViewBoard()
+        self._board = view.ViewBoard(grant_ms=node.lease.grant_ms)
         self._gate = gate.ShardGate()
         self._unresolved = unresolved.UnresolvedRuns()
         self._traffic = traffic.ShardTraffic(now_ms=clock.read_monotonic_ms())
--- a/src/rhubarblead/node/local.py
+++ b/src/rhubarblead/node/local.py
@@ -160,7 +160,7 @@
     ) -> tuple[tuple[str, str], ...]:
         forward = work.forward
         fence = view.state.assignments[forward.pool].fences[forward.shard]
-        end_ms = self._board.find_lease_end_ms(view.member_id)
+        end_ms = self._board.find_grant_end_ms(view.member_id)
         expiry_ms = self._upstream.find_expiry_ms(end_ms)
         return (
             ("Rhubarb-Shard", str(forward.shard)),
--- a/src/rhubarblead/node/probes.py
+++ b/src/rhubarblead/node/probes.py
@@ -74,18 +74,18 @@
         """Reads the newest view; None before the first announcement."""
         return self._view
 
-    def find_expiry_ms(self, lease_end_ms: int) -> int:
-        """Converts the end of a lease to the upstream's clock.
+    def find_expiry_ms(self, grant_end_ms: int) -> int:
+        """Converts the end of a grant to the upstream's clock.
 
         Args:
-            lease_end_ms: On this node's monotonic clock.
+            grant_end_ms: On this node's monotonic clock.
 
         Returns:
             A time on the upstream's clock that is not later; 0 while the
             upstream's clock isn't known.
         """
         with self._lock:
-            return self._monitor.find_clock_ms(lease_end_ms)
+            return self._monitor.find_clock_ms(grant_end_ms)
 
     def take_announcement(self, announcement: monitor.Announcement) -> None:
         """Takes an announcement that the upstream sent to the node."""
@@ -189,10 +189,10 @@
         extension = self._find_extension()
         if extension is None:
             return {}
-        member_id, lease_end_ms = extension
+        member_id, grant_end_ms = extension
         return {
             "Rhubarb-Grant": member_id,
-            "Rhubarb-Expires-Ms": str(self.find_expiry_ms(lease_end_ms)),
+            "Rhubarb-Expires-Ms": str(self.find_expiry_ms(grant_end_ms)),
         }
 
     def _update(self, announcement: monitor.Announcement, now_ms: int) -> None:
--- a/src/rhubarblead/node/view.py
+++ b/src/rhubarblead/node/view.py
@@ -42,9 +42,10 @@
     Control writes, all other threads read.
     """
 
-    __slots__ = ("_changed", "_forfeited", "_lease", "_view")
+    __slots__ = ("_changed", "_forfeited", "_grant_ms", "_lease", "_view")
 
-    def __init__(self) -> None:
+    def __init__(self, *, grant_ms: int) -> None:
+        self._grant_ms = grant_ms
         self._view = EMPTY_VIEW
         self._lease: tuple[str, int] = ("", 0)
         self._forfeited = ""
@@ -74,14 +75,29 @@
             The end of the latest grant that may have been given.
         """
         self._forfeited = member_id
-        return self.find_lease_end_ms(member_id)
+        return self.find_grant_end_ms(member_id)
 
     def find_extension(self) -> tuple[str, int] | None:
-        """Finds the member whose grants go on, and the end of its lease."""
-        holder, end_ms = self._lease
+        """Finds the member whose grants go on, and their new end."""
+        holder, _ = self._lease
         if not holder or holder == self._forfeited:
             return None
-        return holder, end_ms
+        return holder, self.find_grant_end_ms(holder)
+
+    def find_grant_end_ms(self, member_id: str) -> int:
+        """Finds until when the upstream may run what it is sent now.
+
+        A grant is shorter than the lease, so that the shards of an upstream
+        that has gone silent are free soon.
+
+        Args:
+            member_id: The member that owns the shard.
+
+        Returns:
+            A moment on the monotonic clock; 0 without a lease.
+        """
+        end_ms = self.find_lease_end_ms(member_id)
+        return min(end_ms, clock.read_monotonic_ms() + self._grant_ms)
 
     def find_lease_end_ms(self, member_id: str) -> int:
         """Finds the end of the lease of a member id; 0 without a lease."""
--- a/src/rhubarblead/settings.py
+++ b/src/rhubarblead/settings.py
@@ -43,6 +43,8 @@
     """Bound on how much two monotonic clocks differ in rate."""
     authority_ms: Duration = 4_000
     """How long a granter promises after it last knew that it was a member."""
+    grant_ms: Duration = 600
+    """How long a grant to the upstream holds unless a probe extends it."""
     tick_ms: Duration = 50
     """Time between two looks at what is due."""
 
