Carry logical times and loads between nodes

Cause: events of different nodes were not tied to one another by their messages, and nodes did not tell the load of the servers that they chose among. Change: messages carry the sender's logical time, answers the load of the server beside the node that answered.

--- a/src/rhubarblead/messages.py
+++ b/src/rhubarblead/messages.py
@@ -39,6 +39,7 @@
     body_size: int
     body_digest: int
     is_suspect: bool = False
+    lamport: int = 0
 
 
 class Ack(msgspec.Struct, frozen=True, kw_only=True, tag="ack"):
@@ -52,6 +53,7 @@
 
     `refusal` is empty when the upstream answered. `owner` names the member
     that the receiver believes to own the shard, when it does not itself.
+    `in_flight_count` and `slots_count` tell the load of a server that answered.
     """
 
     call_id: str
@@ -65,6 +67,9 @@
     ownership_revision: int = 0
     server: str = ""
     is_suspect: bool = False
+    in_flight_count: int = 0
+    slots_count: int = 0
+    lamport: int = 0
     body_size: int = 0
     body_digest: int = 0
 
@@ -78,10 +83,14 @@
 class Revisions(
     msgspec.Struct, frozen=True, kw_only=True, array_like=True, gc=False
 ):
-    """The newest revisions that a node has of what is stored."""
+    """The newest revisions that a node has of what is stored.
+
+    `lamport` is the sender's logical time, which orders the events of nodes.
+    """
 
     ownership: int
     tables: int
+    lamport: int = 0
 
 
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag="hb"):
@@ -137,6 +146,8 @@
 class News(msgspec.Struct, frozen=True, kw_only=True, tag="news"):
     """Committed ownership entries, and the tables when they are newer.
 
+    `lamport` is the sender's logical time.
+
     `entries` follow one another without a gap. `snapshot_digest` names an
     object to read first when the entries don't reach back far enough.
     """
@@ -145,6 +156,7 @@
     snapshot_digest: str = ""
     tables_revision: int = 0
     tables: bytes = b""
+    lamport: int = 0
 
 
 class LedgerEntry(msgspec.Struct, frozen=True, kw_only=True, tag="led"):
--- a/src/rhubarblead/node/choice.py
+++ b/src/rhubarblead/node/choice.py
@@ -109,6 +109,13 @@
                     now_ms=now_ms,
                     retry_after_ms=outcome.retry_after_ms if outcome else 0,
                 )
+                if outcome is not None and outcome.slots_count:
+                    self._balancer.take_report(
+                        name,
+                        in_flight=outcome.in_flight_count,
+                        slots=outcome.slots_count,
+                        now_ms=now_ms,
+                    )
 
     def _follow(
         self, pool: tables_lib.Pool, members: frozenset[str], now_ms: int
--- a/src/rhubarblead/node/control.py
+++ b/src/rhubarblead/node/control.py
@@ -225,7 +225,7 @@
         promise = tenure.granter.take_heartbeat(
             heartbeat=heartbeat,
             now_ms=now_ms,
-            revisions=self._journal.revisions,
+            revisions=self._make_revisions(),
         )
         self._links.reply(sender, [messages.encode(promise)])
         self._compare(heartbeat.member_id, heartbeat.revisions, now_ms)
@@ -241,6 +241,7 @@
     def _compare(
         self, member_id: str, revisions: messages.Revisions, now_ms: int
     ) -> None:
+        self._events.observe(revisions.lamport)
         self._reads.hear(now_ms)
         if not self._journal.is_behind(revisions):
             return
@@ -248,7 +249,12 @@
             return
         self._news_due_ms = now_ms + _NEWS_INTERVAL_MS
         self._send(
-            member_id, messages.NewsRequest(revisions=self._journal.revisions)
+            member_id, messages.NewsRequest(revisions=self._make_revisions())
+        )
+
+    def _make_revisions(self) -> messages.Revisions:
+        return msgspec.structs.replace(
+            self._journal.revisions, lamport=self._events.tick()
         )
 
     def _answer_news_request(
@@ -259,6 +265,7 @@
             self._links.reply(sender, [messages.encode(news)])
 
     def _take_news(self, news: messages.News, now_ms: int) -> None:
+        self._events.observe(news.lamport)
         before = self._journal.state
         if not self._journal.take_entries(news.entries):
             self._reads.want_ownership()
@@ -430,7 +437,9 @@
             is_author=bool(author_id),
             platform=self._node.platform,
         )
-        frame = messages.encode(messages.News(entries=entries))
+        frame = messages.encode(
+            messages.News(entries=entries, lamport=self._events.tick())
+        )
         for receiver in receivers:
             self._send_frame(receiver, frame)
 
@@ -469,7 +478,7 @@
 
     def _send_heartbeats(self, tenure: tenures.Tenure, now_ms: int) -> None:
         due = tenure.holder.list_heartbeats(
-            now_ms=now_ms, revisions=self._journal.revisions
+            now_ms=now_ms, revisions=self._make_revisions()
         )
         for granter_id, heartbeat in due:
             self._send(granter_id, heartbeat)
--- a/src/rhubarblead/node/daemon.py
+++ b/src/rhubarblead/node/daemon.py
@@ -162,7 +162,9 @@
             shard_traffic=self._traffic,
             unresolved_runs=self._unresolved,
         )
-        self._peer_server = routing.PeerServer(local_server=self._local)
+        self._peer_server = routing.PeerServer(
+            local_server=self._local, events=self._events
+        )
         self._router = routing.Router(
             board=self._board,
             local_server=self._local,
--- a/src/rhubarblead/node/execution.py
+++ b/src/rhubarblead/node/execution.py
@@ -95,6 +95,8 @@
                     headers=answer.headers,
                     body=answer.body,
                     server=self._instance,
+                    in_flight_count=self._slots.count_running(),
+                    slots_count=self._slots.count_slots(),
                 )
             case result.Err(failure):
                 return self._conclude_failure(failure)
--- a/src/rhubarblead/node/outcome.py
+++ b/src/rhubarblead/node/outcome.py
@@ -17,7 +17,8 @@
 
     `server` is the instance that answered and `owner` the `ip:port` of the
     owner's node for callers; both are empty when not known. `is_suspect` says
-    that the server crashed while it ran the request.
+    that the server crashed while it ran the request. `in_flight_count` and
+    `slots_count` tell the load of a server that answered.
     """
 
     verdict: verdicts.Verdict
@@ -31,6 +32,8 @@
     owner: str = ""
     ownership_revision: int = 0
     is_suspect: bool = False
+    in_flight_count: int = 0
+    slots_count: int = 0
 
 
 class _RefusalBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -84,8 +87,19 @@
         return ""
 
 
-def encode_reply(call_id: str, outcome: Outcome) -> exchange.Reply:
-    """Turns an outcome into the reply to the node that forwarded."""
+def encode_reply(
+    call_id: str, outcome: Outcome, *, lamport: int = 0
+) -> exchange.Reply:
+    """Turns an outcome into the reply to the node that forwarded.
+
+    Args:
+        call_id: The call that is answered.
+        outcome: What became of it.
+        lamport: This node's logical time.
+
+    Returns:
+        The reply.
+    """
     message = messages.Answer(
         call_id=call_id,
         verdict=outcome.verdict,
@@ -98,6 +112,9 @@
         ownership_revision=outcome.ownership_revision,
         server=outcome.server,
         is_suspect=outcome.is_suspect,
+        in_flight_count=outcome.in_flight_count,
+        slots_count=outcome.slots_count,
+        lamport=lamport,
         body_size=len(outcome.body),
         body_digest=exchange.digest_body(outcome.body),
     )
@@ -118,4 +135,6 @@
         owner=answer.owner,
         ownership_revision=answer.ownership_revision,
         is_suspect=answer.is_suspect,
+        in_flight_count=answer.in_flight_count,
+        slots_count=answer.slots_count,
     )
--- a/src/rhubarblead/node/routing.py
+++ b/src/rhubarblead/node/routing.py
@@ -264,7 +264,9 @@
         deadline_ms: int,
     ) -> outcomes.Outcome:
         message = msgspec.structs.replace(
-            forward, body_digest=exchange.digest_body(body)
+            forward,
+            body_digest=exchange.digest_body(body),
+            lamport=self._events.tick(),
         )
         future = self._exchange.call(
             address=views.find_data_address(member),
@@ -274,6 +276,7 @@
         )
         match future.result():
             case exchange.Reply(message=messages.Answer() as answer, body=got):
+                self._events.observe(answer.lamport)
                 return outcomes.decode_reply(answer, got)
             case exchange.NoReply(is_sent=True):
                 return _lose_peer(verdicts.Verdict.MAY_HAVE_RUN, deadline_ms)
@@ -320,10 +323,13 @@
 class PeerServer:
     """Runs what other nodes forward to this one."""
 
-    __slots__ = ("_local",)
+    __slots__ = ("_events", "_local")
 
-    def __init__(self, *, local_server: local.LocalServer) -> None:
+    def __init__(
+        self, *, local_server: local.LocalServer, events: log.EventLog
+    ) -> None:
         self._local = local_server
+        self._events = events
 
     def serve(self, forward: messages.Forward, body: bytes) -> exchange.Reply:
         """Runs a forwarded request.
@@ -335,6 +341,7 @@
         Returns:
             The reply to the node that forwarded it.
         """
+        self._events.observe(forward.lamport)
         now_ms = clock.read_monotonic_ms()
         outcome = self._local.execute(
             works.Work(
@@ -343,7 +350,9 @@
                 deadline_ms=now_ms + forward.remaining_ms,
             )
         )
-        return outcomes.encode_reply(forward.call_id, outcome)
+        return outcomes.encode_reply(
+            forward.call_id, outcome, lamport=self._events.tick()
+        )
 
 
 def refuse_call(forward: messages.Forward) -> exchange.Reply:
--- a/src/rhubarblead/requests/admission.py
+++ b/src/rhubarblead/requests/admission.py
@@ -91,6 +91,11 @@
         self._alone_waiting: Ticket | None = None
         self._alone_after_ms = 0
 
+    @property
+    def slots_count(self) -> int:
+        """How many requests may run."""
+        return self._slots
+
     @property
     def running_count(self) -> int:
         """How many requests run."""
--- a/src/rhubarblead/requests/slots.py
+++ b/src/rhubarblead/requests/slots.py
@@ -88,6 +88,10 @@
         with self._lock:
             self._take(self._decisions.set_slots(slots, self._read_ms()))
 
+    def count_slots(self) -> int:
+        """Counts the slots."""
+        return self._decisions.slots_count
+
     def count_running(self) -> int:
         """Counts the requests that run."""
         with self._lock:
