Stop without cutting off answers, cancel late requests, fill the status

Cause: a node that stopped closed its callers' connections while it still routed their requests to other nodes; an upstream kept running what nobody waited for; the status did not tell the tables' digest or whether the store answers. Change: a stopping node hands over, then refuses new requests, then waits for the answers in progress; a request whose time is over at the upstream is cancelled there; the status is complete.

--- a/src/rhubarblead/node/admin.py
+++ b/src/rhubarblead/node/admin.py
@@ -36,6 +36,7 @@
         "_count_in_flight",
         "_events",
         "_handlers",
+        "_is_store_reachable",
         "_node",
         "_post",
         "_started_at_ms",
@@ -51,6 +52,7 @@
         events: log.EventLog,
         post: Callable[[control.Item], None],
         count_in_flight: Callable[[], int],
+        is_store_reachable: Callable[[], bool],
     ) -> None:
         self._node = node
         self._board = board
@@ -58,6 +60,7 @@
         self._events = events
         self._post = post
         self._count_in_flight = count_in_flight
+        self._is_store_reachable = is_store_reachable
         self._started_at_ms = clock.read_monotonic_ms()
         self._handlers: dict[
             tuple[str, str], Callable[[intake.CallerRequest], outcomes.Outcome]
@@ -121,7 +124,7 @@
                 failure_domain=self._node.failure_domain,
                 region=self._node.region,
                 pool=member.pool if member else "",
-                state="serving" if member else "waiting",
+                state=_name_state(view),
                 lease_left_ms=max(0, lease_end_ms - now_ms),
                 granters=tuple(
                     reports.GranterView(member_id=g, promise_age_ms=-1)
@@ -130,6 +133,8 @@
                 granters_epoch=member.granters_epoch if member else 0,
                 ownership_revision=view.state.revision,
                 tables_revision=view.tables_revision,
+                tables_digest=view.tables_digest,
+                is_store_reachable=self._is_store_reachable(),
                 shards_owned_count=_count_owned(view.state, view.member_id),
                 in_flight_count=self._count_in_flight(),
                 upstream=self._describe_upstream(),
@@ -242,6 +247,12 @@
                 return _refuse(refusals.Refusal.MALFORMED, explanation)
 
 
+def _name_state(view: views.View) -> str:
+    if view.member is None:
+        return "waiting"
+    return "leaving" if view.is_leaving else "serving"
+
+
 def _read_query(request: intake.CallerRequest) -> dict[str, str]:
     query = urllib.parse.urlsplit(request.target).query
     return dict(urllib.parse.parse_qsl(query))
--- a/src/rhubarblead/node/control.py
+++ b/src/rhubarblead/node/control.py
@@ -413,6 +413,8 @@
                 tables=self._journal.tables,
                 tables_revision=self._journal.tables_revision,
                 member=state.members.get(tenure.member_id) if tenure else None,
+                tables_digest=self._journal.tables_digest,
+                is_leaving=self._agenda.is_leaving(self._journal),
             )
         )
 
--- a/src/rhubarblead/node/daemon.py
+++ b/src/rhubarblead/node/daemon.py
@@ -52,6 +52,7 @@
 _LEDGER_THREADS = 2
 _FIRST_SLOTS = 1
 _LEAVE_POLL_S = 0.05
+_LAST_ANSWERS_S = 0.1
 _FLUSH_S = 1.0
 _SWITCH_INTERVAL_S = 0.001
 _MS_PER_S = 1000
@@ -87,6 +88,7 @@
         self._ledger_executor = futures.ThreadPoolExecutor(
             _LEDGER_THREADS, "ledger"
         )
+        self._background_executor = futures.ThreadPoolExecutor(1, "background")
         self._plan_executor = futures.ThreadPoolExecutor(1, "plan")
         self._task_executor = futures.ThreadPoolExecutor(_TASK_THREADS, "task")
         self._build()
@@ -122,16 +124,17 @@
             executor=self._ledger_executor,
             events=self._events,
         )
+        self._observer = observer.Observer(
+            events=self._events,
+            drop_peer=self._exchange.drop_peer,
+            followers=(self._replicas, self._protection),
+        )
         self._control = control.Control(
             node=node,
             context=self._context,
             board=self._board,
             agenda=self._agenda,
-            observer=observer.Observer(
-                events=self._events,
-                drop_peer=self._exchange.drop_peer,
-                followers=(self._replicas, self._protection),
-            ),
+            observer=self._observer,
             events=self._events,
             shard_traffic=self._traffic,
             take_suspect=self._crashes.take_suspect,
@@ -161,6 +164,7 @@
             runner=self._execution,
             shard_traffic=self._traffic,
             unresolved_runs=self._unresolved,
+            background=self._background_executor,
         )
         self._peer_server = routing.PeerServer(
             local_server=self._local, events=self._events
@@ -183,6 +187,14 @@
             events=self._events,
             post=self._control.post,
             count_in_flight=self._execution.count_in_flight,
+            is_store_reachable=lambda: self._observer.is_store_reachable,
+        )
+        self._application = front.Application(
+            route=self._router.handle,
+            admin=self._admin.handle,
+            refuse=routing.refuse_overload,
+            refuse_closed=routing.refuse_draining,
+            queue_length=node.limits.queue_length,
         )
 
     def _make_jobs(
@@ -250,6 +262,7 @@
         stack.enter_context(self._store)
         stack.enter_context(self._store_executor)
         stack.enter_context(self._peer_executor)
+        stack.enter_context(self._background_executor)
         stack.enter_context(self._plan_executor)
         stack.enter_context(self._ledger_executor)
         stack.enter_context(self._task_executor)
@@ -285,14 +298,8 @@
         self._stopping.set()
 
     def _start_front(self) -> None:
-        application = front.Application(
-            route=self._router.handle,
-            admin=self._admin.handle,
-            refuse=routing.refuse_overload,
-            queue_length=self._node.limits.queue_length,
-        )
         server = waitress.server.create_server(
-            application,
+            self._application,
             host=str(self._node.ip_address),
             port=self._node.http_port,
             threads=self._node.limits.threads,
@@ -302,7 +309,7 @@
             ident=None,
         )
         server.channel_class = front.Channel
-        application.watch(lambda: len(server.task_dispatcher.queue))
+        self._application.watch(lambda: len(server.task_dispatcher.queue))
         thread = threading.Thread(target=server.run, daemon=True)
         thread.start()
         self._stack.callback(server.close)
@@ -311,12 +318,27 @@
         self._events.emit(catalog.Event.NODE_STOPPING)
         self._control.post(control.Drain())
         deadline_ms = clock.read_monotonic_ms() + self._node.limits.drain_ms
-        while clock.read_monotonic_ms() < deadline_ms:
-            is_member = self._board.read().member is not None
-            if not is_member and self._execution.count_in_flight() == 0:
-                return
+        # Requests are taken for others until the shards are handed over.
+        has_left = self._wait(
+            lambda: self._board.read().member is None, deadline_ms
+        )
+        self._application.close()
+        is_idle = self._wait(self._is_idle, deadline_ms)
+        if not (has_left and is_idle):
+            self._events.emit(catalog.Event.DRAIN_GIVEN_UP)
+        # The last answers are still being written.
+        threading.Event().wait(_LAST_ANSWERS_S)
+
+    def _is_idle(self) -> bool:
+        count = self._execution.count_in_flight()
+        return count + self._application.count_active() == 0
+
+    def _wait(self, is_done: Callable[[], bool], deadline_ms: int) -> bool:
+        while not is_done():
+            if clock.read_monotonic_ms() >= deadline_ms:
+                return False
             threading.Event().wait(_LEAVE_POLL_S)
-        self._events.emit(catalog.Event.DRAIN_GIVEN_UP)
+        return True
 
     def _flush_metrics(self) -> None:
         while not self._stopping.wait(_FLUSH_S):
--- a/src/rhubarblead/node/front.py
+++ b/src/rhubarblead/node/front.py
@@ -2,7 +2,10 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
+import contextlib
 import math
+import threading
 from typing import Any
 from typing import TypeAlias
 
@@ -40,14 +43,19 @@
     """Hands each request to the router or the operators' handler.
 
     While more requests wait for a thread than `queue_length`, those of callers
-    are refused at once: they would be answered too late.
+    are refused at once: they would be answered too late. So are all that come
+    after `close`.
     """
 
     __slots__ = (
+        "_active_count",
         "_admin",
         "_count_waiting",
+        "_is_closed",
+        "_lock",
         "_queue_length",
         "_refuse",
+        "_refuse_closed",
         "_route",
     )
 
@@ -57,13 +65,18 @@
         route: Handler,
         admin: Handler,
         refuse: Handler,
+        refuse_closed: Handler,
         queue_length: int,
     ) -> None:
         self._route = route
         self._admin = admin
         self._refuse = refuse
+        self._refuse_closed = refuse_closed
         self._queue_length = queue_length
         self._count_waiting: Callable[[], int] = lambda: 0
+        self._active_count = 0
+        self._is_closed = False
+        self._lock = threading.Lock()
 
     def watch(self, count_waiting: Callable[[], int]) -> None:
         """Sets what counts the requests that wait for a thread."""
@@ -73,6 +86,30 @@
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> Iterable[bytes]:
         """Answers one request, by the WSGI protocol."""
+        with self._counting():
+            return self._answer(environ, start_response)
+
+    def close(self) -> None:
+        """Refuses the requests of callers that come from now on."""
+        self._is_closed = True
+
+    def count_active(self) -> int:
+        """Counts the requests that are being answered."""
+        return self._active_count
+
+    @contextlib.contextmanager
+    def _counting(self) -> Iterator[None]:
+        with self._lock:
+            self._active_count += 1
+        try:
+            yield
+        finally:
+            with self._lock:
+                self._active_count -= 1
+
+    def _answer(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
         request = read_request(environ)
         outcome = self._choose_handler(request)(request)
         start_response(
@@ -84,6 +121,8 @@
     def _choose_handler(self, request: intake.CallerRequest) -> Handler:
         if request.path.startswith(ADMIN_PREFIX):
             return self._admin
+        if self._is_closed:
+            return self._refuse_closed
         if self._count_waiting() > self._queue_length:
             return self._refuse
         return self._route
--- a/src/rhubarblead/node/journal.py
+++ b/src/rhubarblead/node/journal.py
@@ -3,6 +3,8 @@
 import collections
 from collections.abc import Iterable
 
+import xxhash
+
 from rhubarblead import membership
 from rhubarblead import messages
 from rhubarblead import ownership
@@ -31,6 +33,13 @@
             maxlen=_KEPT_ENTRIES
         )
 
+    @property
+    def tables_digest(self) -> str:
+        """The digest of the tables in force; empty while there are none."""
+        if not self._tables_document:
+            return ""
+        return xxhash.xxh3_64_hexdigest(self._tables_document)
+
     @property
     def revisions(self) -> messages.Revisions:
         """The revisions of the newest facts."""
--- a/src/rhubarblead/node/local.py
+++ b/src/rhubarblead/node/local.py
@@ -1,5 +1,6 @@
 """Runs requests at the upstream beside the node."""
 
+from concurrent import futures
 import contextlib
 
 import result
@@ -31,6 +32,7 @@
     """
 
     __slots__ = (
+        "_background",
         "_board",
         "_execution",
         "_gate",
@@ -50,6 +52,7 @@
         runner: execution.Execution,
         shard_traffic: traffic.ShardTraffic,
         unresolved_runs: unresolved.UnresolvedRuns,
+        background: futures.Executor,
     ) -> None:
         self._board = board
         self._gate = shard_gate
@@ -58,6 +61,7 @@
         self._execution = runner
         self._traffic = shard_traffic
         self._unresolved = unresolved_runs
+        self._background = background
 
     def execute(self, work: works.Work) -> outcomes.Outcome:
         """Runs one request, or refuses it.
@@ -201,7 +205,7 @@
         remaining_ms: int,
     ) -> result.Result[client.UpstreamAnswer, client.UpstreamFailure]:
         forward = work.forward
-        return upstream.client.send(
+        sent = upstream.client.send(
             client.UpstreamRequest(
                 method=forward.method,
                 target=forward.target,
@@ -217,6 +221,15 @@
                 max_answer_bytes=forward.max_answer_bytes,
             )
         )
+        is_late = (
+            isinstance(sent, result.Err)
+            and sent.err_value.refusal is refusals.Refusal.DEADLINE
+            and not sent.err_value.verdict.is_safe_to_repeat
+        )
+        if is_late:
+            # Nobody waits for the answer any more: the slot may be freed.
+            self._background.submit(upstream.client.cancel, forward.request_id)
+        return sent
 
 
 def _refuse(refusal: refusals.Refusal, explanation: str) -> outcomes.Outcome:
--- a/src/rhubarblead/node/view.py
+++ b/src/rhubarblead/node/view.py
@@ -15,12 +15,15 @@
     """Stored facts as far as this node has heard of them.
 
     `member` is the node's own record, None while it is not a member.
+    `is_leaving` says that it hands over what it owns.
     """
 
     state: ownership.State
     tables: tables.Tables
     tables_revision: int
     member: membership.Member | None
+    tables_digest: str = ""
+    is_leaving: bool = False
 
     @property
     def member_id(self) -> str:
