--- a/src/rhubarblead/node/control.py
+++ b/src/rhubarblead/node/control.py
@@ -13,7 +13,6 @@
 
 from rhubarblead import clock
 from rhubarblead import faults
-from rhubarblead import membership
 from rhubarblead import messages
 from rhubarblead import ownership
 from rhubarblead import settings
@@ -22,11 +21,11 @@
 from rhubarblead.leases import selection
 from rhubarblead.node import agenda as agendas
 from rhubarblead.node import change as changes
+from rhubarblead.node import dissemination
 from rhubarblead.node import journal as journals
 from rhubarblead.node import observer as observers
 from rhubarblead.node import planning
 from rhubarblead.node import reading
-from rhubarblead.node import spread
 from rhubarblead.node import store_jobs
 from rhubarblead.node import tenure as tenures
 from rhubarblead.node import traffic
@@ -100,6 +99,7 @@
         "_links",
         "_loads",
         "_loads_due_ms",
+        "_news",
         "_news_due_ms",
         "_node",
         "_observer",
@@ -139,6 +139,12 @@
         )
         self._jobs = make_jobs(self._inbox.put)
         self._journal = journals.Journal()
+        self._news = dissemination.Dissemination(
+            control_links=self._links,
+            journal=self._journal,
+            platform=node.platform,
+            events=events,
+        )
         self._plans = planning.PlanJobs(
             executor=plan_executor, post=self._inbox.put
         )
@@ -248,7 +254,7 @@
         if now_ms < self._news_due_ms:
             return
         self._news_due_ms = now_ms + _NEWS_INTERVAL_MS
-        self._send(
+        self._news.send(
             member_id, messages.NewsRequest(revisions=self._make_revisions())
         )
 
@@ -336,7 +342,9 @@
                 catalog.Event.TABLES_IN_FORCE, tables_revision=revision
             )
             self._publish()
-            self._push_tables()
+            tenure = self._agenda.tenure
+            if tenure is not None:
+                self._news.push_tables(member_id=tenure.member_id)
 
     def _take_written(self, item: store_jobs.Written, now_ms: int) -> None:
         proposal = item.proposal
@@ -372,14 +380,8 @@
 
     def _spread_suspect(self, suspect: messages.Suspect) -> None:
         tenure = self._agenda.tenure
-        state = self._journal.state
-        record = state.members.get(tenure.member_id) if tenure else None
-        if record is None:
-            return
-        frame = messages.encode(suspect)
-        for member in state.list_pool(record.pool):
-            if member.member_id != record.member_id:
-                self._send_frame(member.member_id, frame)
+        if tenure is not None:
+            self._news.spread_suspect(suspect, member_id=tenure.member_id)
 
     # What follows from newer facts.
 
@@ -402,7 +404,12 @@
                     member_id=tenure.member_id if tenure else "",
                 )
             )
-            self._push(entries, author_id=author_id)
+            # A member that has just left still tells the others.
+            self._news.push_entries(
+                entries,
+                member_id=tenure.member_id if tenure else author_id,
+                is_author=bool(author_id),
+            )
 
     def _publish(self) -> None:
         tenure = self._agenda.tenure
@@ -424,45 +431,6 @@
             end_ms=tenure.holder.find_lease_end_ms(),
         )
 
-    def _push(
-        self, entries: tuple[membership.Entry, ...], *, author_id: str
-    ) -> None:
-        # A member that has just left still tells the others that it did.
-        tenure = self._agenda.tenure
-        member_id = tenure.member_id if tenure else author_id
-        if not entries or not member_id:
-            return
-        receivers = spread.list_receivers(
-            state=self._journal.state,
-            member_id=member_id,
-            entries=entries,
-            is_author=bool(author_id),
-            platform=self._node.platform,
-        )
-        frame = messages.encode(
-            messages.News(entries=entries, lamport=self._events.tick())
-        )
-        for receiver in receivers:
-            self._send_frame(receiver, frame)
-
-    def _push_tables(self) -> None:
-        tenure = self._agenda.tenure
-        news = self._journal.make_news(
-            messages.Revisions(ownership=self._journal.state.revision, tables=0)
-        )
-        if tenure is None or news is None:
-            return
-        receivers = spread.list_receivers(
-            state=self._journal.state,
-            member_id=tenure.member_id,
-            entries=(),
-            is_author=False,
-            platform=self._node.platform,
-        )
-        frame = messages.encode(news)
-        for member_id in receivers:
-            self._send_frame(member_id, frame)
-
     # The clock.
 
     def _tick(self, now_ms: int) -> None:
@@ -483,7 +451,7 @@
             now_ms=now_ms, revisions=self._make_revisions()
         )
         for granter_id, heartbeat in due:
-            self._send(granter_id, heartbeat)
+            self._news.send(granter_id, heartbeat)
 
     def _send_lapses(self, tenure: tenures.Tenure, now_ms: int) -> None:
         lapses = tenure.granter.list_lapses(now_ms=now_ms)
@@ -492,18 +460,7 @@
             self._lapses_due_ms = now_ms + _LAPSE_INTERVAL_MS
         for lapse in self._observer.list_fresh_lapses(lapses, is_due=is_due):
             tenure.taker.take_lapse(lapse=lapse, now_ms=now_ms)
-            frame = messages.encode(lapse)
-            for member_id in self._list_lapse_receivers(lapse):
-                if member_id != tenure.member_id:
-                    self._send_frame(member_id, frame)
-
-    def _list_lapse_receivers(self, lapse: messages.Lapse) -> set[str]:
-        state = self._journal.state
-        member = state.members.get(lapse.member_id)
-        if member is None:
-            return set()
-        takers = selection.rank_takers(state=state, member=member)
-        return {*takers, *member.granters}
+            self._news.send_lapse(lapse, member_id=tenure.member_id)
 
     def _start_reads(self, now_ms: int) -> None:
         tenure = self._agenda.tenure
@@ -545,7 +502,7 @@
         if planner == tenure.member_id:
             self._loads.take(report, now_ms)
         else:
-            self._send(planner, report)
+            self._news.send(planner, report)
 
     def _start_plan(self, now_ms: int) -> None:
         state = self._journal.state
@@ -583,11 +540,3 @@
         self._agenda.begin(proposal)
         self._writes.begin(proposal)
         self._jobs.write(proposal)
-
-    def _send(self, member_id: str, message: messages.Message) -> None:
-        self._send_frame(member_id, messages.encode(message))
-
-    def _send_frame(self, member_id: str, frame: bytes) -> None:
-        member = self._journal.state.members.get(member_id)
-        if member is not None:
-            self._links.send(views.find_control_address(member), [frame])
