State no lapses while the own lease isn't renewed

Cause: with all links cut for 20 s and the store up, granters called everybody lapsed, and the first taker evicted nearly all members that live. Change: a granter that isn't promised to itself, or lacks authority, waits a full duration after that has passed before it states new lapses. The node must pass own_lease_end_ms to list_lapses for this to take effect.

--- a/src/rhubarblead/leases/granter.py
+++ b/src/rhubarblead/leases/granter.py
@@ -31,6 +31,7 @@
         "_duration_ms",
         "_ends_ms",
         "_followed",
+        "_grace_end_ms",
         "_hearings",
         "_is_retired",
         "_known_member_at_ms",
@@ -39,7 +40,6 @@
         "_listed_at_ms",
         "_member_id",
         "_members",
-        "_resumed_at_ms",
         "_revision",
     )
 
@@ -59,7 +59,7 @@
         self._followed: set[tuple[str, int]] = set()
         self._lapsed: set[tuple[str, int]] = set()
         self._listed_at_ms: int | None = None
-        self._resumed_at_ms: int | None = None
+        self._grace_end_ms: int | None = None
 
     def confirm_membership(self, *, as_of_ms: int) -> None:
         """Takes note that this member was one, which lets it promise.
@@ -152,20 +152,29 @@
         }
         self._lapsed &= self._followed
 
-    def list_lapses(self, *, now_ms: int) -> list[messages.Lapse]:
+    def list_lapses(
+        self, *, now_ms: int, own_lease_end_ms: int | None = None
+    ) -> list[messages.Lapse]:
         """Lists all lapses in force, and makes those that are due final.
 
-        While this member may not promise, and after a pause of its process,
-        silence is no sign that others are lost; so it states no new lapse until
-        they had time for heartbeats again.
+        While this member may not promise, while its own lease isn't renewed,
+        and after a pause of its process, silence is no sign that others are
+        lost; so it states no new lapse until they had time for heartbeats.
 
         Args:
             now_ms: The current time.
+            own_lease_end_ms: Until when the own lease holds; `None` for a
+                member with fewer than three granters, which may lose its lease
+                together with one other member.
 
         Returns:
             A lapse for each member that this one will not promise to again.
         """
-        if self._is_caught_up(now_ms):
+        is_connected = (
+            own_lease_end_ms is None
+            or own_lease_end_ms - now_ms >= self._lease.duration_ms // 2
+        )
+        if self._is_caught_up(now_ms, is_connected):
             self._lapsed.update(
                 key for key in self._followed if self._ends_ms[key] <= now_ms
             )
@@ -217,17 +226,17 @@
         member = self._members.get(member_id)
         return member is not None and granters_epoch > member.granters_epoch
 
-    def _is_caught_up(self, now_ms: int) -> bool:
+    def _is_caught_up(self, now_ms: int, is_connected: bool) -> bool:
         """Tells whether members that live could have got their promises."""
         listed_at_ms = self._listed_at_ms
         self._listed_at_ms = now_ms
         heartbeat_ms = self._lease.heartbeat_ms
-        has_paused = (
-            listed_at_ms is not None and now_ms - listed_at_ms > heartbeat_ms
-        )
-        if has_paused or not self._has_authority(now_ms):
-            self._resumed_at_ms = now_ms
-        if self._resumed_at_ms is None:
-            return True
-        grace_ms = _CATCH_UP_HEARTBEATS * heartbeat_ms
-        return now_ms - self._resumed_at_ms >= grace_ms
+        grace_ms = 0
+        if listed_at_ms is not None and now_ms - listed_at_ms > heartbeat_ms:
+            grace_ms = _CATCH_UP_HEARTBEATS * heartbeat_ms
+        if not is_connected or not self._has_authority(now_ms):
+            grace_ms = self._lease.duration_ms
+        if grace_ms:
+            end_ms = now_ms + grace_ms
+            self._grace_end_ms = max(end_ms, self._grace_end_ms or end_ms)
+        return self._grace_end_ms is None or now_ms >= self._grace_end_ms
--- a/tests/rhubarblead/leases/faults.feature
+++ b/tests/rhubarblead/leases/faults.feature
@@ -34,6 +34,9 @@
       | 8       | 4       | lose owner, lose g1                                                              | 2000   | evicted |
       | 8       | 4       | lose owner, lose g1, lose g2                                                     | 7000   | evicted |
       | 8       | 4       | lose owner, run 600, lose g1, lose g2                                            | 7500   | evicted |
+      | 8       | 4       | cut * *, run 1500, uncut * * | 1500 | member |
+      | 8       | 4       | cut * *, run 20000, uncut * * | 1500 | member |
+      | 8       | 4       | store down, cut * *, run 20000, uncut * *, store up | 1500 | member |
       | 12      | 4       | lose domain                                                                      | 2000   | evicted |
       | 11      | 3       | lose domain                                                                      | 2000   | evicted |
       | 8       | 4       | part owner g1 g2, run 9000                                                       | 20     | evicted |
--- a/tests/rhubarblead/leases/world.py
+++ b/tests/rhubarblead/leases/world.py
@@ -191,7 +191,9 @@
         self.outbox += self.holder.list_heartbeats(
             now_ms=now_ms, revisions=self._revisions()
         )
-        for lapse in self.granter.list_lapses(now_ms=now_ms):
+        for lapse in self.granter.list_lapses(
+            now_ms=now_ms, own_lease_end_ms=self._find_own_end_ms()
+        ):
             self.taker.take_lapse(lapse=lapse, now_ms=now_ms)
             self._send_all(lapse)
         self._tick_store(now_ms)
@@ -215,6 +217,11 @@
             case Written():
                 self._take_written(payload, now_ms)
 
+    def _find_own_end_ms(self) -> int | None:
+        if len(self.holder.granters) < selection.GRANTER_COUNT:
+            return None
+        return self.holder.find_lease_end_ms()
+
     def _take_read(self, answer: WasRead, now_ms: int) -> None:
         self._follow(answer.state, now_ms)
         record = answer.state.members.get(self.member_id)
