Bind the memory of a shard to its fence, and copies to the granters' epoch

Change: markers carry the shard's fence, reads and writes of copies the granters' epoch. A granter is complete only if named without a break since it was sent all. Nothing begins by a view other than the one followed. Failed transfers to new granters are tried again by the next request, one at a time, where they waited for news. Split and merged keys count as lost memory.

--- a/src/rhubarblead/messages.py
+++ b/src/rhubarblead/messages.py
@@ -166,7 +166,8 @@
     entry keeps the answer's status and, when small, its headers and body. The
     marker that a shard was adopted has no key and carries the wall time before
     which its memory may have holes. Of two entries of one owner with the same
-    key, the one with the higher `sequence` counts.
+    key, the one with the higher `sequence` counts. A marker's `fence` is that
+    under which the owner adopted the shard.
     """
 
     pool: str
@@ -180,27 +181,34 @@
     body: bytes = b""
     has_body: bool = False
     lost_before_ms: int = 0
+    fence: int = 0
 
 
 class LedgerWrite(msgspec.Struct, frozen=True, kw_only=True, tag="ledw"):
     """An owner asks another node to keep copies of entries.
 
-    `is_all` says that these are all the entries that the owner has.
+    `is_all` says that these are all the entries that the owner has, for the
+    granters of `granters_epoch`.
     """
 
     call_id: str
     owner: str
     entries: tuple[LedgerEntry, ...]
     is_all: bool = False
+    granters_epoch: int = 0
 
 
 class LedgerRead(msgspec.Struct, frozen=True, kw_only=True, tag="ledr"):
-    """A new owner asks for the entries of shards that it took over."""
+    """A new owner asks for the entries of shards that it took over.
+
+    `granters_epoch` is that of the previous owner's last record.
+    """
 
     call_id: str
     pool: str
     shards: tuple[int, ...]
     previous_owner: str
+    granters_epoch: int = 0
 
 
 class LedgerAnswer(msgspec.Struct, frozen=True, kw_only=True, tag="leda"):
--- a/src/rhubarblead/node/change.py
+++ b/src/rhubarblead/node/change.py
@@ -20,6 +20,12 @@
     entries: tuple[membership.Entry, ...]
     member_id: str
 
+    @property
+    def is_gapless(self) -> bool:
+        """Whether `entries` are all that lie between the two states."""
+        passed_count = self.after.revision - self.before.revision
+        return len(self.entries) == passed_count
+
 
 class Follower(Protocol):
     """A part of the node that follows the ownership state."""
--- a/src/rhubarblead/node/copies.py
+++ b/src/rhubarblead/node/copies.py
@@ -74,6 +74,7 @@
             owner=member.member_id,
             entries=entries,
             is_all=is_all,
+            granters_epoch=member.granters_epoch,
         )
         return len(self._call(granters, needed, message)) >= needed
 
@@ -114,6 +115,7 @@
             pool=pool,
             shards=shards,
             previous_owner=previous.member_id,
+            granters_epoch=previous.granters_epoch,
         )
         granter_count = len(previous.granters)
         needed = count_needed_reads(granter_count)
--- a/src/rhubarblead/node/inheritance.py
+++ b/src/rhubarblead/node/inheritance.py
@@ -15,19 +15,32 @@
     """Shards of one pool that came from one owner.
 
     `previous` is the owner's last record. Without one the shards never had an
-    owner (`is_new`), or it isn't known what was remembered of them.
+    owner (`is_new`), or it isn't known what was remembered of them. `fences`
+    are those under which the node got the shards, `previous_fences` those
+    under which the previous owner had them, as far as they are known.
     """
 
     pool: str
-    shards: tuple[int, ...]
+    fences: dict[int, int]
+    previous_fences: dict[int, int]
     previous: membership.Member | None
     is_new: bool
 
+    @property
+    def shards(self) -> tuple[int, ...]:
+        """The shards in order."""
+        return tuple(sorted(self.fences))
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Origin:
     owner: str
     is_new: bool
+    previous_fence: int = 0
+    fence: int = 0
+
+
+_UNKNOWN = _Origin(owner=ownership.NOBODY, is_new=False)
 
 
 class _Walk:
@@ -36,12 +49,13 @@
     def __init__(self, change: changes.StateChange) -> None:
         self._member_id = change.member_id
         self._before = change.before
-        self._owners: dict[tuple[str, int], str] = {}
+        self._after = change.after
+        self._moved: dict[tuple[str, int], _Origin] = {}
         self._sharded: set[str] = set()
         self.records = dict(change.before.members)
         self.origins: dict[tuple[str, int], _Origin] = {}
 
-    def take(self, item: membership.Change) -> None:
+    def take(self, item: membership.Change, revision: int) -> None:
         match item:
             case membership.MemberJoined(member=member):
                 self.records[member.member_id] = member
@@ -55,26 +69,49 @@
                 self._sharded.add(pool)
             case membership.ShardsMoved(pool=pool, moves=moves):
                 for move in moves:
-                    self._move(pool, move)
-
-    def _move(self, pool: str, move: membership.ShardMove) -> None:
-        place = (pool, move.shard)
-        if move.owner == self._member_id:
-            self.origins[place] = self._find_origin(pool, move.shard)
+                    origin = self._find_origin(pool, move.shard)
+                    self._move(pool, move.shard, move.owner, revision, origin)
+            case membership.KeySplit(pool=pool, shard=shard, owner=owner):
+                self._move(pool, shard, owner, revision, _UNKNOWN)
+            case membership.KeyMerged(pool=pool, key=key, shard=shard):
+                self._move(pool, shard, ownership.NOBODY, revision, _UNKNOWN)
+                self._merge(pool, key)
+
+    def _move(
+        self, pool: str, shard: int, owner: str, fence: int, origin: _Origin
+    ) -> None:
+        place = (pool, shard)
+        if owner == self._member_id:
+            self.origins[place] = dataclasses.replace(origin, fence=fence)
         else:
             self.origins.pop(place, None)
-        self._owners[place] = move.owner
+        self._moved[place] = _Origin(
+            owner=owner, is_new=False, previous_fence=fence
+        )
+
+    def _merge(self, pool: str, key: str) -> None:
+        # What the split key's own shard remembered is not in the hashed one.
+        assignment = self._after.assignments[pool]
+        shard = ownership.hash_key(key) & (assignment.shard_count - 1)
+        if assignment.owners[shard] == self._member_id:
+            self.origins[pool, shard] = dataclasses.replace(
+                _UNKNOWN, fence=assignment.fences[shard]
+            )
 
     def _find_origin(self, pool: str, shard: int) -> _Origin:
-        owner = self._owners.get((pool, shard))
-        if owner is not None:
-            return _Origin(owner=owner, is_new=False)
+        moved = self._moved.get((pool, shard))
+        if moved is not None:
+            return moved
         if pool in self._sharded:
             return _Origin(owner=ownership.NOBODY, is_new=True)
         assignment = self._before.assignments[pool]
+        if shard >= len(assignment.owners):
+            return _UNKNOWN
+        fence = assignment.fences[shard]
         return _Origin(
             owner=assignment.owners[shard],
-            is_new=assignment.fences[shard] == assignment.sharded_revision,
+            is_new=fence == assignment.sharded_revision,
+            previous_fence=fence,
         )
 
 
@@ -88,38 +125,57 @@
     Returns:
         The gained shards, each once.
     """
-    is_gapless = (
-        change.before.revision + len(change.entries) == change.after.revision
-    )
-    if not is_gapless:
+    if not change.is_gapless:
         return list(_list_unknown(change))
     walk = _Walk(change)
     for entry in change.entries:
         for item in entry.changes:
-            walk.take(item)
-    groups: dict[tuple[str, str, bool], list[int]] = {}
+            walk.take(item, entry.revision)
+    groups: dict[tuple[str, str, bool], dict[int, _Origin]] = {}
     for (pool, shard), origin in walk.origins.items():
         group = (pool, origin.owner, origin.is_new)
-        groups.setdefault(group, []).append(shard)
+        groups.setdefault(group, {})[shard] = origin
     return [
         Inheritance(
             pool=pool,
-            shards=tuple(sorted(shards)),
+            fences={shard: o.fence for shard, o in origins.items()},
+            previous_fences={
+                shard: o.previous_fence for shard, o in origins.items()
+            },
             previous=walk.records.get(owner),
             is_new=is_new,
         )
-        for (pool, owner, is_new), shards in sorted(groups.items())
+        for (pool, owner, is_new), origins in sorted(groups.items())
     ]
 
 
 def _list_unknown(change: changes.StateChange) -> Iterator[Inheritance]:
-    for pool, shards in list_gained(change).items():
-        yield Inheritance(
-            pool=pool,
-            shards=tuple(sorted(shards)),
-            previous=None,
-            is_new=False,
-        )
+    for pool, assignment in change.after.assignments.items():
+        fences = {
+            shard: assignment.fences[shard]
+            for shard in assignment.list_shards(change.member_id)
+            if not _has_kept(change, pool, shard)
+        }
+        if fences:
+            yield Inheritance(
+                pool=pool,
+                fences=fences,
+                previous_fences={},
+                previous=None,
+                is_new=False,
+            )
+
+
+def _has_kept(change: changes.StateChange, pool: str, shard: int) -> bool:
+    """Tells whether no other member can have owned a shard in between."""
+    before = change.before.assignments.get(pool)
+    if before is None or shard >= len(before.owners):
+        return False
+    after = change.after.assignments[pool]
+    return (
+        before.owners[shard] == change.member_id
+        and before.fences[shard] == after.fences[shard]
+    )
 
 
 def list_gained(change: changes.StateChange) -> dict[str, set[int]]:
--- a/src/rhubarblead/node/protection.py
+++ b/src/rhubarblead/node/protection.py
@@ -1,8 +1,10 @@
 """Runs unrepeatable requests at most once, across owners and retries."""
 
+from collections.abc import Iterable
 from concurrent import futures
 import threading
 
+import msgspec
 import xxhash
 
 from rhubarblead import clock
@@ -24,6 +26,7 @@
 
 _RETRY_AFTER_MS = 200
 _WRITE_ATTEMPTS = 5
+_NEVER_SYNCED = -1
 
 
 class Protection:
@@ -35,14 +38,18 @@
     """
 
     __slots__ = (
+        "_capacity",
         "_copies",
         "_events",
         "_executor",
+        "_fences",
+        "_is_synchronizing",
         "_ledger",
         "_lock",
+        "_member",
         "_member_id",
+        "_state",
         "_synced_epoch",
-        "_capacity",
     )
 
     def __init__(
@@ -58,9 +65,10 @@
         self._executor = executor
         self._events = events
         self._lock = threading.Lock()
-        self._member_id = ""
-        self._synced_epoch = 0
-        self._ledger = self._make_ledger()
+        self._is_synchronizing = False
+        self._state = ownership.State()
+        self._member: membership.Member | None = None
+        self._start_anew("")
 
     def begin(
         self, view: views.View, work: works.Work
@@ -77,12 +85,15 @@
         """
         claim = make_claim(view, work)
         member = view.member
+        decision: ledger.Decision | None = None
         with self._lock:
-            if member is None or not self._is_ready(member):
-                return _refuse_for_now("the ledger is being copied")
-            decision = self._ledger.begin(
-                claim=claim, wall_ms=clock.read_wall_ms()
-            )
+            if member is not None and self._is_ready(view, member):
+                decision = self._ledger.begin(
+                    claim=claim, wall_ms=clock.read_wall_ms()
+                )
+        if member is None or decision is None:
+            self._start_synchronizing()
+            return _refuse_for_now("the ledger is being copied")
         match decision:
             case ledger.Replay(entry=entry):
                 return _replay(entry)
@@ -103,28 +114,34 @@
         """
         claim = make_claim(view, work)
         with self._lock:
-            if view.member_id != self._member_id:
+            if self._member is None or view.member_id != self._member_id:
                 return
             entry = self._settle(claim, done)
-        if view.member is not None:
-            self._copies.send(
-                state=view.state, member=view.member, entries=(entry,)
-            )
+            state, member = self._state, self._member
+        self._copies.send(state=state, member=member, entries=(entry,))
 
     def follow(self, change: changes.StateChange) -> None:
         """Takes over the memory of shards that the node gained."""
-        if change.member_id != self._member_id:
-            self._start_anew(change.member_id)
         member = change.after.members.get(change.member_id)
-        if member is None:
-            return
+        inheritances = inheritance.list_inheritances(change) if member else []
         with self._lock:
+            if change.member_id != self._member_id:
+                self._start_anew(change.member_id)
+            self._state = change.after
+            self._member = member
             for pool, gone in inheritance.list_lost(change).items():
-                self._ledger.forget(pool=pool, shards=gone)
-        if member.granters_epoch != self._synced_epoch:
-            self._executor.submit(self._synchronize, change.after, member)
-        for inherited in inheritance.list_inheritances(change):
-            self._executor.submit(self._adopt, change.after, member, inherited)
+                self._forget(pool, gone)
+            for inherited in inheritances:
+                # Also a shard that was elsewhere in between: what is known
+                # here of it is old.
+                self._forget(inherited.pool, inherited.shards)
+                for shard, fence in inherited.fences.items():
+                    self._fences[inherited.pool, shard] = fence
+        self._start_synchronizing()
+        for inherited in inheritances:
+            self._executor.submit(
+                self._adopt, change.after, change.member_id, inherited
+            )
 
     def count_entries(self) -> int:
         """Counts the requests that are remembered."""
@@ -134,17 +151,34 @@
         return ledger.Ledger(capacity=self._capacity)
 
     def _start_anew(self, member_id: str) -> None:
-        with self._lock:
-            self._member_id = member_id
-            self._synced_epoch = 0
-            self._ledger = self._make_ledger()
+        self._member_id = member_id
+        self._member = None
+        self._synced_epoch = 0
+        self._fences: dict[tuple[str, int], int] = {}
+        self._ledger = self._make_ledger()
 
-    def _is_ready(self, member: membership.Member) -> bool:
+    def _forget(self, pool: str, gone: Iterable[int]) -> None:
+        shards = tuple(gone)
+        self._ledger.forget(pool=pool, shards=shards)
+        for shard in shards:
+            self._fences.pop((pool, shard), None)
+
+    def _is_ready(self, view: views.View, member: membership.Member) -> bool:
+        # A view that is older than the newest record may name other granters,
+        # a newer one shards whose memory is not yet known to be elsewhere.
+        newest = self._member
         return (
-            member.member_id == self._member_id
-            and member.granters_epoch == self._synced_epoch
+            newest is not None
+            and member.member_id == self._member_id
+            and member.granters_epoch == newest.granters_epoch
+            and self._is_synchronized()
+            and view.state.revision <= self._state.revision
         )
 
+    def _is_synchronized(self) -> bool:
+        member = self._member
+        return member is None or member.granters_epoch == self._synced_epoch
+
     def _copy(
         self,
         view: views.View,
@@ -159,8 +193,13 @@
             return None
         self._events.emit(catalog.Event.LEDGER_REPLICA_LOST, pool=claim.pool)
         with self._lock:
-            abandoned = self._ledger.abandon(claim)
-        self._copies.send(state=view.state, member=member, entries=(abandoned,))
+            # Under another id the same key may run already.
+            is_same = member.member_id == self._member_id
+            abandoned = (self._ledger.abandon(claim),) if is_same else ()
+            newest = self._member or member
+            state = self._state
+        if abandoned:
+            self._copies.send(state=state, member=newest, entries=abandoned)
         return _refuse_for_now("too few nodes could note the request")
 
     def _settle(
@@ -177,63 +216,93 @@
             body=done.body,
         )
 
-    def _synchronize(
-        self, state: ownership.State, member: membership.Member
-    ) -> None:
+    def _start_synchronizing(self) -> None:
+        with self._lock:
+            if self._is_synchronizing or self._is_synchronized():
+                return
+            self._is_synchronizing = True
+        self._executor.submit(self._synchronize)
+
+    def _synchronize(self) -> None:
         """Sends all entries to granters that were named later."""
         for _ in range(_WRITE_ATTEMPTS):
             with self._lock:
-                if member.member_id != self._member_id:
-                    return
-                entries = tuple(self._ledger.list_all())
+                member = self._member
+                state = self._state
+                if member is None or self._is_synchronized():
+                    break
+                entries = self._stamp(self._ledger.list_all())
             if self._copies.write(
                 state=state, member=member, entries=entries, is_all=True
             ):
                 with self._lock:
-                    self._synced_epoch = member.granters_epoch
-                return
+                    if member.member_id == self._member_id:
+                        self._synced_epoch = member.granters_epoch
+        with self._lock:
+            self._is_synchronizing = False
+
+    def _stamp(
+        self, entries: Iterable[messages.LedgerEntry]
+    ) -> tuple[messages.LedgerEntry, ...]:
+        """Puts the fences of shards into their markers."""
+        return tuple(
+            (
+                msgspec.structs.replace(
+                    entry, fence=self._fences.get((entry.pool, entry.shard), 0)
+                )
+                if entry.state == ledger.ADOPTED
+                else entry
+            )
+            for entry in entries
+        )
 
     def _adopt(
         self,
         state: ownership.State,
-        member: membership.Member,
+        member_id: str,
         inherited: inheritance.Inheritance,
     ) -> None:
         recalled = self._recall(state, inherited)
-        known = frozenset(
-            entry.shard
-            for entry in recalled.entries
-            if entry.state == ledger.ADOPTED
-        )
-        lost = (
-            []
-            if inherited.is_new
-            else sorted(
-                set(inherited.shards)
-                - (known if recalled.is_complete else frozenset())
-            )
-        )
-        lost_before_ms = ledger.find_lost_before_ms(clock.read_wall_ms())
+        lost = _find_lost(inherited, recalled)
+        now_lost_ms = ledger.find_lost_before_ms(clock.read_wall_ms())
+        entries: list[messages.LedgerEntry] = []
         with self._lock:
-            if member.member_id != self._member_id:
+            if self._member is None or member_id != self._member_id:
                 return
-            entries = self._ledger.adopt(
-                pool=inherited.pool,
-                shards=lost,
-                entries=recalled.entries,
-                lost_before_ms=lost_before_ms,
-            ) + self._ledger.adopt(
-                pool=inherited.pool,
-                shards=set(inherited.shards).difference(lost),
-                entries=recalled.entries,
-                lost_before_ms=0,
-            )
-        self._report_adoption(inherited, lost, len(entries))
-        for _ in range(_WRITE_ATTEMPTS):
-            if self._copies.write(
-                state=state, member=member, entries=tuple(entries)
+            # The shards may have moved on since.
+            kept = {
+                shard
+                for shard, fence in inherited.fences.items()
+                if self._fences.get((inherited.pool, shard)) == fence
+            }
+            for shards, lost_before_ms in (
+                (kept & lost, now_lost_ms),
+                (kept - lost, 0),
             ):
+                entries += self._ledger.adopt(
+                    pool=inherited.pool,
+                    shards=shards,
+                    entries=recalled.entries,
+                    lost_before_ms=lost_before_ms,
+                )
+            stamped = self._stamp(entries)
+        self._report_adoption(inherited, sorted(kept & lost), len(entries))
+        self._write_adopted(member_id, stamped)
+
+    def _write_adopted(
+        self, member_id: str, entries: tuple[messages.LedgerEntry, ...]
+    ) -> None:
+        for _ in range(_WRITE_ATTEMPTS):
+            with self._lock:
+                state, member = self._state, self._member
+                if member is None or member_id != self._member_id:
+                    return
+            if self._copies.write(state=state, member=member, entries=entries):
                 return
+        # Nothing runs until all of it is sent again.
+        with self._lock:
+            if member_id == self._member_id:
+                self._synced_epoch = _NEVER_SYNCED
 
     def _recall(
         self, state: ownership.State, inherited: inheritance.Inheritance
@@ -273,6 +342,26 @@
         )
 
 
+def _find_lost(
+    inherited: inheritance.Inheritance, recalled: copies.Recalled
+) -> set[int]:
+    """Finds the shards whose memory may have holes."""
+    if inherited.is_new:
+        return set()
+    if not recalled.is_complete:
+        return set(inherited.shards)
+    # A marker under an earlier fence says nothing about what other owners
+    # wrote between that time and this.
+    known = {
+        entry.shard
+        for entry in recalled.entries
+        if entry.state == ledger.ADOPTED
+        and entry.fence
+        and entry.fence == inherited.previous_fences.get(entry.shard)
+    }
+    return set(inherited.shards) - known
+
+
 def make_claim(view: views.View, work: works.Work) -> ledger.Claim:
     """Builds the claim of a request on its idempotency key."""
     forward = work.forward
--- /dev/null
+++ b/tests/rhubarblead/node/copies.feature
@@ -0,0 +1,105 @@
+Feature: Unrepeatable requests run at most once, across owners and granters
+
+  Scenario Outline: What an owner ran is known to the next one, or refused
+    Given ledger owners x, y and z with granters a to e
+    When these ledger events happen: <events>
+    Then the ledger answers to another "k" with <answer>
+
+    Examples: owner and granters are lost
+      | events                                                           | answer      |
+      | send k, take y x                                                 | replay      |
+      | start k, take y x                                                | memory-lost |
+      | pass 1, take y x                                                 | ran         |
+      | cut x abc, send k, mend, take y x                                | ran         |
+      | cut x bc, send k, mend, take y x                                 | ran         |
+      | mute x bc, send k, mend, take y x                                | ran         |
+      | send k, take y x c                                               | replay      |
+      | cut x c, send k, mend, take y x a                                | replay      |
+      | cut x c, send k, mend, take y x a b                              | memory-lost |
+      | cut x a, send k, mend, take y x b c                              | memory-lost |
+      | cut x a, send k, mend, cut y bc, take y x                        | memory-lost |
+      | cut x a, send k, mend, take y x b c, pass 9000, send l, take z y | memory-lost |
+      | send k, take y x, take z y                                       | replay      |
+      | slow x ab, send k, mend, deliver, take y x                       | ran         |
+      | slow x ab, send k, mend, send k, deliver, take y x               | replay      |
+      | slow x ab, send k, mend, start k, deliver backwards, take y x    | memory-lost |
+      | send k, cut y abc, take y x, mend, take z y                      | memory-lost |
+
+    Examples: granters change
+      | events                                                                                                              | answer      |
+      | send k, granters x ade, take y x                                                                                    | replay      |
+      | cut x ade, send k, granters x ade, mend, take y x                                                                   | memory-lost |
+      | cut x de, send k, granters x ade, mend, send l, send l, take y x                                                    | replay      |
+      | cut x a, send k, granters x bcd, granters x abd, take y x a                                                         | replay      |
+      | cut x c, send l, granters x abd, cut x a, send k, cut x e, granters x ace, mend, take y x                           | memory-lost |
+      | slow x d, granters x bcd, mend, granters x abc, cut x a, send k, cut x ade, granters x ade, mend, deliver, take y x | memory-lost |
+      | hold x, open k, granters x ade, publish x, follow x, begin, end, take y x                                           | ran         |
+      | hold c, granters x abd, cut x a, send k, cut x ace, granters x ace, hear c snapshot, mend, take y x                 | memory-lost |
+
+    Examples: shards move
+      | events                                                                             | answer             |
+      | send k, give y, give x, take z x                                                   | replay             |
+      | give y, send k, hold x, give x, take z x                                           | memory-lost        |
+      | give y, send k, cut x abc, give x, mend, take z x                                  | memory-lost        |
+      | hold x, give y, send k, give x, hear x                                             | replay             |
+      | hold x, give y, send k, give x, hear x snapshot                                    | memory-lost        |
+      | hold x, give y, send k, give x, publish x                                          | ledger-unavailable |
+      | hold x, give y, send k, give x, publish x, send k, follow x                        | replay             |
+      | defer x, give y, give x, give y, pass 9000, send k, give x                         | ledger-unavailable |
+      | defer x, give y, give x, hold x, give y, pass 9000, send k, give x, work x, hear x | replay             |
+      | send k, hold y, take y x, hear y snapshot                                          | memory-lost        |
+      | send k, give y, hold z, give z, hear z                                             | replay             |
+
+    Examples: members without granters, and members that come back
+      | events                                                          | answer      |
+      | join l, give l, send k, take y l                                | memory-lost |
+      | join l, give l, send k, granters l abc, take y l                | replay      |
+      | join l, give l, hold l, granters l abc, send k, take y l        | memory-lost |
+      | send k, lose a, join a2, take y x a                             | replay      |
+      | cut x c, send k, mend, lose a b, join a2, join b2, take y x a b | memory-lost |
+
+  Scenario Outline: A granter with little room forgets the oldest keys alone
+    Given ledger owners x, y and z with granters a to e with little room
+    When these ledger events happen: <events>
+    Then the ledger answers to another "<key>" with <answer>
+
+    Examples:
+      | events                                                           | key | answer      |
+      | send k, pass 9, send l, pass 9, send m, pass 9, send n, take y x | k   | memory-lost |
+      | send k, pass 9, send l, pass 9, send m, pass 9, send n, take y x | n   | replay      |
+      | send k, pass 9, send l, pass 9, send m, pass 9, take y x         | n   | ran         |
+
+  Scenario: Keys that can't be copied wait until they can, also without news
+    Given ledger owners x, y and z with granters a to e
+    When these ledger events happen: cut x abde, granters x ade, mend, send k, send k, take y x
+    Then the ledger answers to another "k" with replay
+
+  Scenario Outline: What the rules for copies keep from running twice
+    Given ledger copies broken so that <fault>
+    And ledger owners x, y and z with granters a to e
+    When these ledger events happen: <events>
+    Then the ledger runs "k" twice
+
+    Examples:
+      | fault                                  | events                                                                                    |
+      | a granter that was named before counts | cut x c, send l, granters x abd, cut x a, send k, cut x e, granters x ace, mend, take y x |
+      | requests begin by views of other times | hold x, give y, send k, give x, publish x                                                 |
+      | one granter is enough for a write      | cut x bc, send k, mend, take y x a                                                        |
+      | a marker of an earlier time counts     | give y, send k, hold x, give x, take z x                                                  |
+
+  Scenario: A search finds no request that runs twice
+    When 150 random sequences of ledger faults are searched
+    Then the ledger search found nothing
+
+  Scenario Outline: The search finds deliberate faults of copies
+    Given ledger copies broken so that <fault>
+    When 300 random sequences of ledger faults are searched
+    Then the ledger search found a request that ran twice
+
+    Examples:
+      | fault                               |
+      | one granter is enough for a write   |
+      | one granter is enough for a read    |
+      | an older entry replaces a newer one |
+      | a shard needs no marker             |
+      | a marker of an earlier time counts  |
--- /dev/null
+++ b/tests/rhubarblead/node/copy_faults.py
@@ -0,0 +1,100 @@
+"""Deliberate faults in the rules for copies, which a search must find."""
+
+from collections.abc import Callable
+from typing import Any
+from unittest import mock
+
+from rhubarblead import membership
+from rhubarblead import messages
+from rhubarblead.node import copies
+from rhubarblead.node import inheritance
+from rhubarblead.node import protection
+from rhubarblead.node import replicas
+from rhubarblead.node import view as views
+
+
+def _write_to_one() -> list[Any]:
+    return [
+        mock.patch.object(copies, "count_needed_writes", lambda count: 1),
+        mock.patch.object(
+            copies, "count_needed_reads", lambda count: count // 2 + 1
+        ),
+    ]
+
+
+def _read_from_one() -> list[Any]:
+    return [mock.patch.object(copies, "count_needed_reads", lambda count: 1)]
+
+
+def _ignore_sequence() -> list[Any]:
+    def put(
+        book: replicas.ReplicaBook,
+        copy: replicas._Copy,
+        entry: messages.LedgerEntry,
+    ) -> None:
+        key = (entry.pool, entry.shard, entry.idempotency_key)
+        if not entry.idempotency_key:
+            copy.put_marker(entry)
+            return
+        copy.entries[key] = entry
+
+    return [mock.patch.object(replicas.ReplicaBook, "_put", put)]
+
+
+def _need_no_marker() -> list[Any]:
+    def find_lost(
+        inherited: inheritance.Inheritance, recalled: copies.Recalled
+    ) -> set[int]:
+        is_known = inherited.is_new or recalled.is_complete
+        return set() if is_known else set(inherited.shards)
+
+    return [mock.patch.object(protection, "_find_lost", find_lost)]
+
+
+def _take_old_markers() -> list[Any]:
+    def find_lost(
+        inherited: inheritance.Inheritance, recalled: copies.Recalled
+    ) -> set[int]:
+        if inherited.is_new:
+            return set()
+        known = {e.shard for e in recalled.entries if not e.idempotency_key}
+        is_complete = recalled.is_complete
+        return set(inherited.shards) - (known if is_complete else set())
+
+    return [mock.patch.object(protection, "_find_lost", find_lost)]
+
+
+def _keep_old_copies() -> list[Any]:
+    def follow_epoch(
+        copy: replicas._Copy, *, granters_epoch: int, is_granter: bool
+    ) -> None:
+        del is_granter
+        copy.granters_epoch = max(copy.granters_epoch, granters_epoch)
+
+    return [mock.patch.object(replicas._Copy, "follow_epoch", follow_epoch)]
+
+
+def _admit_by_old_views() -> list[Any]:
+    def is_ready(
+        guard: protection.Protection,
+        view: views.View,
+        member: membership.Member,
+    ) -> bool:
+        del view
+        return (
+            member.member_id == guard._member_id
+            and member.granters_epoch == guard._synced_epoch
+        )
+
+    return [mock.patch.object(protection.Protection, "_is_ready", is_ready)]
+
+
+FAULTS: dict[str, Callable[[], list[Any]]] = {
+    "one granter is enough for a write": _write_to_one,
+    "one granter is enough for a read": _read_from_one,
+    "an older entry replaces a newer one": _ignore_sequence,
+    "a shard needs no marker": _need_no_marker,
+    "a marker of an earlier time counts": _take_old_markers,
+    "a granter that was named before counts": _keep_old_copies,
+    "requests begin by views of other times": _admit_by_old_views,
+}
