Let no job, request or call fail unseen

Cause: what a job on an executor raised was lost with its future; a write that raised left the node with one write in progress for good, and a request that raised left its caller without a verdict and the call in progress. Change: jobs report what they raise and answer for it; requests end in an internal error with the verdict may-have-run. Contradictory changes are not done, anything else that a write raises leaves it in doubt.

--- a/src/rhubarblead/node/control.py
+++ b/src/rhubarblead/node/control.py
@@ -1,7 +1,6 @@
 """The control task: messages, reads and writes around the decisions."""
 
 from collections.abc import Callable
-from concurrent import futures
 import contextlib
 import dataclasses
 import secrets
@@ -22,6 +21,7 @@
 from rhubarblead.node import agenda as agendas
 from rhubarblead.node import change as changes
 from rhubarblead.node import dissemination
+from rhubarblead.node import jobs
 from rhubarblead.node import journal as journals
 from rhubarblead.node import observer as observers
 from rhubarblead.node import planning
@@ -122,7 +122,7 @@
         events: log.EventLog,
         shard_traffic: traffic.ShardTraffic,
         take_suspect: Callable[[messages.Suspect], None],
-        plan_executor: futures.Executor,
+        plan_runner: jobs.JobRunner,
         make_jobs: Callable[
             [Callable[[store_jobs.StoreResult], None]], store_jobs.StoreJobs
         ],
@@ -146,7 +146,7 @@
             events=events,
         )
         self._plans = planning.PlanJobs(
-            executor=plan_executor, post=self._inbox.put
+            runner=plan_runner, post=self._inbox.put
         )
         self._traffic = shard_traffic
         self._take_suspect = take_suspect
--- a/src/rhubarblead/node/daemon.py
+++ b/src/rhubarblead/node/daemon.py
@@ -8,7 +8,6 @@
 import signal
 import sys
 import threading
-import traceback
 
 import waitress.server
 import zmq
@@ -28,6 +27,7 @@
 from rhubarblead.node import execution
 from rhubarblead.node import front
 from rhubarblead.node import gate
+from rhubarblead.node import jobs
 from rhubarblead.node import local
 from rhubarblead.node import observer
 from rhubarblead.node import probes
@@ -138,7 +138,7 @@
             events=self._events,
             shard_traffic=self._traffic,
             take_suspect=self._crashes.take_suspect,
-            plan_executor=self._plan_executor,
+            plan_runner=self._make_runner(self._plan_executor, "plan"),
             make_jobs=self._make_jobs,
         )
         self._upstream = probes.UpstreamProbe(
@@ -197,11 +197,16 @@
             queue_length=node.limits.queue_length,
         )
 
+    def _make_runner(
+        self, executor: futures.Executor, task: str
+    ) -> jobs.JobRunner:
+        return jobs.JobRunner(executor=executor, events=self._events, task=task)
+
     def _make_jobs(
         self, post: Callable[[store_jobs.StoreResult], None]
     ) -> store_jobs.StoreJobs:
         return store_jobs.StoreJobs(
-            executor=self._store_executor,
+            runner=self._make_runner(self._store_executor, "store"),
             log=ownership_log.OwnershipLog(
                 store=self._store, author=self._node.instance
             ),
@@ -290,11 +295,7 @@
         if error is None:
             return
         # A node without one of its tasks must not go on: its lease lapses.
-        self._events.emit(
-            catalog.Event.INTERNAL_ERROR,
-            error=repr(error),
-            traceback="".join(traceback.format_exception(error)),
-        )
+        jobs.report_error(self._events, "node", error)
         self._stopping.set()
 
     def _start_front(self) -> None:
--- a/src/rhubarblead/node/planning.py
+++ b/src/rhubarblead/node/planning.py
@@ -1,12 +1,12 @@
 """Plans of assignments, made off the control thread."""
 
 from collections.abc import Callable
-from concurrent import futures
 import dataclasses
 
 from rhubarblead import membership
 from rhubarblead import ownership
 from rhubarblead import tables as tables_lib
+from rhubarblead.node import jobs
 from rhubarblead.node import proposals
 
 _INTERVAL_MS = 250
@@ -34,15 +34,15 @@
 class PlanJobs:
     """Keeps to one plan at a time, and plans only when something changed."""
 
-    __slots__ = ("_executor", "_is_running", "_last", "_post")
+    __slots__ = ("_is_running", "_last", "_post", "_runner")
 
     def __init__(
         self,
         *,
-        executor: futures.Executor,
+        runner: jobs.JobRunner,
         post: Callable[[Planned], None],
     ) -> None:
-        self._executor = executor
+        self._runner = runner
         self._post = post
         self._last: dict[str, _Last] = {}
         self._is_running = False
@@ -90,7 +90,10 @@
         self._last[pool] = _Last(
             revision=state.revision, tables=tables, at_ms=now_ms
         )
-        self._executor.submit(self._plan, pool, state, tables, loads)
+        self._runner.submit(
+            lambda: self._plan(pool, state, tables, loads),
+            lambda _: self._post(Planned(pool=pool, state=state, changes=())),
+        )
 
     def end(self) -> None:
         """Records that the posted plan was taken."""
--- a/src/rhubarblead/node/routing.py
+++ b/src/rhubarblead/node/routing.py
@@ -16,6 +16,7 @@
 from rhubarblead.events import log
 from rhubarblead.node import choice
 from rhubarblead.node import intake
+from rhubarblead.node import jobs
 from rhubarblead.node import local
 from rhubarblead.node import outcome as outcomes
 from rhubarblead.node import view as views
@@ -115,10 +116,13 @@
         """
         started_at_ms = clock.read_monotonic_ms()
         accepted = intake.accept(request, self._board.read().tables)
-        if isinstance(accepted, result.Err):
-            outcome = outcomes.refuse(accepted.err_value)
-        else:
-            outcome = self._route(accepted.ok_value, started_at_ms)
+        try:
+            if isinstance(accepted, result.Err):
+                outcome = outcomes.refuse(accepted.err_value)
+            else:
+                outcome = self._route(accepted.ok_value, started_at_ms)
+        except Exception as error:
+            outcome = _conceal(self._events, error)
         self._report(request, accepted, outcome, started_at_ms)
         return outcome
 
@@ -343,18 +347,35 @@
         """
         self._events.observe(forward.lamport)
         now_ms = clock.read_monotonic_ms()
-        outcome = self._local.execute(
-            works.Work(
-                forward=forward,
-                body=body,
-                deadline_ms=now_ms + forward.remaining_ms,
-            )
+        work = works.Work(
+            forward=forward,
+            body=body,
+            deadline_ms=now_ms + forward.remaining_ms,
         )
+        try:
+            outcome = self._local.execute(work)
+        except Exception as error:
+            outcome = _conceal(self._events, error)
         return outcomes.encode_reply(
             forward.call_id, outcome, lamport=self._events.tick()
         )
 
 
+def _conceal(events: log.EventLog, error: Exception) -> outcomes.Outcome:
+    """Answers a request at which the system itself has failed.
+
+    It is not known how far the request had come.
+    """
+    jobs.report_error(events, "request", error)
+    return outcomes.refuse(
+        refusals.Refused(
+            refusal=refusals.Refusal.INTERNAL,
+            explanation="the node has failed at this request",
+        ),
+        verdicts.Verdict.MAY_HAVE_RUN,
+    )
+
+
 def refuse_call(forward: messages.Forward) -> exchange.Reply:
     """Refuses a forwarded request that would wait too long for a thread."""
     refused = _refuse(
--- a/src/rhubarblead/node/store_jobs.py
+++ b/src/rhubarblead/node/store_jobs.py
@@ -1,7 +1,6 @@
 """Calls to the platform, off the control thread, with typed results."""
 
 from collections.abc import Callable
-from concurrent import futures
 import dataclasses
 from typing import TypeAlias
 
@@ -9,6 +8,7 @@
 
 from rhubarblead import clock
 from rhubarblead import ownership
+from rhubarblead.node import jobs
 from rhubarblead.node import writing
 from rhubarblead.platform import ownership_log
 from rhubarblead.platform import store
@@ -53,36 +53,57 @@
 class StoreJobs:
     """Runs store calls on an executor; results go to a callback."""
 
-    __slots__ = ("_executor", "_log", "_post", "_tables")
+    __slots__ = ("_log", "_post", "_runner", "_tables")
 
     def __init__(
         self,
         *,
-        executor: futures.Executor,
+        runner: jobs.JobRunner,
         log: ownership_log.OwnershipLog,
         tables: table_log.TableLog,
         post: Callable[[StoreResult], None],
     ) -> None:
-        self._executor = executor
+        self._runner = runner
         self._log = log
         self._tables = tables
         self._post = post
 
     def read_ownership(self, state: ownership.State) -> None:
         """Starts to read what is newer than a state."""
-        self._executor.submit(self._read_ownership, state)
+        self._runner.submit(lambda: self._read_ownership(state))
 
     def read_tables(self, known_revision: int) -> None:
         """Starts to read the tables, unless they have a known revision."""
-        self._executor.submit(self._read_tables, known_revision)
+        self._runner.submit(lambda: self._read_tables(known_revision))
 
     def write(self, proposal: writing.Proposal) -> None:
         """Starts to commit a proposal."""
-        self._executor.submit(self._write, proposal)
+        self._runner.submit(
+            lambda: self._write(proposal),
+            lambda error: self._fail(proposal, error),
+        )
 
     def resolve(self, proposal: writing.Proposal) -> None:
         """Starts to find out what became of a proposal in doubt."""
-        self._executor.submit(self._resolve, proposal)
+        self._runner.submit(
+            lambda: self._resolve(proposal),
+            lambda error: self._leave_in_doubt(proposal, error),
+        )
+
+    def _fail(self, proposal: writing.Proposal, error: Exception) -> None:
+        """Answers for a write that raised something."""
+        if not isinstance(error, ownership.CannotApply):
+            self._leave_in_doubt(proposal, error)
+            return
+        # Contradictory changes are found before anything is sent.
+        outcome = result.Err(ownership_log.NotDone(explanation=repr(error)))
+        self._post(Written(proposal=proposal, outcome=outcome))
+
+    def _leave_in_doubt(
+        self, proposal: writing.Proposal, error: Exception
+    ) -> None:
+        outcome = result.Err(store.InDoubt(explanation=repr(error)))
+        self._post(Written(proposal=proposal, outcome=outcome))
 
     def _read_ownership(self, state: ownership.State) -> None:
         sent_at_ms = clock.read_monotonic_ms()
--- a/src/rhubarblead/refusal.py
+++ b/src/rhubarblead/refusal.py
@@ -34,6 +34,7 @@
     ANSWER_BROKEN = "answer-broken"
     PEER_LOST = "peer-lost"
     CANCELLED = "cancelled"
+    INTERNAL = "internal-error"
 
 
 _STATUS = {
@@ -50,6 +51,7 @@
     Refusal.UPSTREAM_FAILED: http.HTTPStatus.BAD_GATEWAY,
     Refusal.ANSWER_TOO_LARGE: http.HTTPStatus.BAD_GATEWAY,
     Refusal.ANSWER_BROKEN: http.HTTPStatus.BAD_GATEWAY,
+    Refusal.INTERNAL: http.HTTPStatus.INTERNAL_SERVER_ERROR,
     Refusal.PEER_LOST: http.HTTPStatus.BAD_GATEWAY,
 }
 
