Call all peers over one socket

Cause: each peer had a socket of its own, and a poll goes through all of them: a message cost the more, the more peers a node had links to. Ruled out: the number of connections as such, which the same libzmq threads carry either way. Change: one ROUTER socket calls all peers, each link under a routing id of its own, which a reset changes.

--- a/src/rhubarblead/transport/links.py
+++ b/src/rhubarblead/transport/links.py
@@ -1,6 +1,7 @@
-"""The zmq sockets of one task: one that listens, and one link per peer."""
+"""The zmq sockets of one task: one that listens, and one that calls peers."""
 
 import contextlib
+import itertools
 import types
 from typing import NamedTuple
 
@@ -21,6 +22,11 @@
     ip_address: str
     port: int
 
+    @property
+    def endpoint(self) -> str:
+        """The address as zmq writes it."""
+        return f"tcp://{self.ip_address}:{self.port}"
+
 
 class Received(NamedTuple):
     """Frames from a peer; `sender` is the identity to reply to."""
@@ -33,14 +39,16 @@
     """Sockets owned by one thread.
 
     Every message is a list of frames. A reply to a received message goes back
-    over the connection on which the sender last reached this task.
+    over the connection on which the sender last reached this task. All links
+    share one socket, so that a poll costs the same for any number of peers.
     """
 
     __slots__ = (
-        "_context",
-        "_identity",
-        "_links",
+        "_addresses",
+        "_caller",
+        "_identities",
         "_listener",
+        "_numbers",
         "_poller",
         "_stack",
     )
@@ -48,12 +56,19 @@
     def __init__(
         self, *, context: zmq.Context[zmq.Socket[bytes]], identity: str
     ) -> None:
-        self._context = context
-        self._identity = identity.encode()
-        self._links: dict[Address, zmq.Socket[bytes]] = {}
-        self._poller = zmq.Poller()
+        self._identities: dict[Address, bytes] = {}
+        self._addresses: dict[bytes, Address] = {}
+        self._numbers = itertools.count()
         self._stack = contextlib.ExitStack()
         self._listener = self._stack.enter_context(context.socket(zmq.ROUTER))
+        self._caller = self._stack.enter_context(context.socket(zmq.ROUTER))
+        _configure(self._listener)
+        _configure(self._caller)
+        self._caller.setsockopt(zmq.IDENTITY, identity.encode())
+        # A message that can't be queued is an error, and not dropped unseen.
+        self._caller.setsockopt(zmq.ROUTER_MANDATORY, 1)
+        self._poller = zmq.Poller()
+        self._poller.register(self._caller, zmq.POLLIN)
 
     def __enter__(self) -> "Links":
         return self
@@ -80,11 +95,10 @@
         Raises:
             zmq.ZMQError: The address can't be bound.
         """
-        _configure(self._listener)
         # A peer that opens a new connection takes its identity along.
         self._listener.setsockopt(zmq.ROUTER_HANDOVER, 1)
         self._listener.setsockopt(zmq.BACKLOG, _BACKLOG)
-        self._listener.bind(f"tcp://{address.ip_address}:{address.port}")
+        self._listener.bind(address.endpoint)
         self._poller.register(self._listener, zmq.POLLIN)
 
     def send(self, address: Address, frames: list[bytes]) -> bool:
@@ -97,11 +111,9 @@
         Returns:
             Whether the message was queued; if not, it certainly was not sent.
         """
-        link = self._links.get(address)
-        if link is None:
-            link = self._open(address)
         try:
-            link.send_multipart(frames, zmq.DONTWAIT, copy=True)
+            identity = self._identities.get(address) or self._open(address)
+            self._caller.send_multipart([identity, *frames], zmq.DONTWAIT)
         except zmq.ZMQError:
             return False
         return True
@@ -124,11 +136,13 @@
 
     def reset(self, address: Address) -> None:
         """Closes the link to a peer; the next send opens a new connection."""
-        link = self._links.pop(address, None)
-        if link is None:
+        identity = self._identities.pop(address, None)
+        if identity is None:
             return
-        self._poller.unregister(link)
-        link.close(linger=_LINGER_MS)
+        del self._addresses[identity]
+        # The connection may have ended by itself.
+        with contextlib.suppress(zmq.ZMQError):
+            self._caller.disconnect(address.endpoint)
 
     def receive(
         self, ready: dict[object, int]
@@ -140,33 +154,33 @@
 
         Returns:
             Messages to the listening socket, and messages from peers that
-            this task has links to.
+            this task has links to. What comes over a link that was reset is
+            dropped.
         """
         incoming = []
         if self._listener in ready:
             for frames in _read_all(self._listener):
                 incoming.append(Received(frames[0], frames[1:]))
         answers: list[tuple[Address, list[bytes]]] = []
-        for address, link in list(self._links.items()):
-            if link in ready:
-                answers.extend((address, f) for f in _read_all(link))
+        if self._caller in ready:
+            for frames in _read_all(self._caller):
+                address = self._addresses.get(frames[0])
+                if address is not None:
+                    answers.append((address, frames[1:]))
         return incoming, answers
 
     def close(self) -> None:
         """Closes all sockets; unsent messages are dropped."""
-        for address in list(self._links):
-            self.reset(address)
-        self._listener.close(linger=_LINGER_MS)
         self._stack.close()
 
-    def _open(self, address: Address) -> zmq.Socket[bytes]:
-        link: zmq.Socket[bytes] = self._context.socket(zmq.DEALER)
-        _configure(link)
-        link.setsockopt(zmq.IDENTITY, self._identity)
-        link.connect(f"tcp://{address.ip_address}:{address.port}")
-        self._links[address] = link
-        self._poller.register(link, zmq.POLLIN)
-        return link
+    def _open(self, address: Address) -> bytes:
+        # A number of its own keeps a new link apart from one that is closing.
+        identity = f"{address.endpoint}/{next(self._numbers)}".encode()
+        self._caller.setsockopt(zmq.CONNECT_ROUTING_ID, identity)
+        self._caller.connect(address.endpoint)
+        self._identities[address] = identity
+        self._addresses[identity] = address
+        return identity
 
 
 def _configure(socket: zmq.Socket[bytes]) -> None:
