--- a/tools/checker.py
+++ b/tools/checker.py
@@ -1,7 +1,7 @@
 """Checks what upstreams ran against what callers were told.
 
 Usage: python -m tools.checker FOLDER, where FOLDER holds `upstream-*.jsonl`
-and `caller-*.jsonl`.
+and, also in folders below it, `caller-*.jsonl`.
 """
 
 import collections
@@ -218,7 +218,7 @@
             sorted(folder.glob("upstream-*.jsonl")), records.Run
         ),
         records.read_records(
-            sorted(folder.glob("caller-*.jsonl")), records.Outcome
+            sorted(folder.rglob("caller-*.jsonl")), records.Outcome
         ),
     )
     print(f"{len(findings)} violations {count_by_rule(findings)}")
--- a/tools/load/caller.py
+++ b/tools/load/caller.py
@@ -10,6 +10,7 @@
 import http.client
 import pathlib
 import random
+import select
 import socket
 import sys
 import threading
@@ -183,6 +184,9 @@
         idempotency_key: str,
     ) -> tuple[http.client.HTTPResponse, bytes]:
         connection = self._connections.get(node)
+        if connection is not None and is_closed_by_peer(connection):
+            connection.close()
+            connection = None
         if connection is None:
             connection = http.client.HTTPConnection(
                 node, timeout=self._plan.timeout_ms / 1_000
@@ -233,6 +237,16 @@
         return text.encode().ljust(self._plan.body_bytes, b".")
 
 
+def is_closed_by_peer(connection: http.client.HTTPConnection) -> bool:
+    """Tells whether an idle connection was closed by its other end.
+
+    An idle connection has nothing to read, but for its end or surplus bytes.
+    """
+    poll = select.poll()
+    poll.register(connection.sock, select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def find_fault(
     answer: http.client.HTTPResponse,
     content: bytes,
--- a/tools/load/run.py
+++ b/tools/load/run.py
@@ -58,9 +58,7 @@
     start_ns = time.monotonic_ns() + int(_LEAD_S * _NS_PER_S)
     with contextlib.ExitStack() as stack:
         folder = pathlib.Path(
-            stack.enter_context(
-                tempfile.TemporaryDirectory(prefix="load-", dir=launcher.folder)
-            )
+            tempfile.mkdtemp(prefix="load-", dir=launcher.folder)
         )
         plan_list = _make_plans(launcher, parameters, start_ns, folder)
         callers = [_start_caller(stack, plan, folder) for plan in plan_list]
