--- /dev/null
+++ b/tests/steps/whole_path.py
@@ -0,0 +1,226 @@
+"""Steps that send requests through a deployment of real processes."""
+
+from collections.abc import Iterator
+import contextlib
+import random
+import time
+
+import behave
+from behave import runner
+
+from rhubarblead import tables
+from tools import deployment
+from tools import http_json
+from tools import launch
+from tools import records
+from tools.load import caller
+from tools.load import plan as plans
+
+_SERVERS = ("entries-1", "entries-2", "entries-3", "library-1", "library-2")
+_DOMAINS = 3
+_SERVED_TIMEOUT_S = 30.0
+_POLL_S = 0.05
+_UUID4 = "0b0b8b1e-5d0f-4c3a-9d3e-1d1f5c1f4a10"
+
+
+def _find_pool(context: runner.Context, kind: str) -> tables.Pool:
+    return context.launcher.deployment.find_pool(kind)
+
+
+def _find_prefix(context: runner.Context, kind: str) -> str:
+    pool = _find_pool(context, kind)
+    return context.launcher.deployment.find_route(pool.name).prefix
+
+
+def _list_owners(context: runner.Context) -> list[str]:
+    pool = _find_pool(context, "keyed").name
+    return context.launcher.read_owners(_find_running(context), pool)
+
+
+def _find_running(context: runner.Context) -> str:
+    nodes = context.launcher.nodes
+    return next(name for name in nodes if nodes[name].is_running())
+
+
+def _send(
+    context: runner.Context,
+    node: str,
+    method: str,
+    target: str,
+    headers: dict[str, str] | None = None,
+    body: bytes | None = None,
+) -> http_json.Answer:
+    return http_json.exchange(
+        context.launcher.find_authority(node),
+        method,
+        target,
+        headers=headers or {},
+        body=body,
+    )
+
+
+@behave.given("a whole path of 3 keyed and 2 balanced servers")
+def given_deployment(context: runner.Context) -> None:
+    """Starts the deployment for the first scenario; all others share it."""
+    if not hasattr(context.feature, "launcher"):
+        described = deployment.select_instances(
+            deployment.read_deployment(deployment.EXAMPLES / "federation"),
+            _SERVERS,
+        )
+        domains = {item.failure_domain for item in described.instances}
+        assert len(domains) == _DOMAINS
+        stack = contextlib.ExitStack()
+        context.add_cleanup(stack.close, layer="feature")
+        launcher = stack.enter_context(launch.Launcher(described=described))
+        launcher.start()
+        context.feature.launcher = launcher
+    context.launcher = context.feature.launcher
+
+
+@behave.when("the whole path gets a keyed GET for {count:d} keys at every node")
+def get_keyed(context: runner.Context, count: int) -> None:
+    prefix = _find_prefix(context, "keyed")
+    context.keys = [f"band-{number}" for number in range(count)]
+    context.answers = [
+        (key, _send(context, node, "GET", f"{prefix}/{key}/draw"))
+        for key in context.keys
+        for node in context.launcher.nodes
+    ]
+
+
+@behave.then('on the whole path every answer is 200 and "ran"')
+def check_ran(context: runner.Context) -> None:
+    for _, answer in context.answers:
+        verdict = answer.headers.get("rhubarb-verdict")
+        assert (answer.status, verdict) == (200, "ran"), answer
+
+
+@behave.then("on the whole path each key is answered by its owner alone")
+def check_owner(context: runner.Context) -> None:
+    owners = _list_owners(context)
+    for key, answer in context.answers:
+        shard = plans.find_shard(key, _find_pool(context, "keyed").shard_count)
+        assert answer.headers["rhubarb-server"] == owners[shard], answer
+        authority = context.launcher.find_authority(owners[shard])
+        assert answer.headers["rhubarb-owner"] == authority, answer
+    used = {answer.headers["rhubarb-server"] for _, answer in context.answers}
+    assert len(used) > 1
+
+
+@behave.when("the whole path gets one keyed POST at every node in turn")
+def post_keyed(context: runner.Context) -> None:
+    prefix = _find_prefix(context, "keyed")
+    context.idempotency_key = caller.make_uuid7(random.Random())
+    context.answers = [
+        (
+            "band-1",
+            _send(
+                context,
+                node,
+                "POST",
+                f"{prefix}/band-1/fees",
+                {"Idempotency-Key": context.idempotency_key},
+                b"a fee",
+            ),
+        )
+        for node in context.launcher.nodes
+    ]
+    assert len({answer.body for _, answer in context.answers}) == 1
+
+
+@behave.then("on the whole path the upstreams committed the POST once")
+def check_once(context: runner.Context) -> None:
+    runs = records.read_records(
+        context.launcher.list_record_paths(), records.Run
+    )
+    committed = [
+        run
+        for run in runs
+        if run.is_committed and run.idempotency_key == context.idempotency_key
+    ]
+    assert len(committed) == 1, committed
+
+
+@behave.when("the whole path gets a balanced GET {count:d} times at every node")
+def get_balanced(context: runner.Context, count: int) -> None:
+    prefix = _find_prefix(context, "balanced")
+    context.answers = [
+        ("", _send(context, node, "GET", f"{prefix}/{number}"))
+        for number in range(count)
+        for node in context.launcher.nodes
+    ]
+
+
+@behave.then("on the whole path only balanced servers answer, and each of them")
+def check_balanced(context: runner.Context) -> None:
+    pool = _find_pool(context, "balanced").name
+    used = {answer.headers["rhubarb-server"] for _, answer in context.answers}
+    assert used == set(context.launcher.deployment.list_servers(pool)), used
+
+
+@behave.when("the whole path gets a wrong request, {wrong}")
+def send_wrong(context: runner.Context, wrong: str) -> None:
+    prefix = _find_prefix(context, "keyed")
+    pool = _find_pool(context, "keyed").name
+    route = context.launcher.deployment.find_route(pool)
+    target = f"{prefix}/band-1/fees"
+    good = {"Idempotency-Key": caller.make_uuid7(random.Random())}
+    large = b"." * (route.max_request_bytes + 1)
+    requests: dict[str, tuple[str, str, dict[str, str], bytes | None]] = {
+        "to an unknown route": ("GET", "/nowhere", {}, None),
+        "without a key": ("GET", prefix, {}, None),
+        "without an idempotency key": ("POST", target, {}, b"a fee"),
+        "with another idempotency key": (
+            "POST",
+            target,
+            {"Idempotency-Key": _UUID4},
+            b"a fee",
+        ),
+        "that is too large": ("POST", target, good, large),
+        "that is malformed": ("GET", target, {"Content-Length": "many"}, None),
+    }
+    node = next(iter(context.launcher.nodes))
+    context.answer = _send(context, node, *requests[wrong])
+
+
+@behave.then(
+    'on the whole path the answer is {status:d} "{refusal}" and not run'
+)
+def check_refusal(context: runner.Context, status: int, refusal: str) -> None:
+    answer = context.answer
+    assert answer.status == status, answer
+    assert answer.headers.get("rhubarb-refusal") == refusal, answer
+    assert answer.headers.get("rhubarb-verdict") == "not-run", answer
+
+
+@behave.when("the whole path loses a keyed server with its node")
+def lose(context: runner.Context) -> None:
+    context.owners = _list_owners(context)
+    context.lost = context.owners[0]
+    context.launcher.nodes[context.lost].kill()
+    context.launcher.upstreams[context.lost].kill()
+
+
+def _list_lost_keys(context: runner.Context) -> Iterator[str]:
+    count = _find_pool(context, "keyed").shard_count
+    keys = plans.list_even_keys(count, 1)
+    for key, owner in zip(keys, context.owners, strict=True):
+        if owner == context.lost:
+            yield key
+
+
+@behave.then("on the whole path every key is served by another server")
+def check_served(context: runner.Context) -> None:
+    prefix = _find_prefix(context, "keyed")
+    entry = _find_running(context)
+    deadline_s = time.monotonic() + _SERVED_TIMEOUT_S
+    waiting = list(_list_lost_keys(context))
+    assert waiting
+    while waiting:
+        assert time.monotonic() < deadline_s, f"not served: {waiting}"
+        answer = _send(context, entry, "GET", f"{prefix}/{waiting[0]}/draw")
+        if answer.status != 200:
+            time.sleep(_POLL_S)
+            continue
+        assert answer.headers["rhubarb-server"] != context.lost
+        waiting.pop(0)
