--- a/tools/load/__main__.py
+++ b/tools/load/__main__.py
@@ -39,7 +39,7 @@
         deployment_name: A folder under examples/ (also `--deployment`).
         rate: Requests a second, over all callers.
         seconds: How long.
-        callers: How many caller processes.
+        callers: How many caller processes; 0 measures an idle deployment.
         local_only: Send to the owner's node once it is known; without it, to
             any node (also `--blind`).
         instances: Only these instances, separated by commas.
@@ -59,7 +59,7 @@
     parameters = msgspec.convert(
         {
             "deployment": name,
-            "rate_per_s": float(rate),
+            "rate_per_s": float(rate) if callers else 0.0,
             "seconds": float(seconds),
             "caller_count": callers,
             "entry": "blind" if is_blind else "local",
@@ -106,8 +106,9 @@
     ):
         print(f"{title}: {counts}")
     for role, usage in result.usage_by_role.items():
+        share = usage.cpu_s / usage.process_count / result.parameters.seconds
         print(
-            f"{role}: {usage.cpu_s} CPU s,"
+            f"{role}: {usage.cpu_s} CPU s ({share:.1%} of a core each),"
             f" {usage.cpu_us_per_request} us/request,"
             f" {usage.max_resident_bytes >> 20} MiB"
         )
--- a/tools/load/run.py
+++ b/tools/load/run.py
@@ -301,7 +301,11 @@
     return measure.RoleUsage(
         process_count=len(chosen),
         cpu_s=round(cpu_s, 2),
-        cpu_us_per_request=round(cpu_s / max(1, request_count) * _US_PER_S, 1),
+        cpu_us_per_request=(
+            round(cpu_s / request_count * _US_PER_S, 1)
+            if request_count
+            else 0.0
+        ),
         max_resident_bytes=max(
             (usage.resident_bytes for usage in _list_usages(chosen, after)),
             default=0,
