Count the rate that a load reached until its last answer

An overloaded node answered 3,506 requests, due within 6 s, in about 10.7 s; the result said 584/s, where about 330/s were reached. Processor time is now read at the end of the callers as well.

--- a/tests/steps/load.py
+++ b/tests/steps/load.py
@@ -159,6 +159,16 @@
     assert context.gaps == {0: gap}, context.gaps
 
 
+@behave.when("the rate of a load of {seconds:d} s is worked out")
+def find_rate(context: runner.Context, seconds: int) -> None:
+    context.rate = measure.find_rate(context.sends, 0, seconds)
+
+
+@behave.then("the rate is {rate:g} right answers a second")
+def check_found_rate(context: runner.Context, rate: float) -> None:
+    assert context.rate == rate, context.rate
+
+
 @behave.given(
     'a send with status {status:d}, verdict "{verdict}" and fault "{fault}"'
 )
--- a/tests/tools/load.feature
+++ b/tests/tools/load.feature
@@ -35,6 +35,17 @@
       |                  | 0     | 2000 | 2000 |
       | 100 5000         | 200   | 900  | 700  |
 
+  Scenario Outline: Answers that come late lower the rate that was reached
+    Given right answers of a shard at "<moments>" ms
+    When the rate of a load of 2 s is worked out
+    Then the rate is <rate> right answers a second
+
+    Examples: moments
+      | moments        | rate |
+      | 100 1100 1900  | 1.5  |
+      | 100 1100 6000  | 0.5  |
+      |                | 0    |
+
   Scenario Outline: Only sends that may have run count as cut off
     Given a send with status <status>, verdict "<verdict>" and fault "<fault>"
     When the sends that were cut off are counted
--- a/tools/load/measure.py
+++ b/tools/load/measure.py
@@ -148,6 +148,25 @@
     return dict(sorted(collections.Counter(texts).items()))
 
 
+def find_rate(
+    correct: list[records.Outcome], start_ns: int, seconds: float
+) -> float:
+    """Finds the rate of right answers, in 1/s.
+
+    Args:
+        correct: The right answers.
+        start_ns: When the load began, on the monotonic clock.
+        seconds: How long requests were due; answers that came later than that
+            lengthen the time.
+
+    Returns:
+        The rate, rounded.
+    """
+    last_ns = max((item.end_ns for item in correct), default=start_ns)
+    elapsed_s = max(seconds, (last_ns - start_ns) / _NS_PER_US / _US_PER_S)
+    return round(len(correct) / elapsed_s, 1)
+
+
 def find_gaps(
     outcomes: Iterable[records.Outcome],
     *,
--- a/tools/load/run.py
+++ b/tools/load/run.py
@@ -68,10 +68,10 @@
         if during is not None:
             during(start_ns)
         _sleep_until(start_ns + int(parameters.seconds * _NS_PER_S))
-        after = _read_usages(launcher)
-        counts_after = launcher.read_platform_counts()
         for caller in callers:
             _wait_for(caller)
+        after = _read_usages(launcher)
+        counts_after = launcher.read_platform_counts()
         outcomes = records.read_records(
             [pathlib.Path(plan.log_path) for plan in plan_list],
             records.Outcome,
@@ -79,7 +79,7 @@
     runs = records.read_records(launcher.list_record_paths(), records.Run)
     return Measured(
         result=msgspec.structs.replace(
-            _work_out(launcher, parameters, outcomes, before, after),
+            _work_out(launcher, parameters, start_ns, outcomes, before, after),
             platform_per_s={
                 name: round(
                     (counts_after[name] - counts_before[name])
@@ -238,6 +238,7 @@
 def _work_out(
     launcher: launch.Launcher,
     parameters: measure.Parameters,
+    start_ns: int,
     outcomes: list[records.Outcome],
     before: dict[int, processes.Usage],
     after: dict[int, processes.Usage],
@@ -253,7 +254,7 @@
         request_count=sum(item.attempt == 1 for item in outcomes),
         correct_count=len(correct),
         asked_per_s=parameters.rate_per_s,
-        reached_per_s=round(len(correct) / parameters.seconds, 1),
+        reached_per_s=measure.find_rate(correct, start_ns, parameters.seconds),
         latency=measure.measure_latency(outcomes),
         latency_by_work={
             f"{method} {pool}": measure.measure_latency(
