Send metrics that follow from events, and mark what is not reported yet

Nothing in the node added to the metrics, and 33 events of the catalogue are reported nowhere, while the pages described them all. Events that are reported now add to counters and the request timer; the pages mark the rest. Two runs of one process had the same incarnation in their events, so that merged logs would have dropped the events of one: an event log without an incarnation now makes one.

--- a/src/rhubarblead/events/log.py
+++ b/src/rhubarblead/events/log.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Callable
 import logging
+import secrets
 import sys
 import threading
 from typing import TypeAlias
@@ -10,12 +11,15 @@
 from pythonjsonlogger import json as json_logger
 
 from rhubarblead import clock
+from rhubarblead import metrics
 from rhubarblead.events import catalog
+from rhubarblead.events import counting
 from rhubarblead.events import filters
 from rhubarblead.events import record
 
 LOGGER_NAME = "rhubarblead"
 
+_INCARNATION_BYTES = 6
 _COUNTER_BITS = 16
 """Low bits of a Lamport time, which count within one millisecond."""
 
@@ -41,6 +45,7 @@
         "_lamport",
         "_lock",
         "_logger",
+        "_metrics",
         "_others",
         "_read_monotonic_ms",
         "_read_wall_ms",
@@ -54,6 +59,7 @@
         instance: str,
         timeline_capacity: int,
         incarnation: str = "",
+        gathered: metrics.Metrics | None = None,
         read_wall_ms: Callable[[], int] = clock.read_wall_ms,
         read_monotonic_ms: Callable[[], int] = clock.read_monotonic_ms,
     ) -> None:
@@ -63,12 +69,16 @@
             instance: Name of the instance that the process runs on.
             timeline_capacity: How many events the time line keeps; half of
                 them may be of requests.
-            incarnation: Tells this run of the process from others.
+            incarnation: Tells this run of the process from others; a random
+                one when empty.
+            gathered: Metrics that events add to.
             read_wall_ms: The wall clock.
             read_monotonic_ms: The monotonic clock.
         """
         self._instance = instance
-        self._incarnation = incarnation
+        # Without it, records of two runs would be taken for the same.
+        self._incarnation = incarnation or secrets.token_hex(_INCARNATION_BYTES)
+        self._metrics = gathered
         self._read_wall_ms = read_wall_ms
         self._read_monotonic_ms = read_monotonic_ms
         half = max(1, timeline_capacity // 2)
@@ -101,6 +111,8 @@
                 fields,
             )
             ring.append(row)
+        if self._metrics is not None:
+            counting.add_event(self._metrics, event, fields)
         if self._logger.isEnabledFor(event.level):
             self._logger.log(event.level, self._describe(row))
 
--- a/src/rhubarblead/node/daemon.py
+++ b/src/rhubarblead/node/daemon.py
@@ -65,11 +65,12 @@
         """Builds all parts; nothing runs or listens yet."""
         self._node = node
         self._stack = contextlib.ExitStack()
+        self._metrics = metrics.open_metrics(node.metrics)
         self._events = log.EventLog(
             instance=node.instance,
             timeline_capacity=node.logs.timeline_events,
+            gathered=self._metrics,
         )
-        self._metrics = metrics.open_metrics(node.metrics)
         self._board = view.ViewBoard(grant_ms=node.lease.grant_ms)
         self._gate = gate.ShardGate()
         self._unresolved = unresolved.UnresolvedRuns()
--- a/tests/rhubarblead/events/log.feature
+++ b/tests/rhubarblead/events/log.feature
@@ -55,6 +55,9 @@
     When 4 threads let the event log take 500 events each
     Then the event log's sequence numbers are 1 to 2000
 
+  Scenario: Two runs of a process have events that can be told apart
+    Then event logs of two runs of instance "node-1" differ in their incarnation
+
   Scenario Outline: Shards are written as ranges in events
     Given the event's shards <shards>
     Then the event's shards are written "<text>"
--- a/tests/rhubarblead/metrics.feature
+++ b/tests/rhubarblead/metrics.feature
@@ -26,3 +26,26 @@
 
   Scenario: Each metric has a meaning
     Then every metric is explained once
+
+  Scenario Outline: Events add to the metrics
+    Given metrics sent to a local statsd server
+    When the metrics follow the event <event> with <fields>
+    And the metrics are flushed
+    Then the statsd server received
+      | line   |
+      | <line> |
+
+    Examples: events
+      | event           | fields              | line                             |
+      | REQUEST_REFUSED | {"request_id": "r"} | test.requests.refused:1\|c       |
+      | SHARDS_GAINED   | {"shard_count": 12} | test.assignment.shards_gained:12\|c |
+      | LEASE_LAPSED    | {}                  | test.lease.lapsed:1\|c           |
+
+  Scenario: An answered request is counted and timed by its event
+    Given metrics sent to a local statsd server
+    When the metrics follow the event REQUEST_ANSWERED with {"duration_ms": 7}
+    And the metrics are flushed
+    Then the statsd server received
+      | line                                |
+      | test.requests.answered:1\|c         |
+      | test.requests.duration:7.000000\|ms |
--- a/tests/steps/events.py
+++ b/tests/steps/events.py
@@ -134,3 +134,16 @@
     numbers = [event.number for event in catalog.Event]
     assert numbers == sorted(set(numbers))
     assert len(catalog.Event.__members__) == len(numbers)
+
+
+@behave.then(
+    'event logs of two runs of instance "{instance}" differ in their'
+    " incarnation"
+)
+def check_runs(context: runner.Context, instance: str) -> None:
+    found = set()
+    for _ in range(2):
+        events = log.EventLog(instance=instance, timeline_capacity=2)
+        events.emit(catalog.Event.NODE_STARTED)
+        found.add(events.list_events()[0].incarnation)
+    assert len(found) == 2 and "" not in found, found
--- a/tests/steps/metrics.py
+++ b/tests/steps/metrics.py
@@ -1,5 +1,6 @@
 """Steps for metrics."""
 
+import json
 import socket
 
 import behave
@@ -7,6 +8,8 @@
 
 from rhubarblead import metrics
 from rhubarblead import settings
+from rhubarblead.events import catalog
+from rhubarblead.events import log
 
 _TIMEOUT_S = 5
 
@@ -60,6 +63,14 @@
     context.metrics.measure(metrics.Gauge[name], value)
 
 
+@behave.when("the metrics follow the event {name:w} with {fields}")
+def follow(context: runner.Context, name: str, fields: str) -> None:
+    events = log.EventLog(
+        instance="n", timeline_capacity=10, gathered=context.metrics
+    )
+    events.emit(catalog.Event[name], **json.loads(fields))
+
+
 @behave.when("the metrics are flushed")
 def flush(context: runner.Context) -> None:
     context.metrics.flush()
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -14,6 +14,7 @@
 from rhubarblead import metrics
 from rhubarblead import settings
 from rhubarblead.events import catalog
+from rhubarblead.events import counting
 
 DOCS = pathlib.Path(__file__).resolve().parent.parent / "docs"
 
@@ -38,6 +39,44 @@
     24: "Poison requests",
     90: "Internal",
 }
+_NOT_YET = " (Not reported yet.)"
+_EVENTS_NOT_YET = frozenset(
+    [
+        "SETTINGS_REFUSED",
+        "SETTINGS_IN_FORCE",
+        "GRANTERS_CHOSEN",
+        "GRANTERS_CHANGED",
+        "EVICTED_ITSELF",
+        "PROMISE_REFUSED",
+        "AUTHORITY_LOST",
+        "HANDOVER_BEGUN",
+        "HANDOVER_COMMITTED",
+        "HANDOVER_GIVEN_UP",
+        "REBALANCE_WANTED",
+        "KEY_SPLIT",
+        "KEY_MERGED",
+        "POOL_SHARDED",
+        "OWNERSHIP_IN_FORCE",
+        "NO_OWNER",
+        "STORE_SLOW",
+        "STORE_WRITE_RESOLVED",
+        "STORE_CONFLICT",
+        "STORE_COMMITTED",
+        "SNAPSHOT_WRITTEN",
+        "REQUEST_FORWARDED",
+        "REQUEST_STARTED",
+        "REQUEST_CANCELLED",
+        "ANSWER_UNMATCHED",
+        "UPSTREAM_ANNOUNCED",
+        "UPSTREAM_COLD",
+        "UPSTREAM_DRAINING",
+        "UPSTREAM_FROZEN",
+        "UPSTREAM_CRASHED",
+        "UPSTREAM_UNFENCED",
+        "PEER_LINK_RESET",
+        "REQUEST_CLEARED",
+    ]
+)
 _Schema = dict[str, Any]
 
 
@@ -98,7 +137,7 @@
         lines += ["", f"## {heading}", ""]
         lines += _make_table(
             ("Name", "Meaning"),
-            [(f"`{m.value}`", metrics.MEANINGS[m]) for m in kind],
+            [(f"`{m.value}`", _explain_metric(m)) for m in kind],
         )
     return _end(lines)
 
@@ -132,6 +171,18 @@
     return [f"| {' | '.join(row)} |" for row in (heads, ruler, *rows)]
 
 
+def _explain_metric(
+    metric: metrics.Counter | metrics.Timer | metrics.Gauge,
+) -> str:
+    reported: set[metrics.Counter | metrics.Timer | metrics.Gauge | None] = {
+        metrics.Counter.TIMINGS_DROPPED
+    }
+    for measure in counting.MEASURES.values():
+        reported |= {measure.counter, measure.timer}
+    note = "" if metric in reported else _NOT_YET
+    return metrics.MEANINGS[metric] + note
+
+
 def _list_event_cells(event: catalog.Event) -> tuple[str, ...]:
     definition = event.value
     return (
@@ -139,7 +190,8 @@
         event.name,
         logging.getLevelName(event.level),
         ", ".join(f"`{field}`" for field in definition.fields),
-        definition.meaning,
+        definition.meaning
+        + (_NOT_YET if event.name in _EVENTS_NOT_YET else ""),
         definition.action,
     )
 
