Spread changes of granters over time, and back off from lost writes

Cause: after the loss of a failure domain all members that lost a granter write to the one row at the same moment and again at once when they lose: conflicts grow as the square of their number. Tables for the agenda showed two more faults: a change of granters could follow at once on one whose granters had not promised yet, against the rule; and a member whose upstream came back while it was leaving kept closing its shards, as nothing opens them for good and nothing released them any more.

Change: a change that is not urgent waits up to 20 ms per member, by a hash of the member and its epoch; it is urgent when too few granters are left for the lease. Joins, granters and plans that were lost wait a random time that doubles up to 3.2 s; evictions and releases never wait. Changes of granters keep to Holder.may_change_granters. A member that began to leave goes on.

--- a/src/rhubarblead/node/agenda.py
+++ b/src/rhubarblead/node/agenda.py
@@ -1,5 +1,6 @@
 """What a node should write next, and what its writes have led to."""
 
+import random
 import secrets
 
 from rhubarblead import membership
@@ -26,7 +27,9 @@
     """
 
     __slots__ = (
+        "_backoff",
         "_gate",
+        "_has_begun_leaving",
         "_is_forfeit",
         "_joining",
         "_node",
@@ -38,9 +41,25 @@
     )
 
     def __init__(
-        self, *, node: settings.Settings, shard_gate: gate.ShardGate
+        self,
+        *,
+        node: settings.Settings,
+        shard_gate: gate.ShardGate,
+        rng: random.Random | None = None,
     ) -> None:
+        """Makes the agenda of a node that is no member.
+
+        Args:
+            node: The node's settings.
+            shard_gate: Which shards admit requests.
+            rng: Spreads writes that were lost to others; one of the instance's
+                own by default.
+        """
         self._node = node
+        self._backoff = writing.LossBackoff(
+            rng=rng or random.Random(node.instance)
+        )
+        self._has_begun_leaving = False
         self._gate = shard_gate
         self._joining: membership.Member | None = None
         self._planned: planning.Planned | None = None
@@ -59,7 +78,9 @@
         is_moved = record is not None and (
             pool is None or pool.name != record.pool
         )
-        is_unfit = self._is_forfeit or not self.is_fit
+        # Closed shards are opened again only under another member id.
+        is_bound_to_leave = self._is_forfeit or self._has_begun_leaving
+        is_unfit = is_bound_to_leave or not self.is_fit
         return self.is_draining or is_unfit or is_moved
 
     def forfeit(self, *, void_at_ms: int | None) -> None:
@@ -94,6 +115,7 @@
         if tenure.member_id not in state.members:
             self.tenure = None
             self._is_forfeit = False
+            self._has_begun_leaving = False
             self._void_at_ms = None
             self._gate.replace(None)
             return
@@ -131,12 +153,12 @@
             A proposal on the newest state; None when all is well.
         """
         if self.tenure is None:
-            return self._propose_join(journal)
+            return self._propose_join(journal, now_ms)
         return (
             self._propose_evictions(journal, self.tenure, now_ms)
             or self._propose_granters(journal, self.tenure, now_ms)
             or self._propose_release(journal, self.tenure, now_ms)
-            or self._propose_plan(journal)
+            or self._propose_plan(journal, now_ms)
         )
 
     def begin(self, proposal: writing.Proposal) -> None:
@@ -165,11 +187,15 @@
             is_committed: Whether it took effect; if not, it never will.
             now_ms: The monotonic time.
         """
+        if is_committed:
+            self._backoff.win(proposal.purpose)
+        else:
+            self._backoff.lose(proposal.purpose, now_ms)
         if proposal.purpose is writing.Purpose.JOIN and not is_committed:
             self._joining = None
         if self.tenure is None:
             return
-        if proposal.purpose is writing.Purpose.GRANTERS and not is_committed:
+        if not is_committed and _is_changing(proposal, self.tenure.member_id):
             self.tenure.holder.abandon_change()
         moves = _list_released(proposal)
         outcome = (
@@ -193,8 +219,10 @@
         )
 
     def _propose_join(
-        self, journal: journals.Journal
+        self, journal: journals.Journal, now_ms: int
     ) -> writing.Proposal | None:
+        if not self._backoff.is_due(writing.Purpose.JOIN, now_ms):
+            return None
         pool = journal.tables.find_pool_of(self._node.instance)
         if pool is None or not self.is_fit or self.is_draining:
             return None
@@ -233,6 +261,15 @@
     def _propose_granters(
         self, journal: journals.Journal, tenure: tenures.Tenure, now_ms: int
     ) -> writing.Proposal | None:
+        is_urgent = tenure.is_short_of_granters(
+            state=journal.state,
+            now_ms=now_ms,
+            patience_ms=_GRANTER_PATIENCE_MS,
+        )
+        if not is_urgent and not self._backoff.is_due(
+            writing.Purpose.GRANTERS, now_ms
+        ):
+            return None
         missing = tenure.taker.list_missing_granters(now_ms=now_ms)
         changes: tuple[membership.Change, ...] = tuple(missing)
         if not changes:
@@ -248,6 +285,7 @@
         self, journal: journals.Journal, tenure: tenures.Tenure, now_ms: int
     ) -> writing.Proposal | None:
         if self.is_leaving(journal):
+            self._has_begun_leaving = True
             void_at_ms = self._void_at_ms
             self._gate.decide(
                 lambda decision: decision.begin_leaving(void_at_ms=void_at_ms)
@@ -269,8 +307,10 @@
         return _propose(writing.Purpose.RELEASE, journal, changes)
 
     def _propose_plan(
-        self, journal: journals.Journal
+        self, journal: journals.Journal, now_ms: int
     ) -> writing.Proposal | None:
+        if not self._backoff.is_due(writing.Purpose.PLAN, now_ms):
+            return None
         planned, self._planned = self._planned, None
         if planned is None or planned.state is not journal.state:
             return None
@@ -292,6 +332,15 @@
     )
 
 
+def _is_changing(proposal: writing.Proposal, member_id: str) -> bool:
+    """Tells whether a proposal changes a member's granters."""
+    return any(
+        isinstance(change, membership.GrantersChanged)
+        and change.member_id == member_id
+        for change in proposal.changes
+    )
+
+
 def _list_released(
     proposal: writing.Proposal,
 ) -> tuple[membership.ShardMove, ...]:
--- a/src/rhubarblead/node/tenure.py
+++ b/src/rhubarblead/node/tenure.py
@@ -3,6 +3,7 @@
 import secrets
 
 import msgspec
+import xxhash
 
 from rhubarblead import membership
 from rhubarblead import messages
@@ -10,10 +11,13 @@
 from rhubarblead import settings
 from rhubarblead.leases import granter
 from rhubarblead.leases import holder
+from rhubarblead.leases import quorum
 from rhubarblead.leases import selection
 from rhubarblead.leases import taker
 
 _INCARNATION_BYTES = 6
+_SPREAD_MS_PER_MEMBER = 20
+_HASH_END = 2**64
 
 
 def make_member(
@@ -51,13 +55,21 @@
 class Tenure:
     """Lease, promises and evictions of one member."""
 
-    __slots__ = ("granter", "holder", "lease", "member_id", "taker")
+    __slots__ = (
+        "_wish_since_ms",
+        "granter",
+        "holder",
+        "lease",
+        "member_id",
+        "taker",
+    )
 
     def __init__(
         self, *, member: membership.Member, lease: settings.Lease
     ) -> None:
         self.member_id = member.member_id
         self.lease = lease
+        self._wish_since_ms: int | None = None
         self.holder = holder.Holder(
             member_id=member.member_id,
             granters=member.granters,
@@ -115,24 +127,82 @@
     ) -> membership.GrantersChanged | None:
         """Finds out whether the member should have other granters.
 
+        Members that lost a granter at the same moment must not all write at
+        once. As the others still hold the lease, each waits for a while that
+        grows with their number, unless too few are left.
+
         Args:
             state: The newest state.
             now_ms: The monotonic time.
             patience_ms: How long a granter may stay silent.
 
         Returns:
-            The change, None when the granters are good or there are no
-            better ones.
+            The change, None when the granters are good, there are no better
+            ones, or it is not time yet.
         """
-        record = state.members.get(self.member_id)
-        if record is None or not record.granters or self.holder.is_changing:
+        change = self._choose_granters(state, now_ms, patience_ms)
+        if change is None:
+            self._wish_since_ms = None
             return None
+        if self._wish_since_ms is None:
+            self._wish_since_ms = now_ms
+        if self.is_short_of_granters(
+            state=state, now_ms=now_ms, patience_ms=patience_ms
+        ):
+            return change
+        spread_ms = find_spread_ms(
+            member_id=self.member_id,
+            granters_epoch=state.members[self.member_id].granters_epoch,
+            member_count=len(state.members),
+        )
+        is_due = now_ms - self._wish_since_ms >= spread_ms
+        return change if is_due else None
+
+    def is_short_of_granters(
+        self, *, state: ownership.State, now_ms: int, patience_ms: int
+    ) -> bool:
+        """Tells whether too few granters are left to hold the lease.
+
+        Args:
+            state: The newest state.
+            now_ms: The monotonic time.
+            patience_ms: How long a granter may stay silent.
+
+        Returns:
+            Whether a change of granters is urgent.
+        """
+        record = state.members.get(self.member_id)
+        if record is None or not record.granters:
+            return False
+        kept = self._list_kept(record, state, now_ms, patience_ms)
+        return len(kept) < quorum.count_needed_promises(len(record.granters))
+
+    def _list_kept(
+        self,
+        record: membership.Member,
+        state: ownership.State,
+        now_ms: int,
+        patience_ms: int,
+    ) -> tuple[str, ...]:
         silent = self.holder.list_silent_granters(
             now_ms=now_ms, patience_ms=patience_ms
         )
-        kept = tuple(
+        return tuple(
             g for g in record.granters if g in state.members and g not in silent
         )
+
+    def _choose_granters(
+        self, state: ownership.State, now_ms: int, patience_ms: int
+    ) -> membership.GrantersChanged | None:
+        record = state.members.get(self.member_id)
+        if record is None or not record.granters:
+            return None
+        if not self.holder.may_change_granters(now_ms=now_ms):
+            return None
+        silent = self.holder.list_silent_granters(
+            now_ms=now_ms, patience_ms=patience_ms
+        )
+        kept = self._list_kept(record, state, now_ms, patience_ms)
         candidates = state.copy()
         for member_id in silent:
             candidates.members.pop(member_id, None)
@@ -150,6 +220,23 @@
         )
 
 
+def find_spread_ms(
+    *, member_id: str, granters_epoch: int, member_count: int
+) -> int:
+    """Finds how long a member waits with a change that is not urgent.
+
+    Args:
+        member_id: The member.
+        granters_epoch: The epoch to change.
+        member_count: How many members there are.
+
+    Returns:
+        Milliseconds, the same each time, from 0 to 20 per member.
+    """
+    weight = xxhash.xxh3_64_intdigest(f"{member_id}\n{granters_epoch}".encode())
+    return weight * member_count * _SPREAD_MS_PER_MEMBER // _HASH_END
+
+
 def _fill(
     kept: tuple[str, ...], chosen: tuple[str, ...], state: ownership.State
 ) -> tuple[str, ...]:
--- a/src/rhubarblead/node/writing.py
+++ b/src/rhubarblead/node/writing.py
@@ -2,11 +2,14 @@
 
 import dataclasses
 import enum
+import random
 
 from rhubarblead import membership
 from rhubarblead import ownership
 
 _PAUSE_MS = 100
+_BACKOFF_MS = 50
+_MOST_DOUBLINGS = 6
 
 
 class Purpose(enum.Enum):
@@ -30,6 +33,33 @@
     changes: tuple[membership.Change, ...]
 
 
+class LossBackoff:
+    """Spaces out writes for a purpose that were lost to other writers."""
+
+    __slots__ = ("_due_ms", "_loss_counts", "_rng")
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self._rng = rng
+        self._due_ms: dict[Purpose, int] = {}
+        self._loss_counts: dict[Purpose, int] = {}
+
+    def is_due(self, purpose: Purpose, now_ms: int) -> bool:
+        """Tells whether a write for a purpose may be tried."""
+        return now_ms >= self._due_ms.get(purpose, now_ms)
+
+    def lose(self, purpose: Purpose, now_ms: int) -> None:
+        """Takes note of a lost write; the next one waits longer."""
+        count = self._loss_counts.get(purpose, 0)
+        self._loss_counts[purpose] = min(count + 1, _MOST_DOUBLINGS)
+        wait_ms = self._rng.randrange(_BACKOFF_MS << count)
+        self._due_ms[purpose] = now_ms + wait_ms
+
+    def win(self, purpose: Purpose) -> None:
+        """Takes note of a write that took effect."""
+        self._loss_counts.pop(purpose, None)
+        self._due_ms.pop(purpose, None)
+
+
 class WriteState:
     """Keeps a node to one write at a time, and to asking after doubtful ones.
 
--- /dev/null
+++ b/tests/rhubarblead/node/agenda.feature
@@ -0,0 +1,73 @@
+Feature: What a node writes next
+
+  Scenario Outline: A node joins, plans, hands over and leaves
+    Given an agenda of s-1 in pool p with 4 shards
+    When these agenda events happen: <events>
+    Then the agenda proposes "<proposal>"
+
+    Examples: joining
+      | events                       | proposal            |
+      | ask                          | nothing             |
+      | serve                        | join sharded+joined |
+      | serve, drain                 | nothing             |
+      | serve, write                 | nothing             |
+      | serve, lose                  | nothing             |
+      | serve, lose, pass 50         | join joined         |
+      | serve, doubt                 | nothing             |
+      | serve, doubt, fails, pass 50 | join sharded+joined |
+      | serve, doubt, commits, plan  | plan moved          |
+      | serve, tables none           | nothing             |
+
+    Examples: leaving
+      | events                                    | proposal            |
+      | own, fail                                 | release moved+left  |
+      | own, drain                                | release moved+left  |
+      | own, enter 0, fail                        | release moved       |
+      | own, enter 0, fail, write                 | nothing             |
+      | own, enter 0, fail, write, exit           | release moved+left  |
+      | own, enter 0, fail, ask, exit, serve      | release moved+left  |
+      | own, enter 0, fail, write, evict s        | nothing             |
+      | own, enter 0, fail, write, evict s, serve | join joined         |
+      | own, fail, write                          | nothing             |
+      | own, fail, write, serve                   | join joined         |
+      | own, fail, doubt                          | nothing             |
+      | own, fail, doubt, commits, serve          | join joined         |
+      | own, fail, doubt, fails                   | release moved+left  |
+      | own, fail, lose                           | release moved+left  |
+      | own, tables none                          | release moved+left  |
+      | own, tables q                             | release moved+left  |
+      | own, tables q, write                      | join sharded+joined |
+
+    Examples: plans
+      | events                                       | proposal      |
+      | own, plan                                    | nothing       |
+      | own, peers, write, plan                      | plan wanted   |
+      | own, peers, write, plan, write               | release moved |
+      | own, peers, write, plan, write, doubt        | nothing       |
+      | own, peers, write, plan, write, doubt, fails | release moved |
+      | own, peers, write, plan, evict m1            | nothing       |
+      | own, peers, write, plan, lose, plan          | nothing       |
+      | own, peers, write, plan, lose, pass 50, plan | plan wanted   |
+
+    Examples: granters
+      | events                                     | proposal          |
+      | peers, serve, write                        | nothing           |
+      | peers, serve, write, gone 1                | nothing           |
+      | peers, serve, write, gone 1, ask, pass 120 | granters granters |
+      | peers, serve, write, gone 2                | granters granters |
+      | peers, serve, write, gone 2, doubt, fails  | granters granters |
+      | peers, serve, write, gone 2, lose          | granters granters |
+      | peers, serve, write, gone 2, write         | nothing           |
+      | peers, serve, write, gone 2, write, gone 1 | nothing           |
+      | own, peers                                 | granters granters |
+      | own, peers, lose                           | nothing           |
+
+  Scenario Outline: Members that lose a granter at once write one after another
+    Given members of a system of <members> that each lost one granter
+    Then the first changes its granters after at least <first> ms
+    And the last changes its granters after <from> to <to> ms
+
+    Examples:
+      | members | first | from  | to    |
+      | 13      | 0     | 100   | 260   |
+      | 1800    | 0     | 30000 | 36000 |
--- /dev/null
+++ b/tools/contention.py
@@ -0,0 +1,157 @@
+"""Measures writers that all want to change one row at the same moment.
+
+Each writer commits once with compare-and-set on one in-memory row, over a
+round trip, on a simulated clock. `before`: all begin at once, and each tries
+again as soon as it has lost. `after`: each waits for the spread of its member
+first, and longer with each loss, as a node does.
+
+Usage: python -m tools.contention [--output FILE]
+"""
+
+import argparse
+import dataclasses
+import heapq
+import json
+import pathlib
+import random
+
+from rhubarblead.node import tenure
+from rhubarblead.node import writing
+
+_CASES = ((13, 3), (1_800, 225))
+_ROUND_TRIP_MS = 20
+_TICK_MS = 50
+_SEED = 1
+_PURPOSE = writing.Purpose.GRANTERS
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Writer:
+    """One member that wants to commit one change."""
+
+    backoff: writing.LossBackoff
+    begin_ms: int
+    phase_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Measured:
+    """What it took until all writers had committed."""
+
+    member_count: int
+    writer_count: int
+    is_spread: bool
+    conflict_count: int
+    done_after_ms: int
+
+
+def measure(
+    *, member_count: int, writer_count: int, is_spread: bool
+) -> Measured:
+    """Lets writers commit to one row until all are done.
+
+    Args:
+        member_count: How many members there are.
+        writer_count: How many of them write.
+        is_spread: Whether they spread their writes over time.
+
+    Returns:
+        The conflicts and the time.
+    """
+    rng = random.Random(_SEED)
+    writers = [
+        Writer(
+            backoff=writing.LossBackoff(rng=random.Random(f"{number}")),
+            begin_ms=(
+                tenure.find_spread_ms(
+                    member_id=f"m{number}",
+                    granters_epoch=0,
+                    member_count=member_count,
+                )
+                if is_spread
+                else 0
+            ),
+            phase_ms=rng.randrange(_TICK_MS),
+        )
+        for number in range(writer_count)
+    ]
+    conflict_count, done_ms = _run(writers, is_spread=is_spread)
+    return Measured(
+        member_count=member_count,
+        writer_count=writer_count,
+        is_spread=is_spread,
+        conflict_count=conflict_count,
+        done_after_ms=done_ms,
+    )
+
+
+def _run(writers: list[Writer], *, is_spread: bool) -> tuple[int, int]:
+    """Runs all writers; returns the conflicts and when the last was done."""
+    revision = 0
+    conflict_count = 0
+    done_ms = 0
+    one_way_ms = _ROUND_TRIP_MS // 2
+    # Arrivals at the row: time, writer, and the revision it expects. A writer
+    # that sends knows what the row was when its last answer left.
+    arrivals = [
+        (_find_tick(writer, writer.begin_ms) + one_way_ms, number, -1)
+        for number, writer in enumerate(writers)
+    ]
+    heapq.heapify(arrivals)
+    changed_ms = [0]
+    while arrivals:
+        now_ms, number, expected = heapq.heappop(arrivals)
+        if expected < 0:
+            expected = _count_known(changed_ms, now_ms - _ROUND_TRIP_MS)
+        writer = writers[number]
+        answered_ms = now_ms + one_way_ms
+        if expected == revision:
+            revision += 1
+            changed_ms.append(now_ms)
+            done_ms = answered_ms
+            continue
+        conflict_count += 1
+        due_ms = answered_ms
+        if is_spread:
+            writer.backoff.lose(_PURPOSE, answered_ms)
+            while not writer.backoff.is_due(_PURPOSE, due_ms):
+                due_ms += 1
+        # News of later commits reaches a writer that waits; the conflict's
+        # answer holds the row.
+        sent_ms = _find_tick(writer, due_ms)
+        known = -1 if sent_ms - answered_ms >= one_way_ms else revision
+        heapq.heappush(arrivals, (sent_ms + one_way_ms, number, known))
+    return conflict_count, done_ms
+
+
+def _count_known(changed_ms: list[int], as_of_ms: int) -> int:
+    return sum(1 for at_ms in changed_ms[1:] if at_ms <= as_of_ms)
+
+
+def _find_tick(writer: Writer, due_ms: int) -> int:
+    """Finds the first tick of a writer's node at or after a time."""
+    return due_ms + (writer.phase_ms - due_ms) % _TICK_MS
+
+
+def main(arguments: list[str] | None = None) -> None:
+    """Measures all cases and prints them as JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--output", type=pathlib.Path)
+    options = parser.parse_args(arguments)
+    found = [
+        dataclasses.asdict(
+            measure(
+                member_count=members, writer_count=writers, is_spread=is_spread
+            )
+        )
+        for members, writers in _CASES
+        for is_spread in (False, True)
+    ]
+    text = json.dumps(found, indent=2)
+    if options.output:
+        options.output.write_text(f"{text}\n", encoding="utf-8")
+    print(text)
+
+
+if __name__ == "__main__":
+    main()
