--- a/src/rhubarblead/node/routing.py
+++ b/src/rhubarblead/node/routing.py
@@ -222,6 +222,10 @@
     ) -> bool:
         if outcome.refusal not in _TRY_ELSEWHERE:
             return False
+        # A third server may not have heard of the two that crashed under this
+        # request, as a retry is faster than the news.
+        if state.is_suspect and outcome.is_suspect:
+            return False
         if not (
             outcome.verdict.is_safe_to_repeat or state.accepted.is_repeatable
         ):
