--- a/tests/steps/upstream_client.py
+++ b/tests/steps/upstream_client.py
@@ -33,6 +33,7 @@
 SHARD = 7
 MAX_ANSWER_BYTES = 1_000
 START_TRIES = 500
+PORT_TRIES = 5
 
 _ids = itertools.count()
 
@@ -178,16 +179,25 @@
     context.add_cleanup(context.client.close)
 
 
-@behave.given("a stand-in upstream")
-def start_stand_in(context: runner.Context) -> None:
-    context.is_silent = False
+def is_started(context: runner.Context) -> bool:
+    """Starts a stand-in; tells whether it got its port."""
     context.stand_in = StandIn()
     context.add_cleanup(context.stand_in.stop)
     open_client(context, context.stand_in.port)
     for _ in range(START_TRIES):
+        if context.stand_in.process.poll() is not None:
+            return False
         if context.client.probe("/-/health", TIMEOUT_MS).is_ok():
-            break
+            return True
         time.sleep(0.01)
+    return False
+
+
+@behave.given("a stand-in upstream")
+def start_stand_in(context: runner.Context) -> None:
+    context.is_silent = False
+    # A free port may be taken by another process before it is bound.
+    assert any(is_started(context) for _ in range(PORT_TRIES))
     grant = (("Rhubarb-Shard", str(SHARD)), ("Rhubarb-Fence", str(FIRST_FENCE)))
     assert context.client.send(make_request(headers=grant)).is_ok()
 
