Retire before leaving, and state lapses only while the own lease is renewed

Cause: the node did not tell its granter's decision until when its own lease holds, nor that it was leaving. The rule against evictions by members that are cut off themselves was not in force, and a leaver whose answer was lost went on promising, which the fault tables of leases show to end in two owners. Its wish for other granters went through all members at every tick.

--- a/src/rhubarblead/node/agenda.py
+++ b/src/rhubarblead/node/agenda.py
@@ -171,6 +171,9 @@
                     member_id == self.tenure.member_id
                 ):
                     self.tenure.begin_granters_change(change)
+                case membership.MemberLeft():
+                    # Its own lease would let it promise on, though gone.
+                    self.tenure.granter.retire()
         moves = _list_released(proposal)
         if moves:
             self._gate.decide(
@@ -197,6 +200,8 @@
             return
         if not is_committed and _is_changing(proposal, self.tenure.member_id):
             self.tenure.holder.abandon_change()
+        if not is_committed:
+            self.tenure.granter.reinstate()
         moves = _list_released(proposal)
         outcome = (
             handover.Outcome.DONE if is_committed else handover.Outcome.NOT_DONE
--- a/src/rhubarblead/node/control.py
+++ b/src/rhubarblead/node/control.py
@@ -454,7 +454,7 @@
             self._news.send(granter_id, heartbeat)
 
     def _send_lapses(self, tenure: tenures.Tenure, now_ms: int) -> None:
-        lapses = tenure.granter.list_lapses(now_ms=now_ms)
+        lapses = tenure.list_lapses(now_ms)
         is_due = now_ms >= self._lapses_due_ms
         if is_due:
             self._lapses_due_ms = now_ms + _LAPSE_INTERVAL_MS
--- a/src/rhubarblead/node/tenure.py
+++ b/src/rhubarblead/node/tenure.py
@@ -18,6 +18,7 @@
 _INCARNATION_BYTES = 6
 _SPREAD_MS_PER_MEMBER = 20
 _HASH_END = 2**64
+_FULL_GRANTER_COUNT = 3
 
 
 def make_member(
@@ -115,6 +116,14 @@
         """Takes a granter's answer to a heartbeat."""
         self.holder.take_promise(promise=promise, now_ms=now_ms)
 
+    def list_lapses(self, now_ms: int) -> list[messages.Lapse]:
+        """Lists the lapses that the member states as a granter."""
+        has_all = len(self.holder.granters) >= _FULL_GRANTER_COUNT
+        own_end_ms = self.holder.find_lease_end_ms() if has_all else None
+        return self.granter.list_lapses(
+            now_ms=now_ms, own_lease_end_ms=own_end_ms
+        )
+
     def begin_granters_change(self, change: membership.GrantersChanged) -> None:
         """Prepares for a change of the own granters, before it is sent."""
         if self.holder.granters:
@@ -202,20 +211,14 @@
         silent = self.holder.list_silent_granters(
             now_ms=now_ms, patience_ms=patience_ms
         )
-        kept = self._list_kept(record, state, now_ms, patience_ms)
-        candidates = state.copy()
-        for member_id in silent:
-            candidates.members.pop(member_id, None)
-        chosen = selection.choose_granters(state=candidates, member=record)
-        is_wider = len(chosen) > len(record.granters)
-        if len(kept) == len(record.granters) and not is_wider:
-            return None
-        replaced = _fill(kept, chosen, candidates)
-        if not replaced or set(replaced) == set(record.granters):
+        chosen = selection.improve_granters(
+            state=state, member=record, silent=frozenset(silent)
+        )
+        if not chosen or set(chosen) == set(record.granters):
             return None
         return membership.GrantersChanged(
             member_id=self.member_id,
-            granters=replaced,
+            granters=chosen,
             granters_epoch=self.holder.find_next_epoch(),
         )
 
@@ -235,13 +238,3 @@
     """
     weight = xxhash.xxh3_64_intdigest(f"{member_id}\n{granters_epoch}".encode())
     return weight * member_count * _SPREAD_MS_PER_MEMBER // _HASH_END
-
-
-def _fill(
-    kept: tuple[str, ...], chosen: tuple[str, ...], state: ownership.State
-) -> tuple[str, ...]:
-    """Keeps the good granters, so that few promises start anew."""
-    domains = {state.members[g].failure_domain for g in kept}
-    fresh = [g for g in chosen if g not in kept]
-    fresh.sort(key=lambda g: state.members[g].failure_domain in domains)
-    return (*kept, *fresh[: len(chosen) - len(kept)])
