Test that a member which sends its leave promises nothing

Change: a table for the agenda; the row with the leave in doubt fails without the call that retires the granter.

--- a/tests/rhubarblead/node/agenda.feature
+++ b/tests/rhubarblead/node/agenda.feature
@@ -71,3 +71,16 @@
       | members | first | from  | to    |
       | 13      | 0     | 100   | 260   |
       | 1800    | 0     | 30000 | 36000 |
+
+  Scenario Outline: A member that sends its leave promises nothing any more
+    Given an agenda of s-1 in pool p with 4 shards
+    When these agenda events happen: <events>
+    Then the agenda's member promises a heartbeat: <promised>
+
+    Examples:
+      | events                          | promised |
+      | peers, own, grant               | yes      |
+      | peers, own, grant, fail         | yes      |
+      | peers, own, grant, fail, doubt  | no       |
+      | peers, own, grant, fail, doubt, fails | yes |
+      | peers, own, grant, fail, lose   | yes      |
--- a/tests/steps/node_agenda.py
+++ b/tests/steps/node_agenda.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from rhubarblead import membership
+from rhubarblead import messages
 from rhubarblead import settings
 from rhubarblead.node import agenda
 from rhubarblead.node import gate
@@ -202,6 +203,36 @@
             entered.close()
         self.entered.clear()
 
+    def grant(self) -> None:
+        """Lets m1 name the member as its granter."""
+        tenure_now = self.agenda.tenure
+        assert tenure_now is not None
+        self.commit(
+            membership.GrantersChanged(
+                member_id="m1",
+                granters=(tenure_now.member_id, "m2", "m3"),
+                granters_epoch=1,
+            )
+        )
+        self.follow()
+        tenure_now.granter.confirm_membership(as_of_ms=self.now_ms)
+
+    def is_promising(self) -> bool:
+        tenure_now = self.agenda.tenure
+        assert tenure_now is not None
+        promise = tenure_now.granter.take_heartbeat(
+            heartbeat=messages.Heartbeat(
+                member_id="m1",
+                granters_epoch=1,
+                sequence=1,
+                sent_at_ms=self.now_ms,
+                revisions=self.journal.revisions,
+            ),
+            now_ms=self.now_ms,
+            revisions=self.journal.revisions,
+        )
+        return promise.is_granted
+
     def pass_(self, duration_ms: str) -> None:
         self.now_ms += int(duration_ms)
 
@@ -229,6 +260,11 @@
     assert found == expected, found
 
 
+@behave.then("the agenda's member promises a heartbeat: {promised}")
+def check_promised(context: runner.Context, promised: str) -> None:
+    assert context.desk.is_promising() == (promised == "yes")
+
+
 @behave.given("members of a system of {count:d} that each lost one granter")
 def given_system(context: runner.Context, count: int) -> None:
     context.spreads = sorted(
