Serve callers by an event loop that doesn't go through all connections

Cause: the load tool showed four times the processor time per request that a few connections cost. The HTTP server's loop asks each open connection, at every turn, what it waits for, and each request takes several turns. Ruled out: the interval at which threads take turns (1, 5 and 20 ms gave the same). Change: the node runs the server by a loop of its own on the selectors module, which looks only at connections that something happened to.

--- a/src/rhubarblead/node/daemon.py
+++ b/src/rhubarblead/node/daemon.py
@@ -24,6 +24,7 @@
 from rhubarblead.node import control
 from rhubarblead.node import copies
 from rhubarblead.node import crashes
+from rhubarblead.node import event_loop
 from rhubarblead.node import execution
 from rhubarblead.node import front
 from rhubarblead.node import gate
@@ -310,11 +311,15 @@
             channel_timeout=self._node.limits.idle_ms // _MS_PER_S,
             ident=None,
         )
+        loop = event_loop.EventLoop()
         server.channel_class = front.Channel
+        loop.attach(server)
         self._application.watch(lambda: len(server.task_dispatcher.queue))
-        thread = threading.Thread(target=server.run, daemon=True)
+        thread = threading.Thread(target=loop.run, daemon=True)
         thread.start()
         self._stack.callback(server.close)
+        self._stack.callback(thread.join)
+        self._stack.callback(loop.stop)
 
     def _leave(self) -> None:
         self._events.emit(catalog.Event.NODE_STOPPING)
--- /dev/null
+++ b/src/rhubarblead/node/event_loop.py
@@ -0,0 +1,142 @@
+"""An event loop for the HTTP server whose cost doesn't grow with connections.
+
+The server's own loop asks each connection, at every turn, what it waits for.
+This one asks a connection only when something happened to it, and leaves the
+rest to the operating system.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import selectors
+import threading
+from typing import Any
+
+from waitress import wasyncore
+
+_TURN_S = 1.0
+
+
+class EventLoop:
+    """Runs one server, whose channels say what has happened to them.
+
+    A channel is a connection of the server, or one of its own sockets. `touch`,
+    `serving` and `stop` may be called from any thread.
+    """
+
+    __slots__ = (
+        "_is_stopping",
+        "_selector",
+        "_served",
+        "_server",
+        "_touched",
+        "_wake",
+    )
+
+    def __init__(self) -> None:
+        self._selector = selectors.DefaultSelector()
+        self._touched: collections.deque[Any] = collections.deque()
+        self._is_stopping = threading.Event()
+        self._served = threading.local()
+        self._server: Any = None
+        self._wake: Callable[[], None] = lambda: None
+
+    def attach(self, server: Any) -> None:  # noqa: ANN401
+        """Takes the place of a server's own loop, before `run`.
+
+        Args:
+            server: A waitress server whose channels are made for this loop.
+        """
+        self._server = server
+        self._wake = server.pull_trigger
+        server.event_loop = self
+        # The server pulls it when a thread has changed what a channel waits
+        # for; the loop has to know which.
+        server.pull_trigger = self._pull_trigger
+
+    @contextlib.contextmanager
+    def serving(self, channel: Any) -> Iterator[None]:  # noqa: ANN401
+        """Tells which channel the calling thread serves during a block."""
+        self._served.channel = channel
+        try:
+            yield
+        finally:
+            self._served.channel = None
+
+    def _pull_trigger(self) -> None:
+        channel = getattr(self._served, "channel", None)
+        if channel is not None:
+            self._touched.append(channel)
+        self._wake()
+
+    def touch(self, channel: Any) -> None:  # noqa: ANN401
+        """Has the loop look at a channel again, at its next turn."""
+        self._touched.append(channel)
+
+    def forget(self, descriptor: int) -> None:
+        """Ends the watch over a descriptor that is about to be closed."""
+        try:
+            self._selector.unregister(descriptor)
+        except (KeyError, ValueError):
+            return
+
+    def run(self) -> None:
+        """Runs the attached server until `stop`."""
+        server = self._server
+        for channel in list(server._map.values()):
+            self._update(channel)
+        while not self._is_stopping.is_set():
+            self._turn(server)
+        server.task_dispatcher.shutdown()
+        self._selector.close()
+
+    def stop(self) -> None:
+        """Lets `run` return."""
+        self._is_stopping.set()
+        self._wake()
+
+    def _turn(self, server: Any) -> None:  # noqa: ANN401
+        cleanup_before = server.next_channel_cleanup
+        self._update(server)
+        if server.next_channel_cleanup != cleanup_before:
+            self._touched.extend(server.active_channels.values())
+        self._look_again()
+        for key, events in self._selector.select(_TURN_S):
+            self._handle(key.data, events & key.events)
+        self._look_again()
+
+    def _look_again(self) -> None:
+        while self._touched:
+            self._update(self._touched.popleft())
+
+    def _handle(self, channel: Any, events: int) -> None:  # noqa: ANN401
+        if events & selectors.EVENT_READ:
+            wasyncore.read(channel)
+        # Reading may have closed it.
+        if events & selectors.EVENT_WRITE and channel._fileno is not None:
+            wasyncore.write(channel)
+        self._update(channel)
+
+    def _update(self, channel: Any) -> None:  # noqa: ANN401
+        descriptor = channel._fileno
+        if descriptor is None:
+            return
+        events = _find_events(channel)
+        watched = self._selector.get_map().get(descriptor)
+        if watched is None:
+            if events:
+                self._selector.register(descriptor, events, channel)
+        elif not events:
+            self._selector.unregister(descriptor)
+        elif events != watched.events or watched.data is not channel:
+            self._selector.modify(descriptor, events, channel)
+
+
+def _find_events(channel: Any) -> int:  # noqa: ANN401
+    events = 0
+    if channel.readable():
+        events |= selectors.EVENT_READ
+    if channel.writable():
+        events |= selectors.EVENT_WRITE
+    return events
--- a/src/rhubarblead/node/front.py
+++ b/src/rhubarblead/node/front.py
@@ -219,6 +219,25 @@
 
 
 class Channel(channel.HTTPChannel):  # type: ignore[misc]
-    """A caller's connection, whose every answer carries a verdict."""
+    """A caller's connection, whose every answer carries a verdict.
+
+    It tells the event loop, which its server carries, whenever it may wait for
+    something else than before.
+    """
 
     error_task_class = _RefusalTask
+
+    def add_channel(self, map: Any = None) -> None:  # noqa: A002, ANN401
+        """Begins to be watched."""
+        super().add_channel(map)
+        self.server.event_loop.touch(self)
+
+    def del_channel(self, map: Any = None) -> None:  # noqa: A002, ANN401
+        """Ceases to be watched."""
+        self.server.event_loop.forget(self._fileno)
+        super().del_channel(map)
+
+    def service(self) -> None:
+        """Answers a request."""
+        with self.server.event_loop.serving(self):
+            super().service()
--- /dev/null
+++ b/tools/front_cost.py
@@ -0,0 +1,152 @@
+"""Measures what a request costs the HTTP server, by its open connections.
+
+A child process serves; most connections are idle, one sends request after
+request. The server's own loop is the baseline. Prints JSON: processor time of
+the serving process per request, in microseconds.
+"""
+
+import contextlib
+import http.client
+import json
+import socket
+import subprocess
+import sys
+import time
+from typing import Any
+
+import fire
+import waitress.server
+
+from rhubarblead import verdict
+from rhubarblead.node import event_loop
+from rhubarblead.node import front
+from rhubarblead.node import intake
+from rhubarblead.node import outcome
+from tools import processes
+
+_MODULE = "tools.front_cost"
+_SECONDS = 2.0
+_US_PER_S = 1_000_000
+_THREADS = 8
+_START_TIMEOUT_S = 10.0
+
+
+def _answer(request: intake.CallerRequest) -> outcome.Outcome:
+    del request
+    return outcome.Outcome(
+        verdict=verdict.Verdict.RAN, status=200, reason="OK", body=b"ok"
+    )
+
+
+def _make_application() -> front.Application:
+    return front.Application(
+        route=_answer,
+        admin=_answer,
+        refuse=_answer,
+        refuse_closed=_answer,
+        queue_length=64,
+    )
+
+
+def serve(port: int, loop: str) -> None:
+    """Serves until killed.
+
+    Args:
+        port: Where.
+        loop: "own" for the server's own loop, "event" for that of the node.
+    """
+    server = waitress.server.create_server(
+        _make_application(),
+        host="127.0.0.1",
+        port=port,
+        threads=_THREADS,
+        connection_limit=2_000,
+    )
+    if loop == "own":
+        server.run()
+        return
+    events = event_loop.EventLoop()
+    server.channel_class = front.Channel
+    events.attach(server)
+    events.run()
+
+
+def _find_free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def _connect(port: int) -> http.client.HTTPConnection:
+    deadline_s = time.monotonic() + _START_TIMEOUT_S
+    while True:
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=10)
+        try:
+            _ask(connection)
+            return connection
+        except ConnectionRefusedError:
+            if time.monotonic() > deadline_s:
+                raise
+            time.sleep(0.05)
+
+
+def _ask(connection: http.client.HTTPConnection) -> None:
+    connection.request("GET", "/depots/a/stock")
+    connection.getresponse().read()
+
+
+def measure(loop: str, counts: list[int]) -> dict[int, float]:
+    """Measures one loop.
+
+    Args:
+        loop: As for `serve`.
+        counts: Numbers of idle connections, rising.
+
+    Returns:
+        Processor time per request by number of idle connections.
+    """
+    port = _find_free_port()
+    figures = {}
+    with contextlib.ExitStack() as stack:
+        child = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "tools.front_cost",
+                "serve",
+                str(port),
+                loop,
+            ],
+            env=processes.make_environment(),
+        )
+        stack.callback(child.wait)
+        stack.callback(child.kill)
+        active = _connect(port)
+        idle: list[http.client.HTTPConnection] = []
+        for count in counts:
+            idle.extend(_connect(port) for _ in range(count - len(idle)))
+            figures[count] = _measure_one(child.pid, active)
+    return figures
+
+
+def _measure_one(pid: int, active: http.client.HTTPConnection) -> float:
+    before = processes.read_usage(pid)
+    done = 0
+    end_s = time.monotonic() + _SECONDS
+    while time.monotonic() < end_s:
+        _ask(active)
+        done += 1
+    after = processes.read_usage(pid)
+    return round((after.cpu_s - before.cpu_s) / done * _US_PER_S, 1)
+
+
+def compare(counts: Any = (0, 50, 150, 500)) -> None:  # noqa: ANN401
+    """Prints the figures of both loops as JSON."""
+    wanted = [int(count) for count in counts]
+    figures = {loop: measure(loop, wanted) for loop in ("own", "event")}
+    json.dump({"cpu_us_per_request_by_idle_connections": figures}, sys.stdout)
+    print()
+
+
+if __name__ == "__main__":
+    fire.Fire({"compare": compare, "serve": serve})
