Say goodbye on callers' connections before a planned stop

Cause: a stopping node closed callers' connections while a request could be on its way: the caller could not know whether it was read. Requests refused at a stopping node had to be sent again. Change: after the handover the node takes no new connections, passes requests on as before, and ends each connection with its next answer, for up to 1.5 s. The new scenario on sockets passes.

--- a/src/rhubarblead/node/daemon.py
+++ b/src/rhubarblead/node/daemon.py
@@ -54,6 +54,7 @@
 _FIRST_SLOTS = 1
 _LEAVE_POLL_S = 0.05
 _LAST_ANSWERS_S = 0.1
+_GOODBYE_MS = 1_500
 _FLUSH_S = 1.0
 _SWITCH_INTERVAL_S = 0.001
 _MS_PER_S = 1000
@@ -191,11 +192,11 @@
             count_in_flight=self._execution.count_in_flight,
             is_store_reachable=lambda: self._observer.is_store_reachable,
         )
+        self._event_loop = event_loop.EventLoop()
         self._application = front.Application(
             route=self._router.handle,
             admin=self._admin.handle,
             refuse=routing.refuse_overload,
-            refuse_closed=routing.refuse_draining,
             queue_length=node.limits.queue_length,
         )
 
@@ -311,7 +312,7 @@
             channel_timeout=self._node.limits.idle_ms // _MS_PER_S,
             ident=None,
         )
-        loop = event_loop.EventLoop()
+        loop = self._event_loop
         server.channel_class = front.Channel
         loop.attach(server)
         self._application.watch(lambda: len(server.task_dispatcher.queue))
@@ -325,11 +326,17 @@
         self._events.emit(catalog.Event.NODE_STOPPING)
         self._control.post(control.Drain())
         deadline_ms = clock.read_monotonic_ms() + self._node.limits.drain_ms
-        # Requests are taken for others until the shards are handed over.
         has_left = self._wait(
             lambda: self._board.read().member is None, deadline_ms
         )
-        self._application.close()
+        # Until callers have turned to other nodes, their requests are passed
+        # on to those.
+        self._event_loop.close_gently()
+        quiet_ms = clock.read_monotonic_ms() + _GOODBYE_MS
+        self._wait(
+            lambda: self._event_loop.count_connections() == 0,
+            min(deadline_ms, quiet_ms),
+        )
         is_idle = self._wait(self._is_idle, deadline_ms)
         if not (has_left and is_idle):
             self._events.emit(catalog.Event.DRAIN_GIVEN_UP)
--- a/src/rhubarblead/node/event_loop.py
+++ b/src/rhubarblead/node/event_loop.py
@@ -26,6 +26,7 @@
     """
 
     __slots__ = (
+        "_is_closing",
         "_is_stopping",
         "_selector",
         "_served",
@@ -37,6 +38,7 @@
     def __init__(self) -> None:
         self._selector = selectors.DefaultSelector()
         self._touched: collections.deque[Any] = collections.deque()
+        self._is_closing = threading.Event()
         self._is_stopping = threading.Event()
         self._served = threading.local()
         self._server: Any = None
@@ -74,6 +76,24 @@
         """Has the loop look at a channel again, at its next turn."""
         self._touched.append(channel)
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether each answer is the last of its connection."""
+        return self._is_closing.is_set()
+
+    def close_gently(self) -> None:
+        """Takes no new connections, and ends each with its next answer.
+
+        A caller whose connection is just closed can't know whether its request
+        was read; one that is told beforehand sends it elsewhere.
+        """
+        self._is_closing.set()
+        self._wake()
+
+    def count_connections(self) -> int:
+        """Counts the open connections."""
+        return len(self._server.active_channels)
+
     def forget(self, descriptor: int) -> None:
         """Ends the watch over a descriptor that is about to be closed."""
         try:
@@ -97,6 +117,9 @@
         self._wake()
 
     def _turn(self, server: Any) -> None:  # noqa: ANN401
+        if self._is_closing.is_set() and server._fileno is not None:
+            self.forget(server._fileno)
+            wasyncore.dispatcher.close(server)
         cleanup_before = server.next_channel_cleanup
         self._update(server)
         if server.next_channel_cleanup != cleanup_before:
--- a/src/rhubarblead/node/front.py
+++ b/src/rhubarblead/node/front.py
@@ -43,19 +43,16 @@
     """Hands each request to the router or the operators' handler.
 
     While more requests wait for a thread than `queue_length`, those of callers
-    are refused at once: they would be answered too late. So are all that come
-    after `close`.
+    are refused at once: they would be answered too late.
     """
 
     __slots__ = (
         "_active_count",
         "_admin",
         "_count_waiting",
-        "_is_closed",
         "_lock",
         "_queue_length",
         "_refuse",
-        "_refuse_closed",
         "_route",
     )
 
@@ -65,17 +62,14 @@
         route: Handler,
         admin: Handler,
         refuse: Handler,
-        refuse_closed: Handler,
         queue_length: int,
     ) -> None:
         self._route = route
         self._admin = admin
         self._refuse = refuse
-        self._refuse_closed = refuse_closed
         self._queue_length = queue_length
         self._count_waiting: Callable[[], int] = lambda: 0
         self._active_count = 0
-        self._is_closed = False
         self._lock = threading.Lock()
 
     def watch(self, count_waiting: Callable[[], int]) -> None:
@@ -89,10 +83,6 @@
         with self._counting():
             return self._answer(environ, start_response)
 
-    def close(self) -> None:
-        """Refuses the requests of callers that come from now on."""
-        self._is_closed = True
-
     def count_active(self) -> int:
         """Counts the requests that are being answered."""
         return self._active_count
@@ -121,8 +111,6 @@
     def _choose_handler(self, request: intake.CallerRequest) -> Handler:
         if request.path.startswith(ADMIN_PREFIX):
             return self._admin
-        if self._is_closed:
-            return self._refuse_closed
         if self._count_waiting() > self._queue_length:
             return self._refuse
         return self._route
@@ -218,6 +206,15 @@
         self.write(outcome.body)
 
 
+class _Task(task.WSGITask):  # type: ignore[misc]
+    """Answers one request; the last of its connection while closing."""
+
+    def execute(self) -> None:
+        if self.channel.server.event_loop.is_closing:
+            self.set_close_on_finish()
+        super().execute()
+
+
 class Channel(channel.HTTPChannel):  # type: ignore[misc]
     """A caller's connection, whose every answer carries a verdict.
 
@@ -225,6 +222,7 @@
     something else than before.
     """
 
+    task_class = _Task
     error_task_class = _RefusalTask
 
     def add_channel(self, map: Any = None) -> None:  # noqa: A002, ANN401
--- a/src/rhubarblead/node/routing.py
+++ b/src/rhubarblead/node/routing.py
@@ -396,12 +396,6 @@
     )
 
 
-def refuse_draining(request: intake.CallerRequest) -> outcomes.Outcome:
-    """Refuses a caller's request at a node that is stopping."""
-    del request
-    return _refuse(refusals.Refusal.DRAINING, "this node is stopping")
-
-
 def _refuse_unowned(view: views.View, pool: str) -> outcomes.Outcome:
     if not view.state.list_pool(pool):
         return _refuse(
--- a/tests/rhubarblead/node/event_loop.feature
+++ b/tests/rhubarblead/node/event_loop.feature
@@ -34,3 +34,11 @@
   Scenario: A request that is no HTTP is refused with its verdict
     When a caller sends the event loop "GARBAGE"
     Then the event loop answers with status 400 and verdict "not-run"
+
+  Scenario: A loop that closes gently answers those that are connected
+    Given 1 idle connections to the event loop
+    When the event loop closes gently
+    And a caller asks the event loop over its idle connection
+    Then the caller is told that this was the last answer
+    And the event loop has 0 connection left
+    And a new caller is not connected by the event loop
--- a/tests/steps/node_event_loop.py
+++ b/tests/steps/node_event_loop.py
@@ -30,7 +30,6 @@
             route=self._answer,
             admin=self._answer,
             refuse=self._answer,
-            refuse_closed=self._answer,
             queue_length=1_000,
         )
         self.server = waitress.server.create_server(
@@ -155,6 +154,36 @@
     server.pull_trigger()
 
 
+@behave.when("the event loop closes gently")
+def when_closing(context: runner.Context) -> None:
+    context.served.loop.close_gently()
+    server = context.served.server
+    _wait(lambda: server._fileno is None)
+
+
+@behave.when("a caller asks the event loop over its idle connection")
+def when_idle_asks(context: runner.Context) -> None:
+    connection = context.idle[0]
+    connection.request("GET", "/5")
+    context.answer = connection.getresponse()
+    context.sizes = [len(context.answer.read())]
+
+
+@behave.then("the caller is told that this was the last answer")
+def then_last(context: runner.Context) -> None:
+    assert context.sizes == [5], context.sizes
+    assert context.answer.headers["Connection"] == "close"
+
+
+@behave.then("a new caller is not connected by the event loop")
+def then_refused_connection(context: runner.Context) -> None:
+    try:
+        _connect(context)
+    except ConnectionRefusedError:
+        return
+    raise AssertionError("connected")
+
+
 @behave.when('a caller sends the event loop "{text}"')
 def when_garbage(context: runner.Context, text: str) -> None:
     connection = _connect(context)
--- a/tools/front_cost.py
+++ b/tools/front_cost.py
@@ -43,7 +43,6 @@
         route=_answer,
         admin=_answer,
         refuse=_answer,
-        refuse_closed=_answer,
         queue_length=64,
     )
 
