Let no grant reach further after the first failed probe

Cause: a silent server was found about 1.1 s after it froze, and its shards then waited for the grants that had been given until then, 0.6 s more. Change: from the first failed probe on no grant reaches beyond 600 ms after it; a good probe lifts that. Probes time out after 200 ms.

--- a/src/rhubarblead/node/daemon.py
+++ b/src/rhubarblead/node/daemon.py
@@ -148,6 +148,9 @@
             upstream=node.upstream,
             events=self._events,
             find_extension=self._board.find_extension,
+            hold_grants=lambda is_held: self._board.hold_grants(
+                is_held=is_held
+            ),
             unresolved_runs=self._unresolved,
             find_settle_ms=self._find_settle_ms,
             on_change=self._report_upstream,
--- a/src/rhubarblead/node/probes.py
+++ b/src/rhubarblead/node/probes.py
@@ -38,6 +38,7 @@
         "_events",
         "_find_extension",
         "_find_settle_ms",
+        "_hold_grants",
         "_interval_ms",
         "_lock",
         "_monitor",
@@ -54,6 +55,7 @@
         upstream: settings.Upstream,
         events: log.EventLog,
         find_extension: Callable[[], tuple[str, int] | None],
+        hold_grants: Callable[[bool], None],
         unresolved_runs: unresolved.UnresolvedRuns,
         find_settle_ms: Callable[[], int],
         on_change: Callable[[], None],
@@ -63,6 +65,7 @@
         self._find_extension = find_extension
         self._unresolved = unresolved_runs
         self._find_settle_ms = find_settle_ms
+        self._hold_grants = hold_grants
         self._on_change = on_change
         self._interval_ms = upstream.probe_ms
         self._monitor = monitor.Monitor(upstream=upstream)
@@ -145,6 +148,7 @@
                 self._monitor.take_probe_failure(now_ms)
             else:
                 self._monitor.take_health(health, sent_at_ms, now_ms)
+            self._hold_grants(self._monitor.is_suspect())
             self._update(view.announcement, now_ms)
         self._resolve(view.announcement, health is not None, now_ms)
 
--- a/src/rhubarblead/node/view.py
+++ b/src/rhubarblead/node/view.py
@@ -45,13 +45,21 @@
     Control writes, all other threads read.
     """
 
-    __slots__ = ("_changed", "_forfeited", "_grant_ms", "_lease", "_view")
+    __slots__ = (
+        "_changed",
+        "_forfeited",
+        "_grant_ms",
+        "_horizon_ms",
+        "_lease",
+        "_view",
+    )
 
     def __init__(self, *, grant_ms: int) -> None:
         self._grant_ms = grant_ms
         self._view = EMPTY_VIEW
         self._lease: tuple[str, int] = ("", 0)
         self._forfeited = ""
+        self._horizon_ms: int | None = None
         self._changed = threading.Condition()
 
     def read(self) -> View:
@@ -68,6 +76,18 @@
         """Sets the end of the lease of one member id, monotonic."""
         self._lease = (member_id, end_ms)
 
+    def hold_grants(self, *, is_held: bool) -> None:
+        """Lets no grant reach further while the upstream may be silent.
+
+        Args:
+            is_held: Whether a probe of the upstream has just failed; what was
+                granted by then has nearly ended when it counts as silent.
+        """
+        if not is_held:
+            self._horizon_ms = None
+        elif self._horizon_ms is None:
+            self._horizon_ms = clock.read_monotonic_ms() + self._grant_ms
+
     def forfeit(self, member_id: str) -> int:
         """Ends the extension of a member's grants at the upstream.
 
@@ -100,7 +120,11 @@
             A moment on the monotonic clock; 0 without a lease.
         """
         end_ms = self.find_lease_end_ms(member_id)
-        return min(end_ms, clock.read_monotonic_ms() + self._grant_ms)
+        grant_end_ms = clock.read_monotonic_ms() + self._grant_ms
+        horizon_ms = self._horizon_ms
+        if horizon_ms is not None:
+            grant_end_ms = min(grant_end_ms, horizon_ms)
+        return min(end_ms, grant_end_ms)
 
     def find_lease_end_ms(self, member_id: str) -> int:
         """Finds the end of the lease of a member id; 0 without a lease."""
--- a/src/rhubarblead/settings.py
+++ b/src/rhubarblead/settings.py
@@ -72,7 +72,7 @@
 
     probe_ms: Duration = 200
     """Time between two probes of the upstream."""
-    probe_timeout_ms: Duration = 250
+    probe_timeout_ms: Duration = 200
     """How long a probe may take."""
     probe_failures: Annotated[int, pydantic.Field(ge=1, le=100)] = 3
     """Failed probes in a row after which the upstream counts as frozen."""
--- a/src/rhubarblead/upstream/monitor.py
+++ b/src/rhubarblead/upstream/monitor.py
@@ -163,6 +163,10 @@
         if self._failure_count >= self._settings.probe_failures:
             self._follow("silent")
 
+    def is_suspect(self) -> bool:
+        """Tells whether the last probe failed, and no answer speaks for it."""
+        return self._failure_count > 0
+
     def is_serving(self, now_ms: int) -> bool:
         """Tells whether the upstream should get new work."""
         if now_ms - self._announced_at_ms > _ANNOUNCEMENT_PATIENCE_MS:
--- /dev/null
+++ b/tests/steps/node_grants.py
@@ -0,0 +1,53 @@
+"""Steps for how far a grant to the upstream reaches."""
+
+from unittest import mock
+
+import behave
+from behave import runner
+
+from rhubarblead import clock
+from rhubarblead.node import view
+
+_NOW_MS = 1_000
+
+
+@behave.given(
+    'a view board with grants of {grant:d} ms and a lease of "{name}" until'
+    " {lease:d} at 1000"
+)
+def given_board(
+    context: runner.Context, grant: int, name: str, lease: int
+) -> None:
+    context.board = view.ViewBoard(grant_ms=grant)
+    if lease:
+        context.board.extend_lease(member_id=name, end_ms=lease)
+    patched = mock.patch.object(
+        clock, "read_monotonic_ms", return_value=_NOW_MS
+    )
+    context.read_ms = patched.start()
+    context.add_cleanup(patched.stop)
+
+
+@behave.when('the view board sees "{events}"')
+@behave.when('the view board sees ""')
+def when_sees(context: runner.Context, events: str = "") -> None:
+    for event in events.split():
+        name, _, moment = event.partition("@")
+        context.read_ms.return_value = int(moment)
+        if name == "forfeit":
+            context.board.forfeit("m")
+        else:
+            context.board.hold_grants(is_held=name == "hold")
+    context.read_ms.return_value = _NOW_MS
+
+
+@behave.then(
+    'the grant of "{name}" ends at {grant:d}, and is extended: {extended}'
+)
+def then_ends(
+    context: runner.Context, name: str, grant: int, extended: str
+) -> None:
+    found = context.board.find_grant_end_ms(name)
+    assert found == grant, found
+    is_extended = context.board.find_extension() is not None
+    assert str(is_extended) == extended
