Keep wishes for reads, end late calls, adopt as lost what can't be adopted

Cause: found by reading. A read that failed took the wish for it along; a node whose peers had not kept what it lacks was never told to read; a call after the exchange had ended got no outcome; an adoption that raised left its shards without a memory until they moved; an eviction ended the calls to a process that had started anew at the same address; a node with a failed task exited with 0. Change: each mended; the first and third with a scenario that fails without.

--- a/src/rhubarblead/node/control.py
+++ b/src/rhubarblead/node/control.py
@@ -38,6 +38,7 @@
 from rhubarblead.transport import wakeup
 
 _NEWS_INTERVAL_MS = 100
+_BEHIND_PATIENCE_MS = 1_000
 _LAPSE_INTERVAL_MS = 100
 _IDENTITY_BYTES = 4
 _LOADS_INTERVAL_MS = 5_000
@@ -90,6 +91,7 @@
 
     __slots__ = (
         "_agenda",
+        "_behind_since_ms",
         "_board",
         "_events",
         "_inbox",
@@ -156,6 +158,7 @@
         self._tick_due_ms = 0
         self._lapses_due_ms = 0
         self._news_due_ms = 0
+        self._behind_since_ms = 0
         self._loads_due_ms = 0
 
     def post(self, item: Item) -> None:
@@ -250,7 +253,14 @@
         self._events.observe(revisions.lamport)
         self._reads.hear(now_ms)
         if not self._journal.is_behind(revisions):
+            self._behind_since_ms = 0
             return
+        if not self._behind_since_ms:
+            self._behind_since_ms = now_ms
+        if now_ms - self._behind_since_ms >= _BEHIND_PATIENCE_MS:
+            # Those that are asked may not have kept what is missing here.
+            self._behind_since_ms = now_ms
+            self._reads.want_ownership()
         if now_ms < self._news_due_ms:
             return
         self._news_due_ms = now_ms + _NEWS_INTERVAL_MS
@@ -305,7 +315,7 @@
     def _take_ownership(
         self, item: store_jobs.OwnershipRead, now_ms: int
     ) -> None:
-        self._reads.end_ownership()
+        self._reads.end_ownership(is_done=item.outcome.is_ok())
         self._observer.observe_store(is_reachable=item.outcome.is_ok())
         if isinstance(item.outcome, result.Err):
             return
--- a/src/rhubarblead/node/daemon.py
+++ b/src/rhubarblead/node/daemon.py
@@ -48,6 +48,7 @@
 from rhubarblead.transport import exchange
 from rhubarblead.transport import links
 
+_FAILED_CODE = 1
 _STORE_THREADS = 3
 _TASK_THREADS = 4
 _LEDGER_THREADS = 2
@@ -78,6 +79,7 @@
         self._unresolved = unresolved.UnresolvedRuns()
         self._traffic = traffic.ShardTraffic(now_ms=clock.read_monotonic_ms())
         self._stopping = threading.Event()
+        self._has_failed = False
         self._context: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         self._store = store.Store(
             platform=node.platform, instance=node.instance
@@ -253,14 +255,20 @@
             )
         )
 
-    def run(self) -> None:
-        """Runs the node until `stop`; then hands over and leaves."""
+    def run(self) -> int:
+        """Runs the node until `stop`; then hands over and leaves.
+
+        Returns:
+            The exit code of the process: 1 when a task of the node failed.
+        """
         with self._stack:
             self._start()
             self._events.emit(catalog.Event.NODE_STARTED)
             self._stopping.wait()
             self._leave()
-        self._events.emit(catalog.Event.NODE_STOPPED)
+        exit_code = _FAILED_CODE if self._has_failed else 0
+        self._events.emit(catalog.Event.NODE_STOPPED, exit_code=exit_code)
+        return exit_code
 
     def stop(self) -> None:
         """Asks the node to hand over and to stop."""
@@ -302,6 +310,7 @@
             return
         # A node without one of its tasks must not go on: its lease lapses.
         jobs.report_error(self._events, "node", error)
+        self._has_failed = True
         self._stopping.set()
 
     def _start_front(self) -> None:
@@ -378,5 +387,4 @@
     running = Node(node=node)
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: running.stop())
-    running.run()
-    return 0
+    return running.run()
--- a/src/rhubarblead/node/observer.py
+++ b/src/rhubarblead/node/observer.py
@@ -96,9 +96,8 @@
         for entry in change.entries:
             for item in entry.changes:
                 self._report(item, entry)
-        for member_id, member in change.before.members.items():
-            if member_id not in change.after.members:
-                self._drop_peer(views.find_data_address(member))
+        for address in _list_gone(change):
+            self._drop_peer(address)
         for follower in self._followers:
             follower.follow(change)
         if change.member_id:
@@ -147,3 +146,12 @@
                     shard_count=len(numbers),
                     revision=change.after.revision,
                 )
+
+
+def _list_gone(change: changes.StateChange) -> set[links.Address]:
+    """Lists the data addresses that no member has any more."""
+    before, after = (
+        {views.find_data_address(member) for member in state.members.values()}
+        for state in (change.before, change.after)
+    )
+    return before - after
--- a/src/rhubarblead/node/protection.py
+++ b/src/rhubarblead/node/protection.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from concurrent import futures
+import dataclasses
 import threading
 
 import msgspec
@@ -19,6 +20,7 @@
 from rhubarblead.node import change as changes
 from rhubarblead.node import copies
 from rhubarblead.node import inheritance
+from rhubarblead.node import jobs
 from rhubarblead.node import outcome as outcomes
 from rhubarblead.node import view as views
 from rhubarblead.node import work as works
@@ -140,7 +142,7 @@
         self._start_synchronizing()
         for inherited in inheritances:
             self._executor.submit(
-                self._adopt, change.after, change.member_id, inherited
+                self._adopt_safely, change.after, change.member_id, inherited
             )
 
     def count_entries(self) -> int:
@@ -261,6 +263,22 @@
             for entry in entries
         )
 
+    def _adopt_safely(
+        self,
+        state: ownership.State,
+        member_id: str,
+        inherited: inheritance.Inheritance,
+    ) -> None:
+        """Adopts shards; as ones whose memory is lost when that fails."""
+        try:
+            self._adopt(state, member_id, inherited)
+        except Exception as error:
+            jobs.report_error(self._events, "ledger", error)
+            unknown = dataclasses.replace(
+                inherited, previous=None, is_new=False
+            )
+            self._adopt(state, member_id, unknown)
+
     def _adopt(
         self,
         state: ownership.State,
--- a/src/rhubarblead/node/reading.py
+++ b/src/rhubarblead/node/reading.py
@@ -16,18 +16,22 @@
 
     __slots__ = (
         "_heard_at_ms",
+        "_is_granted_wish",
         "_is_wanted",
         "_ownership_due_ms",
         "_platform",
         "_reading_ownership_ms",
         "_reading_tables_ms",
         "_tables_due_ms",
+        "_wish_due_ms",
     )
 
     def __init__(self, *, platform: settings.Platform) -> None:
         self._platform = platform
         self._heard_at_ms = 0
         self._is_wanted = True
+        self._is_granted_wish = False
+        self._wish_due_ms = 0
         self._ownership_due_ms = 0
         self._tables_due_ms = 0
         self._reading_ownership_ms = 0
@@ -56,9 +60,12 @@
         is_due = now_ms >= self._ownership_due_ms and (
             is_poller or self._is_stale(now_ms)
         )
-        if not is_due and not self._is_wanted:
+        is_wanted = self._is_wanted and now_ms >= self._wish_due_ms
+        if not is_due and not is_wanted:
             return False
+        self._is_granted_wish = self._is_wanted
         self._is_wanted = False
+        self._wish_due_ms = now_ms + self._platform.poll_ms
         self._reading_ownership_ms = now_ms
         self._ownership_due_ms = now_ms + self._platform.poll_ms
         return True
@@ -75,9 +82,17 @@
         self._tables_due_ms = now_ms + _TABLES_INTERVAL_MS
         return True
 
-    def end_ownership(self) -> None:
-        """Records that a read of the ownership row has ended."""
+    def end_ownership(self, *, is_done: bool) -> None:
+        """Records that a read of the ownership row has ended.
+
+        Args:
+            is_done: Whether it succeeded; a wish for it stays otherwise.
+        """
         self._reading_ownership_ms = 0
+        if is_done:
+            self._wish_due_ms = 0
+        elif self._is_granted_wish:
+            self._is_wanted = True
 
     def end_tables(self) -> None:
         """Records that a read of the tables row has ended."""
--- a/src/rhubarblead/transport/exchange.py
+++ b/src/rhubarblead/transport/exchange.py
@@ -90,6 +90,7 @@
         "_calls",
         "_executor",
         "_inbox",
+        "_is_over",
         "_links",
         "_outgoing",
         "_refuse",
@@ -117,6 +118,7 @@
         self._serve = serve
         self._refuse = refuse
         self._running_limit = limits.peer_threads + limits.queue_length
+        self._is_over = False
         self._outgoing: dict[str, _Outgoing] = {}
         self._running: dict[str, bytes] = {}
         self._answered: collections.OrderedDict[str, list[bytes]] = (
@@ -143,6 +145,9 @@
             A future that always gets an outcome, by the deadline.
         """
         future: futures.Future[Outcome] = futures.Future()
+        if self._is_over:
+            future.set_result(NoReply(is_sent=False))
+            return future
         self._inbox.put(
             _Outgoing(
                 address=address,
@@ -172,6 +177,7 @@
         with self._links:
             while self._step():
                 pass
+        self._is_over = True
         self._end_all()
         self._inbox.close()
 
@@ -336,6 +342,10 @@
         for item in self._outgoing.values():
             item.future.set_result(NoReply(is_sent=True))
         self._outgoing.clear()
+        # Calls that came after the last look at the inbox.
+        for late in self._inbox.take_all():
+            if isinstance(late, _Outgoing):
+                late.future.set_result(NoReply(is_sent=False))
 
 
 def digest_body(body: bytes) -> int:
--- a/tests/rhubarblead/node/writes.feature
+++ b/tests/rhubarblead/node/writes.feature
@@ -56,3 +56,8 @@
       | author    |
       | a poller  |
       | no poller |
+
+  Scenario: A wish for a read outlives reads that fail
+    Given a read schedule with polls every 250 ms
+    When a node that hears others wishes a read, and 2 reads fail
+    Then it has begun to read after 0 250 500 ms
--- a/tests/rhubarblead/transport/exchange.feature
+++ b/tests/rhubarblead/transport/exchange.feature
@@ -35,3 +35,7 @@
   Scenario: A call beyond those that may be in progress is refused at once
     When the exchange calls "slow" 3 times at once, then "a"
     Then the exchange gets "a" refused as overloaded
+
+  Scenario: A call after the end has its outcome at once
+    When the exchange has ended and is asked to call "a"
+    Then the exchange is told that "a" was not sent
--- a/tests/steps/node_writes.py
+++ b/tests/steps/node_writes.py
@@ -101,7 +101,7 @@
         if heard == "always":
             context.reads.hear(now_ms)
         if ends_ms is not None and now_ms >= ends_ms:
-            context.reads.end_ownership()
+            context.reads.end_ownership(is_done=True)
             ends_ms = None
         if context.reads.begin_ownership(
             now_ms=now_ms, is_poller=duty == "a poller"
@@ -110,6 +110,24 @@
             ends_ms = now_ms + take_ms
 
 
+@behave.when("a node that hears others wishes a read, and {count:d} reads fail")
+def when_reads_fail(context: runner.Context, count: int) -> None:
+    context.reads_at_ms = []
+    context.reads.want_ownership()
+    for now_ms in range(5_000, 5_000 + _RUN_MS, _TICK_MS):
+        context.reads.hear(now_ms)
+        if context.reads.begin_ownership(now_ms=now_ms, is_poller=False):
+            context.reads_at_ms.append(now_ms - 5_000)
+            is_done = len(context.reads_at_ms) > count
+            context.reads.end_ownership(is_done=is_done)
+
+
+@behave.then("it has begun to read after {moments} ms")
+def check_moments(context: runner.Context, moments: str) -> None:
+    found = " ".join(str(ms) for ms in context.reads_at_ms)
+    assert found == moments, found
+
+
 @behave.then("it reads the ownership row {count:d} times")
 def check_reads(context: runner.Context, count: int) -> None:
     assert context.count == count, context.count
--- a/tests/steps/transport_exchange.py
+++ b/tests/steps/transport_exchange.py
@@ -179,6 +179,21 @@
         pause.wait(0.005)
 
 
+@behave.when('the exchange has ended and is asked to call "{name}"')
+def when_ended(context: runner.Context, name: str) -> None:
+    context.caller.stop()
+    _wait(lambda: context.caller._is_over)
+    message = _make_forward(name, b"")
+    future = _call(context, context.address, message, b"", _LONG_MS)
+    context.outcome = future.result(_LONG_MS / 1000)
+
+
+@behave.then('the exchange is told that "{name}" was not sent')
+def then_not_sent(context: runner.Context, name: str) -> None:
+    del name
+    assert context.outcome == exchange.NoReply(is_sent=False), context.outcome
+
+
 @behave.then('the exchange gets "{name}" back with its body')
 def then_answered(context: runner.Context, name: str) -> None:
     assert isinstance(context.outcome, exchange.Reply), context.outcome
