Run what is neither repeatable nor declared unrepeatable without the ledger

Cause: found by reading. On a keyed pool a method that is neither GET nor HEAD nor listed by its route went to the ledger with an empty key and was refused for want of an idempotency key that nobody had asked for. Change: requests carry whether they are protected.

--- a/src/rhubarblead/messages.py
+++ b/src/rhubarblead/messages.py
@@ -19,7 +19,9 @@
     sending. `shard` is -1 for a balanced pool. `ownership_revision` is the
     revision by which the sender chose the receiver. The receiver runs a call
     once, however often it arrives; a try anew of the same request is another
-    call. `is_suspect` says that a server crashed while it ran the request.
+    call. `is_protected` says that the request runs at most once,
+    `is_repeatable` that it may run any number of times, and `is_suspect` that
+    a server crashed while it ran the request.
     """
 
     call_id: str
@@ -32,6 +34,7 @@
     target: str
     headers: tuple[tuple[str, str], ...]
     idempotency_key: str
+    is_protected: bool
     is_repeatable: bool
     remaining_ms: int
     max_answer_bytes: int
--- a/src/rhubarblead/node/intake.py
+++ b/src/rhubarblead/node/intake.py
@@ -51,7 +51,8 @@
 class Accepted:
     """A request with all that is needed to route it.
 
-    `key` is empty for a balanced pool.
+    `key` is empty for a balanced pool. `is_protected` says that it runs at most
+    once; `is_repeatable` that it may be sent again whatever became of it.
     """
 
     request: CallerRequest
@@ -59,6 +60,7 @@
     pool: tables_lib.Pool
     key: str
     idempotency_key: str
+    is_protected: bool
     is_repeatable: bool
     timeout_ms: int
 
@@ -92,6 +94,7 @@
             target=self.request.target,
             headers=self.request.headers,
             idempotency_key=self.idempotency_key,
+            is_protected=self.is_protected,
             is_repeatable=self.is_repeatable,
             remaining_ms=remaining_ms,
             max_answer_bytes=self.route.max_answer_bytes,
@@ -168,6 +171,7 @@
             pool=pool,
             key=key,
             idempotency_key=idempotency_key,
+            is_protected=is_protected,
             is_repeatable=is_repeatable,
             timeout_ms=timeout.ok_value,
         )
--- a/src/rhubarblead/node/local.py
+++ b/src/rhubarblead/node/local.py
@@ -147,7 +147,7 @@
         refused = self._check_owner(view, work)
         if refused is not None:
             return refused
-        if work.forward.is_repeatable:
+        if not work.forward.is_protected:
             return self._run(work, headers=self._build_grant(view, work))
         begun = self._protection.begin(view, work)
         if begun is not None:
--- a/src/rhubarblead/node/routing.py
+++ b/src/rhubarblead/node/routing.py
@@ -160,11 +160,10 @@
             return False
         # An unrepeatable request that may have run is safe to send on: the
         # owner's ledger runs it once, or says what became of it.
-        is_protected = bool(state.accepted.idempotency_key)
         return (
             outcome.verdict.is_safe_to_repeat
             or state.accepted.is_repeatable
-            or is_protected
+            or state.accepted.is_protected
         )
 
     def _wait_for_owner(
--- a/tests/rhubarblead/node/copy_world.py
+++ b/tests/rhubarblead/node/copy_world.py
@@ -388,6 +388,7 @@
             target="/",
             headers=(),
             idempotency_key=self.keys[key],
+            is_protected=True,
             is_repeatable=False,
             remaining_ms=1,
             max_answer_bytes=1,
--- a/tests/rhubarblead/node/whole_path.feature
+++ b/tests/rhubarblead/node/whole_path.feature
@@ -3,11 +3,16 @@
   Background:
     Given a whole path of 3 keyed and 2 balanced servers
 
-  Scenario: A keyed request reaches the owner, whichever node it enters
-    When the whole path gets a keyed GET for 8 keys at every node
+  Scenario Outline: A keyed request reaches the owner, whichever node it enters
+    When the whole path gets a keyed <method> for 8 keys at every node
     Then on the whole path every answer is 200 and "ran"
     And on the whole path each key is answered by its owner alone
 
+    Examples: methods that the route doesn't declare as unrepeatable
+      | method |
+      | GET    |
+      | PUT    |
+
   Scenario: An unrepeatable request runs once, and sent again gives its answer
     When the whole path gets one keyed POST at every node in turn
     Then on the whole path every answer is 200 and "ran"
--- a/tests/steps/transport_exchange.py
+++ b/tests/steps/transport_exchange.py
@@ -40,6 +40,7 @@
         target="/",
         headers=(),
         idempotency_key="",
+        is_protected=False,
         is_repeatable=True,
         remaining_ms=_LONG_MS,
         max_answer_bytes=2**20,
--- a/tests/steps/whole_path.py
+++ b/tests/steps/whole_path.py
@@ -88,12 +88,14 @@
     context.launcher = context.feature.launcher
 
 
-@behave.when("the whole path gets a keyed GET for {count:d} keys at every node")
-def get_keyed(context: runner.Context, count: int) -> None:
+@behave.when(
+    "the whole path gets a keyed {method} for {count:d} keys at every node"
+)
+def get_keyed(context: runner.Context, method: str, count: int) -> None:
     prefix = _find_prefix(context, "keyed")
     context.keys = [f"band-{number}" for number in range(count)]
     context.answers = [
-        (key, _send(context, node, "GET", f"{prefix}/{key}/draw"))
+        (key, _send(context, node, method, f"{prefix}/{key}/draw"))
         for key in context.keys
         for node in context.launcher.nodes
     ]
