Report gauges, and the events that operators are told of

Cause: the node set no gauge, and 33 events of the catalogue were never reported, among them crashes and silence of the upstream, store writes, changed granters, links opened anew and the start of a protected request. The reference pages still mark the rest.

--- a/src/rhubarblead/events/counting.py
+++ b/src/rhubarblead/events/counting.py
@@ -43,6 +43,10 @@
     catalog.Event.STORE_UNAVAILABLE: Measure(
         counter=metrics.Counter.STORE_FAILURES
     ),
+    catalog.Event.STORE_CONFLICT: Measure(
+        counter=metrics.Counter.STORE_CONFLICTS
+    ),
+    catalog.Event.PEER_LINK_RESET: Measure(counter=metrics.Counter.LINK_RESETS),
     catalog.Event.INTERNAL_ERROR: Measure(
         counter=metrics.Counter.INTERNAL_ERRORS
     ),
--- a/src/rhubarblead/node/control.py
+++ b/src/rhubarblead/node/control.py
@@ -365,6 +365,7 @@
                 if not self._journal.take_entries((entry,)):
                     self._reads.want_ownership()
                 self._agenda.end(proposal, is_committed=True, now_ms=now_ms)
+                self._observer.observe_commit(proposal, entry)
                 self._follow(before, is_author=True, now_ms=now_ms)
             case result.Err(store.InDoubt()):
                 self._events.emit(
@@ -374,6 +375,8 @@
                 self._writes.mark_doubtful(now_ms)
             case result.Err(error):
                 is_lost = isinstance(error, ownership_log.Lost)
+                if is_lost:
+                    self._observer.observe_conflict(proposal)
                 self._writes.end(now_ms, is_paused=not is_lost)
                 self._agenda.end(proposal, is_committed=False, now_ms=now_ms)
                 self._reads.want_ownership()
--- a/src/rhubarblead/node/crashes.py
+++ b/src/rhubarblead/node/crashes.py
@@ -88,6 +88,11 @@
             fingerprint=",".join(f"{f:016x}" for f in suspect.fingerprints),
             is_alone=suspect.is_alone,
         )
+        self._events.emit(
+            catalog.Event.UPSTREAM_CRASHED,
+            crash_id=crash_id,
+            in_flight_count=len(fingerprints),
+        )
         self._spread(suspect)
 
     def take_suspect(self, suspect: messages.Suspect) -> None:
--- a/src/rhubarblead/node/daemon.py
+++ b/src/rhubarblead/node/daemon.py
@@ -28,6 +28,7 @@
 from rhubarblead.node import execution
 from rhubarblead.node import front
 from rhubarblead.node import gate
+from rhubarblead.node import gauges
 from rhubarblead.node import jobs
 from rhubarblead.node import local
 from rhubarblead.node import observer
@@ -107,6 +108,7 @@
             executor=self._peer_executor,
             serve=self._serve,
             refuse=routing.refuse_call,
+            report_reset=self._report_reset,
         )
         self._agenda = agenda.Agenda(node=node, shard_gate=self._gate)
         self._replicas = replicas.ReplicaBook(
@@ -173,6 +175,7 @@
             shard_traffic=self._traffic,
             unresolved_runs=self._unresolved,
             background=self._background_executor,
+            events=self._events,
         )
         self._peer_server = routing.PeerServer(
             local_server=self._local, events=self._events
@@ -197,6 +200,13 @@
             count_in_flight=self._execution.count_in_flight,
             is_store_reachable=lambda: self._observer.is_store_reachable,
         )
+        self._gauges = gauges.Gauges(
+            sink=self._metrics,
+            board=self._board,
+            count_in_flight=self._execution.count_in_flight,
+            count_entries=lambda: self._protection.count_entries()
+            + self._replicas.count(),
+        )
         self._event_loop = event_loop.EventLoop()
         self._application = front.Application(
             route=self._router.handle,
@@ -205,6 +215,11 @@
             queue_length=node.limits.queue_length,
         )
 
+    def _report_reset(self, address: links.Address) -> None:
+        self._events.emit(
+            catalog.Event.PEER_LINK_RESET, peer=address.endpoint, link="data"
+        )
+
     def _make_runner(
         self, executor: futures.Executor, task: str
     ) -> jobs.JobRunner:
@@ -368,6 +383,7 @@
 
     def _flush_metrics(self) -> None:
         while not self._stopping.wait(_FLUSH_S):
+            self._gauges.measure()
             self._metrics.flush()
 
 
--- a/src/rhubarblead/node/local.py
+++ b/src/rhubarblead/node/local.py
@@ -9,6 +9,8 @@
 from rhubarblead import ownership
 from rhubarblead import refusal as refusals
 from rhubarblead import verdict as verdicts
+from rhubarblead.events import catalog
+from rhubarblead.events import log
 from rhubarblead.node import execution
 from rhubarblead.node import gate
 from rhubarblead.node import outcome as outcomes
@@ -34,6 +36,7 @@
     __slots__ = (
         "_background",
         "_board",
+        "_events",
         "_execution",
         "_gate",
         "_protection",
@@ -53,6 +56,7 @@
         shard_traffic: traffic.ShardTraffic,
         unresolved_runs: unresolved.UnresolvedRuns,
         background: futures.Executor,
+        events: log.EventLog,
     ) -> None:
         self._board = board
         self._gate = shard_gate
@@ -62,6 +66,7 @@
         self._traffic = shard_traffic
         self._unresolved = unresolved_runs
         self._background = background
+        self._events = events
 
     def execute(self, work: works.Work) -> outcomes.Outcome:
         """Runs one request, or refuses it.
@@ -152,6 +157,7 @@
         begun = self._protection.begin(view, work)
         if begun is not None:
             return begun
+        self._report_start(view, work)
         # The lease may have lapsed while the request was being noted.
         done = self._check_owner(view, work) or self._run(
             work, headers=self._build_grant(view, work)
@@ -159,6 +165,18 @@
         self._protection.finish(view, work, done)
         return done
 
+    def _report_start(self, view: views.View, work: works.Work) -> None:
+        forward = work.forward
+        assignment = view.state.assignments[forward.pool]
+        self._events.emit(
+            catalog.Event.REQUEST_STARTED,
+            request_id=forward.request_id,
+            key=forward.key,
+            pool=forward.pool,
+            shard=forward.shard,
+            fence=assignment.fences[forward.shard],
+        )
+
     def _build_grant(
         self, view: views.View, work: works.Work
     ) -> tuple[tuple[str, str], ...]:
--- a/src/rhubarblead/node/observer.py
+++ b/src/rhubarblead/node/observer.py
@@ -11,6 +11,7 @@
 from rhubarblead.node import inheritance
 from rhubarblead.node import tenure as tenures
 from rhubarblead.node import view as views
+from rhubarblead.node import writing
 from rhubarblead.transport import links
 
 
@@ -56,6 +57,26 @@
             else catalog.Event.STORE_UNAVAILABLE
         )
 
+    def observe_commit(
+        self, proposal: writing.Proposal, entry: membership.Entry
+    ) -> None:
+        """Reports that a write of this node took effect."""
+        self._events.emit(
+            catalog.Event.STORE_COMMITTED,
+            write_id=proposal.write_id,
+            kind=proposal.purpose.value,
+            change_count=len(entry.changes),
+            revision=entry.revision,
+        )
+
+    def observe_conflict(self, proposal: writing.Proposal) -> None:
+        """Reports that another writer came before this node."""
+        self._events.emit(
+            catalog.Event.STORE_CONFLICT,
+            write_id=proposal.write_id,
+            expected_revision=proposal.state.revision,
+        )
+
     def observe_lease(self, tenure: tenures.Tenure | None, now_ms: int) -> None:
         """Reports when the lease is held or has lapsed."""
         is_held = tenure is not None and tenure.holder.is_held(now_ms=now_ms)
@@ -124,6 +145,28 @@
                     by=entry.author,
                     revision=entry.revision,
                 )
+            case membership.GrantersChanged(member_id=member_id):
+                self._events.emit(
+                    catalog.Event.GRANTERS_CHANGED,
+                    member_id=member_id,
+                    granters=",".join(change.granters),
+                    granters_epoch=change.granters_epoch,
+                    revision=entry.revision,
+                )
+            case membership.PoolSharded(pool=pool, shard_count=count):
+                self._events.emit(
+                    catalog.Event.POOL_SHARDED,
+                    pool=pool,
+                    shard_count=count,
+                    revision=entry.revision,
+                )
+            case membership.MovesWanted(pool=pool, moves=moves):
+                self._events.emit(
+                    catalog.Event.REBALANCE_WANTED,
+                    pool=pool,
+                    move_count=len(moves),
+                    revision=entry.revision,
+                )
             case membership.MemberLeft(member_id=member_id):
                 self._events.emit(
                     catalog.Event.MEMBER_LEFT,
--- a/src/rhubarblead/node/probes.py
+++ b/src/rhubarblead/node/probes.py
@@ -16,6 +16,11 @@
 
 _REQUEST_SHARE_PERCENT = 75
 _FOLLOW_UP_DIVISOR = 4
+_EVENTS = {
+    "serving": catalog.Event.UPSTREAM_SERVING,
+    "draining": catalog.Event.UPSTREAM_DRAINING,
+    "silent": catalog.Event.UPSTREAM_FROZEN,
+}
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -230,12 +235,12 @@
     def _report(
         self, announcement: monitor.Announcement, is_serving: bool
     ) -> None:
-        event = (
-            catalog.Event.UPSTREAM_SERVING
-            if is_serving
-            else catalog.Event.UPSTREAM_GONE
+        state = "serving" if is_serving else self._monitor.find_state()
+        self._events.emit(
+            _EVENTS.get(state, catalog.Event.UPSTREAM_GONE),
+            server=announcement.server,
+            upstream_incarnation=announcement.incarnation,
         )
-        self._events.emit(event, server=announcement.server)
         self._on_change()
 
 
--- a/src/rhubarblead/transport/exchange.py
+++ b/src/rhubarblead/transport/exchange.py
@@ -94,6 +94,7 @@
         "_links",
         "_outgoing",
         "_refuse",
+        "_report_reset",
         "_running",
         "_running_limit",
         "_serve",
@@ -108,6 +109,7 @@
         executor: futures.Executor,
         serve: Serve,
         refuse: Refuse,
+        report_reset: Callable[[links.Address], None],
     ) -> None:
         self._inbox: wakeup.Inbox[_Outgoing | _Answered | _PeerGone | _Stop] = (
             wakeup.Inbox()
@@ -117,6 +119,7 @@
         self._executor = executor
         self._serve = serve
         self._refuse = refuse
+        self._report_reset = report_reset
         self._running_limit = limits.peer_threads + limits.queue_length
         self._is_over = False
         self._outgoing: dict[str, _Outgoing] = {}
@@ -233,6 +236,7 @@
         self._give_up(over)
         for resend in resends:
             self._links.reset(resend.address)
+            self._report_reset(resend.address)
             for call_id in resend.call_ids:
                 self._send(self._outgoing[call_id])
 
--- a/tests/steps/transport_exchange.py
+++ b/tests/steps/transport_exchange.py
@@ -103,6 +103,7 @@
         executor=pool,
         serve=serve,
         refuse=_refuse,
+        report_reset=lambda address: None,
     )
     address = links.Address("127.0.0.1", _find_free_port())
     made.listen(address)
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -15,6 +15,7 @@
 from rhubarblead import settings
 from rhubarblead.events import catalog
 from rhubarblead.events import counting
+from rhubarblead.node import gauges
 
 DOCS = pathlib.Path(__file__).resolve().parent.parent / "docs"
 
@@ -45,35 +46,25 @@
         "SETTINGS_REFUSED",
         "SETTINGS_IN_FORCE",
         "GRANTERS_CHOSEN",
-        "GRANTERS_CHANGED",
         "EVICTED_ITSELF",
         "PROMISE_REFUSED",
         "AUTHORITY_LOST",
         "HANDOVER_BEGUN",
         "HANDOVER_COMMITTED",
         "HANDOVER_GIVEN_UP",
-        "REBALANCE_WANTED",
         "KEY_SPLIT",
         "KEY_MERGED",
-        "POOL_SHARDED",
         "OWNERSHIP_IN_FORCE",
         "NO_OWNER",
         "STORE_SLOW",
         "STORE_WRITE_RESOLVED",
-        "STORE_CONFLICT",
-        "STORE_COMMITTED",
         "SNAPSHOT_WRITTEN",
         "REQUEST_FORWARDED",
-        "REQUEST_STARTED",
         "REQUEST_CANCELLED",
         "ANSWER_UNMATCHED",
         "UPSTREAM_ANNOUNCED",
         "UPSTREAM_COLD",
-        "UPSTREAM_DRAINING",
-        "UPSTREAM_FROZEN",
-        "UPSTREAM_CRASHED",
         "UPSTREAM_UNFENCED",
-        "PEER_LINK_RESET",
         "REQUEST_CLEARED",
     ]
 )
@@ -175,7 +166,8 @@
     metric: metrics.Counter | metrics.Timer | metrics.Gauge,
 ) -> str:
     reported: set[metrics.Counter | metrics.Timer | metrics.Gauge | None] = {
-        metrics.Counter.TIMINGS_DROPPED
+        metrics.Counter.TIMINGS_DROPPED,
+        *gauges.REPORTED,
     }
     for measure in counting.MEASURES.values():
         reported |= {measure.counter, measure.timer}
