Say one verdict in the header and the body of a refusal

Cause: found by reading. When an earlier try may have run a request and the last refused it, the header said may-have-run and the body still not-run. Change: the joined verdict is written into the body, too.

--- a/src/rhubarblead/node/outcome.py
+++ b/src/rhubarblead/node/outcome.py
@@ -79,6 +79,27 @@
     )
 
 
+def replace_verdict(outcome: Outcome, verdict: verdicts.Verdict) -> Outcome:
+    """Copies an outcome with the verdict over all tries of the request.
+
+    Args:
+        outcome: The outcome of the last try.
+        verdict: What is known of all tries.
+
+    Returns:
+        The outcome; a refusal says the new verdict in its body, too.
+    """
+    if verdict is outcome.verdict:
+        return outcome
+    body = outcome.body
+    if outcome.refusal is not None:
+        said = msgspec.json.decode(body, type=_RefusalBody)
+        body = msgspec.json.encode(
+            msgspec.structs.replace(said, verdict=verdict.value)
+        )
+    return dataclasses.replace(outcome, verdict=verdict, body=body)
+
+
 def find_reason(status: int) -> str:
     """Finds the usual phrase for an HTTP status; empty for an unusual one."""
     try:
--- a/src/rhubarblead/node/routing.py
+++ b/src/rhubarblead/node/routing.py
@@ -138,10 +138,9 @@
             outcome = self._route_keyed(state)
         else:
             outcome = self._route_balanced(state)
-        joined = verdicts.join_verdicts(state.verdict, outcome.verdict)
-        if joined is outcome.verdict:
-            return outcome
-        return dataclasses.replace(outcome, verdict=joined)
+        return outcomes.replace_verdict(
+            outcome, verdicts.join_verdicts(state.verdict, outcome.verdict)
+        )
 
     def _route_keyed(self, state: _Try) -> outcomes.Outcome:
         while True:
--- /dev/null
+++ b/tests/steps/node_outcome.py
@@ -0,0 +1,48 @@
+"""Steps for outcomes of requests."""
+
+import json
+
+import behave
+from behave import runner
+
+from rhubarblead import refusal
+from rhubarblead import verdict
+from rhubarblead.node import outcome
+from rhubarblead.transport import exchange
+
+
+@behave.given('an outcome with verdict "{last}" that is {kind}')
+def given_outcome(context: runner.Context, last: str, kind: str) -> None:
+    if kind == "a refusal":
+        refused = refusal.Refused(
+            refusal=refusal.Refusal.NO_OWNER, explanation="nobody"
+        )
+        context.outcome = outcome.refuse(refused, verdict.Verdict(last))
+        return
+    context.outcome = outcome.Outcome(
+        verdict=verdict.Verdict(last), status=200, reason="OK", body=b"whole"
+    )
+
+
+@behave.when('the outcome gets the verdict "{name}" over all tries')
+def when_joined(context: runner.Context, name: str) -> None:
+    context.outcome = outcome.replace_verdict(
+        context.outcome, verdict.Verdict(name)
+    )
+
+
+@behave.when("the outcome travels to another node")
+def when_travels(context: runner.Context) -> None:
+    reply = outcome.encode_reply("call", context.outcome)
+    assert exchange.is_whole(reply.message, reply.body)
+    context.outcome = outcome.decode_reply(reply.message, reply.body)
+
+
+@behave.then('the outcome says "{name}" wherever it says a verdict')
+def then_says(context: runner.Context, name: str) -> None:
+    found = context.outcome
+    assert found.verdict.value == name, found
+    if found.refusal is not None:
+        assert json.loads(found.body)["verdict"] == name, found.body
+    else:
+        assert found.body == b"whole"
