Know the rate of a shard that has just moved

Cause: a shard that had just moved was not in its new owner's report, and was taken for idle. The planner thought the new owner underloaded and gave it more. Change: the rate by the old owner's report counts for a minute.

--- a/src/rhubarblead/node/traffic.py
+++ b/src/rhubarblead/node/traffic.py
@@ -8,6 +8,7 @@
 _MS_PER_S = 1_000
 _LISTED_SHARDS = 32
 _STALE_MS = 120_000
+_MOVING_MS = 60_000
 
 
 class ShardTraffic:
@@ -66,16 +67,24 @@
 
 
 class LoadBook:
-    """The newest reports of the owners of a pool, as a planner needs them."""
+    """The newest reports of the owners of a pool, as a planner needs them.
 
-    __slots__ = ("_reports",)
+    A shard that has just moved is not in its new owner's report yet. Until it
+    can be, its rate by the old owner's report counts: taken for idle, it would
+    draw further shards to its new owner.
+    """
+
+    __slots__ = ("_rates", "_reports")
 
     def __init__(self) -> None:
         self._reports: dict[str, tuple[int, messages.ShardLoads]] = {}
+        self._rates: dict[tuple[str, int], tuple[int, float]] = {}
 
     def take(self, report: messages.ShardLoads, now_ms: int) -> None:
         """Keeps a report in place of the owner's earlier one."""
         self._reports[report.member_id] = (now_ms, report)
+        for shard, rate in zip(report.shards, report.rates_rps, strict=True):
+            self._rates[report.pool, shard] = (now_ms, rate)
 
     def find_loads(
         self, *, pool: str, owners: list[str], now_ms: int
@@ -84,25 +93,31 @@
 
         Args:
             pool: The pool.
-            owners: The owner of each shard; reports of others don't count.
+            owners: The owner of each shard.
             now_ms: The monotonic time; old reports are dropped.
 
         Returns:
             Requests per second by shard.
         """
+        self._drop_old(now_ms)
+        loads = {}
+        for shard, owner in enumerate(owners):
+            known = self._rates.get((pool, shard))
+            reported = self._reports.get(owner)
+            if known is not None and now_ms - known[0] < _MOVING_MS:
+                loads[shard] = known[1]
+            elif reported is not None and reported[1].pool == pool:
+                loads[shard] = reported[1].rest_rps
+        return loads
+
+    def _drop_old(self, now_ms: int) -> None:
         self._reports = {
             member_id: (at_ms, report)
             for member_id, (at_ms, report) in self._reports.items()
             if now_ms - at_ms < _STALE_MS
         }
-        loads = {}
-        listed = {
-            member_id: dict(zip(report.shards, report.rates_rps, strict=True))
-            for member_id, (_, report) in self._reports.items()
-            if report.pool == pool
+        self._rates = {
+            place: (at_ms, rate)
+            for place, (at_ms, rate) in self._rates.items()
+            if now_ms - at_ms < _STALE_MS
         }
-        for shard, owner in enumerate(owners):
-            if owner in listed:
-                rest = self._reports[owner][1].rest_rps
-                loads[shard] = listed[owner].get(shard, rest)
-        return loads
--- /dev/null
+++ b/tests/steps/node_traffic.py
@@ -0,0 +1,39 @@
+"""Steps for the rates of shards that a planner knows."""
+
+import behave
+from behave import runner
+
+from rhubarblead import messages
+from rhubarblead.node import traffic
+
+_POOL = "p"
+
+
+@behave.given("a load book with reports at {at:d}")
+def given_book(context: runner.Context, at: int) -> None:
+    context.book = traffic.LoadBook()
+    for row in context.table:
+        context.book.take(
+            messages.ShardLoads(
+                member_id=row["owner"],
+                pool=_POOL,
+                shards=tuple(int(s) for s in row["shards"].split()),
+                rates_rps=tuple(float(r) for r in row["rates"].split()),
+                rest_rps=float(row["rest"]),
+            ),
+            at,
+        )
+
+
+@behave.when('the shards 0 to 5 belong to "{owners}" at {now:d}')
+def when_asked(context: runner.Context, owners: str, now: int) -> None:
+    context.loads = context.book.find_loads(
+        pool=_POOL, owners=owners.split(), now_ms=now
+    )
+
+
+@behave.then('the load book says "{loads}"')
+def then_says(context: runner.Context, loads: str) -> None:
+    found = [context.loads.get(shard) for shard in range(6)]
+    expected = [None if r == "-" else float(r) for r in loads.split()]
+    assert found == expected, found
