--- a/src/rhubarblead/node/admin.py
+++ b/src/rhubarblead/node/admin.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 import http
-import resource
 import urllib.parse
 
 import msgspec
@@ -17,6 +16,7 @@
 from rhubarblead.events import filters
 from rhubarblead.events import log
 from rhubarblead.node import control
+from rhubarblead.node import gauges
 from rhubarblead.node import intake
 from rhubarblead.node import outcome as outcomes
 from rhubarblead.node import probes
@@ -24,7 +24,6 @@
 from rhubarblead.upstream import monitor
 
 _JSON = (("Content-Type", "application/json"),)
-_KIB = 1024
 _NOBODY_INDEX = -1
 
 
@@ -139,8 +138,7 @@
                 in_flight_count=self._count_in_flight(),
                 upstream=self._describe_upstream(),
                 uptime_ms=now_ms - self._started_at_ms,
-                rss_bytes=resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
-                * _KIB,
+                rss_bytes=gauges.read_resident_bytes(),
             )
         )
 
