Describe members and count a member's shards in one place

Cause: the node and the command line built the same list of members, and shards were counted by three copies of one loop. A message that nothing sends and the description of a field that isn't there had stayed behind. Change: status.list_members and State.count_shards serve all; the message and the description are gone. The list read through the platform is now in the order that nodes give, by member id.

--- a/src/rhubarblead/messages.py
+++ b/src/rhubarblead/messages.py
@@ -77,12 +77,6 @@
     body_digest: int = 0
 
 
-class Cancel(msgspec.Struct, frozen=True, kw_only=True, tag="cancel"):
-    """The caller of a forwarded request has gone."""
-
-    call_id: str
-
-
 class Revisions(
     msgspec.Struct, frozen=True, kw_only=True, array_like=True, gc=False
 ):
@@ -255,7 +249,6 @@
     Forward
     | Ack
     | Answer
-    | Cancel
     | Heartbeat
     | Promise
     | Lapse
--- a/src/rhubarblead/node/admin.py
+++ b/src/rhubarblead/node/admin.py
@@ -8,7 +8,6 @@
 import result
 
 from rhubarblead import clock
-from rhubarblead import ownership
 from rhubarblead import refusal as refusals
 from rhubarblead import settings
 from rhubarblead import status as reports
@@ -134,7 +133,7 @@
                 tables_revision=view.tables_revision,
                 tables_digest=view.tables_digest,
                 is_store_reachable=self._is_store_reachable(),
-                shards_owned_count=_count_owned(view.state, view.member_id),
+                shards_owned_count=view.state.count_shards(view.member_id),
                 in_flight_count=self._count_in_flight(),
                 upstream=self._describe_upstream(),
                 uptime_ms=now_ms - self._started_at_ms,
@@ -155,31 +154,7 @@
 
     def _show_members(self, request: intake.CallerRequest) -> outcomes.Outcome:
         del request
-        state = self._board.read().state
-        return _encode(
-            reports.Members(
-                ownership_revision=state.revision,
-                members=tuple(
-                    reports.MemberView(
-                        member_id=member.member_id,
-                        instance=member.instance,
-                        failure_domain=member.failure_domain,
-                        region=member.region,
-                        pool=member.pool,
-                        ip_address=member.ip_address,
-                        http_port=member.http_port,
-                        granters=member.granters,
-                        granters_epoch=member.granters_epoch,
-                        shards_owned_count=_count_owned(
-                            state, member.member_id
-                        ),
-                    )
-                    for member in sorted(
-                        state.members.values(), key=lambda m: m.member_id
-                    )
-                ),
-            )
-        )
+        return _encode(reports.list_members(self._board.read().state))
 
     def _show_owner(self, request: intake.CallerRequest) -> outcomes.Outcome:
         query = _read_query(request)
@@ -256,15 +231,6 @@
     return dict(urllib.parse.parse_qsl(query))
 
 
-def _count_owned(state: ownership.State, member_id: str) -> int:
-    if not member_id:
-        return 0
-    return sum(
-        assignment.owners.count(member_id)
-        for assignment in state.assignments.values()
-    )
-
-
 def _encode(answer: msgspec.Struct) -> outcomes.Outcome:
     return _answer(reports.encode(answer))
 
--- a/src/rhubarblead/node/gauges.py
+++ b/src/rhubarblead/node/gauges.py
@@ -40,7 +40,10 @@
         )
         for gauge, value in (
             (metrics.Gauge.REQUESTS_IN_FLIGHT, self._count_in_flight()),
-            (metrics.Gauge.SHARDS_OWNED, _count_owned(view)),
+            (
+                metrics.Gauge.SHARDS_OWNED,
+                view.state.count_shards(view.member_id),
+            ),
             (metrics.Gauge.LEASE_LEFT, max(0, left_ms)),
             (metrics.Gauge.MEMBERS, len(view.state.members)),
             (metrics.Gauge.OWNERSHIP_REVISION, view.state.revision),
@@ -55,12 +58,3 @@
     """Reads how much memory of this process is resident."""
     pages = int(_STATM.read_text(encoding="ascii").split()[_RESIDENT_FIELD])
     return pages * resource.getpagesize()
-
-
-def _count_owned(view: views.View) -> int:
-    if not view.member_id:
-        return 0
-    return sum(
-        assignment.owners.count(view.member_id)
-        for assignment in view.state.assignments.values()
-    )
--- a/src/rhubarblead/operate/starting.py
+++ b/src/rhubarblead/operate/starting.py
@@ -60,7 +60,9 @@
     except faults.CannotAccept as error:
         return result.Err(outcome.refuse(str(error)))
     return _read_state(platform).map(
-        lambda state: fleet.Fleet(client=client, known=list_members(state))
+        lambda state: fleet.Fleet(
+            client=client, known=status.list_members(state)
+        )
     )
 
 
@@ -82,32 +84,3 @@
                 )
             case result.Ok(reading):
                 return result.Ok(reading.state)
-
-
-def list_members(state: ownership.State) -> status.Members:
-    """Lists the members of a state as operators see them."""
-    return status.Members(
-        ownership_revision=state.revision,
-        members=tuple(
-            status.MemberView(
-                member_id=member.member_id,
-                instance=member.instance,
-                failure_domain=member.failure_domain,
-                region=member.region,
-                pool=member.pool,
-                ip_address=member.ip_address,
-                http_port=member.http_port,
-                granters=member.granters,
-                granters_epoch=member.granters_epoch,
-                shards_owned_count=_count_shards(state, member.member_id),
-            )
-            for member in state.members.values()
-        ),
-    )
-
-
-def _count_shards(state: ownership.State, member_id: str) -> int:
-    return sum(
-        assignment.owners.count(member_id)
-        for assignment in state.assignments.values()
-    )
--- a/src/rhubarblead/ownership.py
+++ b/src/rhubarblead/ownership.py
@@ -41,11 +41,7 @@
 
 
 class State(msgspec.Struct, kw_only=True):
-    """Members and assignments after the entry with `revision`.
-
-    `evicted` maps the members that were removed by others to the revision of
-    their eviction, so that they can learn it.
-    """
+    """Members and assignments after the entry with `revision`."""
 
     revision: int = 0
     members: dict[str, membership.Member] = msgspec.field(default_factory=dict)
@@ -69,6 +65,15 @@
             },
         )
 
+    def count_shards(self, member_id: str) -> int:
+        """Counts the shards that a member owns, over all pools."""
+        if member_id == NOBODY:
+            return 0
+        return sum(
+            assignment.owners.count(member_id)
+            for assignment in self.assignments.values()
+        )
+
     def list_pool(self, pool: str) -> list[membership.Member]:
         """Lists the members of one pool, by member id."""
         return sorted(
--- a/src/rhubarblead/status.py
+++ b/src/rhubarblead/status.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from rhubarblead import ownership
+
 _T = TypeVar("_T")
 
 _ENCODER = msgspec.json.Encoder()
@@ -110,6 +112,30 @@
     splits: dict[str, int] = msgspec.field(default_factory=dict)
 
 
+def list_members(state: ownership.State) -> Members:
+    """Lists the members of a state as operators see them."""
+    return Members(
+        ownership_revision=state.revision,
+        members=tuple(
+            MemberView(
+                member_id=member.member_id,
+                instance=member.instance,
+                failure_domain=member.failure_domain,
+                region=member.region,
+                pool=member.pool,
+                ip_address=member.ip_address,
+                http_port=member.http_port,
+                granters=member.granters,
+                granters_epoch=member.granters_epoch,
+                shards_owned_count=state.count_shards(member.member_id),
+            )
+            for member in sorted(
+                state.members.values(), key=lambda member: member.member_id
+            )
+        ),
+    )
+
+
 def encode(answer: msgspec.Struct) -> bytes:
     """Encodes an answer as JSON."""
     return _ENCODER.encode(answer)
