--- a/src/rhubarblead/keyspace/holdings.py
+++ b/src/rhubarblead/keyspace/holdings.py
@@ -15,8 +15,9 @@
 CLOCK_SLOWNESS = 1.03
 """A server's clock runs up to 2 % slow (the platform's pages), and a margin."""
 
-MAX_GRANTED_RANGES = 100
-"""Ranges that fit into a heartbeat's answer of 4 KiB, with some tokens."""
+MAX_GRANTED_RANGES = 150
+MAX_TOKENS = 20
+"""Ranges, and tokens of new ones, that fit into an answer of 4 KiB."""
 
 TAKE_MS = 3
 """From the answer to a heartbeat until its server has read the grants."""
@@ -143,11 +144,7 @@
         for release in self._releases.values():
             if release.asked_sequence is None:
                 release.asked_sequence = self._last_sequence
-        ranges = tuple(
-            item
-            for span, item in sorted(self._owned.items())
-            if not self._is_releasing(span)
-        )[:MAX_GRANTED_RANGES]
+        ranges = self._list_granted()
         self._granted = {(r.first, r.last, r.fence) for r in ranges}
         self._granted_from_ms = now_ms + TAKE_MS
         self._granted_until_ms = max(
@@ -155,6 +152,21 @@
         )
         return Reply(ranges=ranges, hold_ms=hold_ms)
 
+    def _list_granted(self) -> tuple[assignment.KeyRange, ...]:
+        """Lists what the next answer grants; tokens only with new ranges."""
+        granted: list[assignment.KeyRange] = []
+        token_count = 0
+        for span, item in sorted(self._owned.items()):
+            if self._is_releasing(span):
+                continue
+            is_new = (item.first, item.last, item.fence) not in self._granted
+            if item.handover and is_new:
+                token_count += 1
+            if not is_new or token_count > MAX_TOKENS:
+                item = dataclasses.replace(item, handover="")
+            granted.append(item)
+        return tuple(granted[:MAX_GRANTED_RANGES])
+
     def is_held(self, key: int, now_ms: int) -> bool:
         """Tells whether the server holds a key and is to go on holding it."""
         if now_ms >= self._granted_until_ms:
--- a/src/rhubarblead/keyspace/planning.py
+++ b/src/rhubarblead/keyspace/planning.py
@@ -11,10 +11,10 @@
 MAX_RANGES = 1_200
 """Ranges of a fresh assignment; some 30 KB in the store's row of 64 KB."""
 
-MAX_RANGES_PER_OWNER = 60
-"""A heartbeat's answer holds about 100 ranges; the rest is for splits."""
+MAX_RANGES_PER_OWNER = 30
+"""A heartbeat's answer holds 150 ranges; four of five owners may be lost."""
 
-MAX_RANGES_OF_TARGET = 90
+MAX_RANGES_OF_TARGET = 110
 """A server with more gets no further ones, whose split may be needed."""
 
 LACKING_SHARE = 0.25
@@ -39,6 +39,15 @@
 LARGEST_PIECE = 1.3
 """Parts of the wanted rate; smaller pieces aren't worth a move."""
 
+MAX_COUNTED_LOAD = 1.2
+"""Load of one server that counts for the mean of all."""
+
+LONE_KEY_SHARE = 0.5
+"""Of what its server can run, from which on one key counts as too hot."""
+
+FASTER = 1.25
+"""By which a server must be faster to get a key that is too hot."""
+
 MAX_GIFTS = 16
 """Ranges of one shift."""
 
@@ -101,14 +110,23 @@
         A gift for each range; to nobody where there are no candidates.
     """
     counts = present.count_keys()
-    loads = [(counts.get(item.owner, 0), item.owner) for item in candidates]
+    rooms = {
+        item.owner: MAX_RANGES_OF_TARGET - len(present.list_owned(item.owner))
+        for item in candidates
+    }
+    loads = [
+        (rooms[owner] <= 0, counts.get(owner, 0), owner) for owner in rooms
+    ]
     heapq.heapify(loads)
     gifts = []
     for item in sorted(ranges, key=_get_size, reverse=True):
         owner = assignment.NOBODY
         if loads:
-            load, owner = heapq.heappop(loads)
-            heapq.heappush(loads, (load + item.key_count, owner))
+            _, load, owner = heapq.heappop(loads)
+            rooms[owner] -= 1
+            heapq.heappush(
+                loads, (rooms[owner] <= 0, load + item.key_count, owner)
+            )
         token = (tokens or {}).get((item.first, item.last), "")
         gifts.append(
             assignment.Gift(
@@ -182,7 +200,17 @@
     capacity = sum(item.capacity_per_s for item in known.values())
     if mine is None or not capacity:
         return []
-    level = sum(i.load * i.capacity_per_s for i in known.values()) / capacity
+    # Callers that were refused come back, and would count more than once.
+    level = (
+        sum(
+            min(i.load, MAX_COUNTED_LOAD) * i.capacity_per_s
+            for i in known.values()
+        )
+        / capacity
+    )
+    lone = _plan_lone_key(present, mine, rates, known)
+    if lone:
+        return lone
     if mine.load < max(BEARABLE_LOAD, level + LOAD_HYSTERESIS):
         return []
     spares = {
@@ -201,6 +229,30 @@
     return gifts[:MAX_GIFTS]
 
 
+def _plan_lone_key(
+    present: assignment.Assignment,
+    mine: Candidate,
+    rates: Mapping[int, float],
+    known: Mapping[str, Candidate],
+) -> list[assignment.Gift]:
+    """Plans to give a key that is too hot for its server to a faster one."""
+    if mine.load < 1 or not rates:
+        return []
+    key = max(rates, key=rates.__getitem__)
+    if rates[key] < mine.capacity_per_s * LONE_KEY_SHARE:
+        return []
+    fastest = max(known.values(), key=_get_capacity)
+    if fastest.capacity_per_s < mine.capacity_per_s * FASTER:
+        return []
+    if present.find(key).owner != mine.owner:
+        return []
+    return [assignment.Gift(first=key, last=key, owner=fastest.owner)]
+
+
+def _get_capacity(candidate: Candidate) -> float:
+    return candidate.capacity_per_s
+
+
 class _Pieces:
     """Ranges of an overloaded owner, which are given away piece by piece."""
 
--- a/src/rhubarblead/platform/settings.py
+++ b/src/rhubarblead/platform/settings.py
@@ -7,6 +7,9 @@
 import msgspec
 
 SETTINGS_VARIABLE = "RHUBARBLEAD_NODE_FILE"
+METRICS_PORT = 9_464
+"""As `metrics` in deploy/system.toml says; the settings don't name it."""
+
 DEFAULT_PATH = "/etc/rhubarblead/settings.json"
 
 
@@ -55,6 +58,7 @@
     upstream: Address
     peers_port: int
     store: Address
+    metrics: Address
     heartbeat_ms: int
     memory_bytes: int
     bounds: Bounds
@@ -127,6 +131,7 @@
             upstream=read_address(found.application),
             peers_port=found.internal_port_range[0],
             store=read_address(found.platform.address),
+            metrics=Address(ip=found.ip_address, port=METRICS_PORT),
             heartbeat_ms=found.heartbeat_interval_ms,
             memory_bytes=int(found.limits.memory_mb * 1_000_000),
             bounds=_read_bounds(found.bounds),
--- a/src/rhubarblead/requests/waiting.py
+++ b/src/rhubarblead/requests/waiting.py
@@ -12,15 +12,21 @@
 FIRST_SERVICE_MS = 250.0
 """Taken for routes that have not run yet; the users' work takes 55-880 ms."""
 
+SERVICE_VALID_MS = 4_000
+"""After which a server without runs of a route is tried again."""
+
 SERVICE_WEIGHT = 0.1
 """Of the newest run in the moving mean of a route."""
 
 FINISH_SHARE = 0.8
 """Part of the mean run that must fit before the deadline."""
 
-MAX_LATE_PER_SLOT = 2.0
+MAX_LATE_PER_SLOT = 0.5
 """Waiting requests for each slot that will miss their target."""
 
+OVERTAKING = 1.5
+"""By which the wait of a request grows that more urgent ones overtake."""
+
 _FAR_MS = 60_000
 
 MIN_RETRY_AFTER_MS = 50
@@ -79,6 +85,7 @@
 
     __slots__ = (
         "_mean_run_ms",
+        "_ran_at_ms",
         "_running",
         "_service_ms",
         "_slot_count",
@@ -90,6 +97,7 @@
         self._tickets: dict[int, Ticket] = {}
         self._running: dict[int, tuple[str, int]] = {}
         self._service_ms: dict[str, float] = {}
+        self._ran_at_ms: dict[str, int] = {}
         self._mean_run_ms = FIRST_SERVICE_MS
 
     @property
@@ -123,9 +131,16 @@
         known = self._service_ms.values()
         return sum(known) / len(known) if known else FIRST_SERVICE_MS
 
-    def list_service_ms(self) -> dict[str, int]:
-        """Lists the mean time of each route's runs."""
-        return {route: int(ms) for route, ms in self._service_ms.items()}
+    def list_service_ms(self, now_ms: int) -> dict[str, int]:
+        """Lists the mean time of each route's runs, of routes that ran lately.
+
+        An old time would keep requests away from a server that was slow once.
+        """
+        return {
+            route: int(ms)
+            for route, ms in self._service_ms.items()
+            if now_ms - self._ran_at_ms[route] <= SERVICE_VALID_MS
+        }
 
     @property
     def mean_run_ms(self) -> float:
@@ -180,7 +195,7 @@
             return Start()
         if not ticket.may_wait:
             return Busy(wait_ms=int(wait_ms) + 1)
-        if self._is_hopeless(ticket, now_ms + wait_ms):
+        if self._is_hopeless(ticket, now_ms + wait_ms * OVERTAKING):
             return self.turn_away(wait_ms)
         self._tickets[ticket.number] = ticket
         return Queued()
@@ -197,11 +212,7 @@
         Returns:
             The request, if any, and those that can't be served any more.
         """
-        expired = [
-            ticket
-            for ticket in self._tickets.values()
-            if self._is_too_late(ticket, now_ms)
-        ]
+        expired = self._list_hopeless(now_ms)
         for ticket in expired:
             del self._tickets[ticket.number]
         if len(self._running) >= self._slot_count:
@@ -230,6 +241,7 @@
         if found is None or not is_whole:
             return
         route, started_ms = found
+        self._ran_at_ms[route] = now_ms
         taken_ms = float(now_ms - started_ms)
         self._mean_run_ms += SERVICE_WEIGHT * (taken_ms - self._mean_run_ms)
         mean_ms = self._service_ms.get(route)
@@ -270,6 +282,21 @@
         )
         return late_count >= MAX_LATE_PER_SLOT * self._slot_count
 
+    def _list_hopeless(self, now_ms: int) -> list[Ticket]:
+        """Lists what can't end in its time, or will be late behind others."""
+        hopeless: list[Ticket] = []
+        late: list[Ticket] = []
+        for ticket in self._tickets.values():
+            if self._is_too_late(ticket, now_ms):
+                hopeless.append(ticket)
+            elif self._rank(ticket, now_ms)[1]:
+                late.append(ticket)
+        most = int(MAX_LATE_PER_SLOT * self._slot_count)
+        if len(late) > most:
+            late.sort(key=lambda ticket: self._rank(ticket, now_ms))
+            hopeless.extend(late[most:])
+        return hopeless
+
     def _is_too_late(self, ticket: Ticket, now_ms: int) -> bool:
         service_ms = self.find_service_ms(ticket.route)
         return now_ms + service_ms * FINISH_SHARE > ticket.deadline_at_ms
--- a/src/rhubarblead/router/control.py
+++ b/src/rhubarblead/router/control.py
@@ -9,6 +9,7 @@
 from rhubarblead.router import journal
 from rhubarblead.router import ownership
 from rhubarblead.router import upstream
+from rhubarblead.router import wire
 
 _JSON = b"content-type: application/json\r\n"
 
@@ -109,7 +110,7 @@
             waiting_count=room.waiting_count,
             running_count=room.running_count,
         )
-        self._upstream.turn_away_all()
+        self._upstream.turn_away_all(wire.Reason.LEAVING)
         self._on_change()
 
     def _finish(self, exchange: http_server.Exchange, body: bytes) -> None:
--- a/src/rhubarblead/router/directory.py
+++ b/src/rhubarblead/router/directory.py
@@ -18,6 +18,7 @@
     __slots__ = (
         "_assignments",
         "_heard_at_ms",
+        "_lost_at_ms",
         "_own_id",
         "_own_state",
         "_states",
@@ -29,6 +30,7 @@
         self._own_state = own_state
         self._states: dict[str, wire.State] = {}
         self._heard_at_ms: dict[str, int] = {}
+        self._lost_at_ms: dict[str, int] = {}
         self._assignments: dict[str, tuple[assignment.Assignment, int]] = {}
         self.table: routing_table.RoutingTable | None = None
 
@@ -41,11 +43,18 @@
         """Takes the newest state of another node."""
         self._states[state.node_id] = state
         self._heard_at_ms[state.node_id] = now_ms
+        self._lost_at_ms.pop(state.node_id, None)
 
-    def lose(self, node_id: str) -> None:
+    def find_absence_ms(self, node_id: str, now_ms: int) -> int:
+        """Finds for how long a node has been out of reach."""
+        lost_at_ms = self._lost_at_ms.get(node_id)
+        return 0 if lost_at_ms is None else now_ms - lost_at_ms
+
+    def lose(self, node_id: str, now_ms: int) -> None:
         """Takes note that a node is out of reach."""
         self._states.pop(node_id, None)
         self._heard_at_ms.pop(node_id, None)
+        self._lost_at_ms.setdefault(node_id, now_ms)
 
     def find_state(self, node_id: str) -> wire.State | None:
         """Finds the newest state of a node."""
--- a/src/rhubarblead/router/entry.py
+++ b/src/rhubarblead/router/entry.py
@@ -8,6 +8,7 @@
 
 from rhubarblead import routing_table
 from rhubarblead.events import catalog
+from rhubarblead.keyspace import promises
 from rhubarblead.platform import heads
 from rhubarblead.requests import allowance
 from rhubarblead.requests import placement
@@ -27,6 +28,9 @@
 PARK_MS = 1_000
 """A key's owner is back within it after a restart, or has another owner."""
 
+POISON_RETRY_MS = 5_000
+"""For a request that has crashed several servers; it earns nothing."""
+
 PARK_CHECK_S = 0.05
 SHED_PAUSE_S = 0.03
 """Before a request goes again to a server that has turned it away."""
@@ -243,8 +247,15 @@
     def _dispatch_keyed(self, attempt: Attempt) -> None:
         assert attempt.head.key is not None
         node_id = self._directory.find_owner(attempt.service, attempt.head.key)
-        if not node_id or not self._send(attempt, node_id, may_wait=True):
-            self._park(attempt)
+        if node_id and self._send(attempt, node_id, may_wait=True):
+            return
+        absence_ms = self._directory.find_absence_ms(node_id, self._now_ms())
+        if absence_ms > PARK_MS:
+            # Its keys come back when its promises have ended, not before.
+            left_ms = max(0, promises.PROMISE_MS + PARK_MS - absence_ms)
+            self._give_up(attempt, "owner away", left_ms)
+            return
+        self._park(attempt)
 
     def _dispatch_unkeyed(self, attempt: Attempt) -> None:
         now_ms = self._now_ms()
@@ -355,12 +366,16 @@
                 self._park(attempt)
             case wire.Reason.LEAVING | wire.Reason.SERVER_GONE:
                 attempt.excluded.add(node_id)
-                if attempt.is_keyed:
-                    self._park(attempt)
-                else:
+                if not attempt.is_keyed:
                     self._dispatch(attempt)
+                elif outcome.reason == wire.Reason.SERVER_GONE:
+                    self._give_up(attempt, "server gone", PARK_MS)
+                else:
+                    self._park(attempt)
             case wire.Reason.SHED:
                 self._take_shed(attempt)
+            case wire.Reason.POISON:
+                self._give_up(attempt, "poison", POISON_RETRY_MS)
             case _:
                 cause = wire.Reason(outcome.reason).name.lower()
                 self._give_up(attempt, cause, outcome.wait_ms)
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -22,8 +22,13 @@
 from rhubarblead.router import entry
 from rhubarblead.router import http_server
 from rhubarblead.router import journal
+from rhubarblead.router import measures
+from rhubarblead.router import news
 from rhubarblead.router import ownership
 from rhubarblead.router import peers
+from rhubarblead.router import promising
+from rhubarblead.router import remote_work
+from rhubarblead.router import stopping
 from rhubarblead.router import store_client
 from rhubarblead.router import upstream
 from rhubarblead.router import wire
@@ -31,17 +36,9 @@
 STATE_EVERY_S = 1.5
 """Between states that a node tells the others without a change."""
 
-ASK_AGAIN_S = 0.4
-"""Before a node asks another for what it may still get by itself."""
-
-REFUSE_AFTER_S = 2.9
-"""From the stop on; what comes later could be cut off by the end."""
-
-LEAVE_AFTER_S = 2.6
-"""Callers stay away after two failed checks, which are a second apart."""
-
-GRACE_MARGIN_S = 0.5
-"""Before the platform kills a process that was asked to stop."""
+WATCH_EVERY_S = 0.2
+SILENT_HEARTBEATS = 1.6
+"""After so many without a word, a server that doesn't answer counts as gone."""
 
 
 def read_now_ms() -> int:
@@ -55,7 +52,6 @@
     __slots__ = (
         "_config",
         "_control",
-        "_remote_jobs",
         "_deployment",
         "_directory",
         "_entry",
@@ -63,7 +59,11 @@
         "_journal",
         "_links",
         "_loop",
+        "_measures",
+        "_news",
         "_owner",
+        "_promising",
+        "_remote",
         "_servers",
         "_started_at_s",
         "_state",
@@ -81,7 +81,6 @@
         self._stop = asyncio.Event()
         self._started_at_s = self._loop.time()
         self._tasks: list[asyncio.Task[None]] = []
-        self._remote_jobs: dict[tuple[str, int], upstream.Job] = {}
         self._state = _make_state(deployment)
         self._directory = directory.Directory(own_state=self._state)
         self._store = store_client.StoreClient(address=deployment.store)
@@ -90,12 +89,16 @@
             events=self._journal,
             now_ms=read_now_ms,
             is_held=lambda key: self._owner.is_held(key),
+            broadcast=lambda message: self._links.broadcast(message),
         )
         self._links = peers.Links(
             receiver=self,
             ip=deployment.callers.ip,
             port=deployment.peers_port,
         )
+        self._promising = promising.Promising(
+            known=self._directory, links=self._links, now_ms=read_now_ms
+        )
         self._owner = self._make_owner()
         self._config = config_feed.ConfigFeed(
             client=self._store,
@@ -103,6 +106,18 @@
             on_table=self._take_table,
         )
         self._entry = self._make_entry()
+        self._news = news.News(
+            known=self._directory,
+            links=self._links,
+            config=self._config,
+            owner=self._owner,
+            events=self._journal,
+            now_ms=read_now_ms,
+            on_news=self._entry.wake_parked,
+        )
+        self._remote = remote_work.RemoteWork(
+            state=self._state, local=self._upstream
+        )
         self._control = control.Control(
             owner=self._owner,
             local=self._upstream,
@@ -110,7 +125,12 @@
             events=self._journal,
             on_change=self._tell_state,
         )
+        self._measures = measures.Measures(
+            events=self._journal, gauges=self._find_gauges
+        )
+        self._entry.observe = self._measures.observe
         self._servers = {
+            "metrics": self._make_server(self._measures.handle),
             "callers": self._make_server(self._entry.handle),
             "heartbeats": self._make_server(self._control.handle),
             "readiness": self._make_server(self._answer_readiness),
@@ -137,10 +157,16 @@
                 failure_domain=self._state.failure_domain,
                 address=self._state.address,
             )
-            for task in (self._config.run, self._owner.run, self._tell_often):
-                self._start(task())
+            self._start(self._config.run())
+            self._start(self._owner.run())
+            self._start(self._tell_often())
+            self._start(self._watch_often())
+            self._start(
+                self._promising.send_often(self._owner.get_own_revision)
+            )
             await self._stop.wait()
-            await self._finish()
+            self._is_stopping = True
+            await self._make_stopping().run()
             for running in self._tasks:
                 running.cancel()
 
@@ -152,33 +178,40 @@
         """Takes a message of another node, and a way to reply."""
         match message:
             case wire.Work():
-                self._take_work(message, reply)
+                self._remote.take(message, reply)
             case wire.State():
-                self._take_state(message)
+                self._news.take_state(message)
             case wire.Changed():
                 if not self._owner.take_changed(message):
                     reply(wire.Wanted(service=message.service))
             case wire.Wanted():
-                self._send_wanted(message.service, reply)
+                self._news.send_wanted(message.service, reply)
             case wire.Whole():
-                self._take_whole(message)
+                self._news.take_whole(message)
+            case wire.Suspects():
+                self._upstream.crashes.take_suspects(message)
+            case wire.LeaseHeartbeat() | wire.LeaseLeave():
+                self._promising.take(message, reply)
             case wire.Cancel():
-                self._cancel_work(message)
+                self._remote.cancel(message)
             case _:
                 self.link_failed("request", type(message).__name__)
 
     def take_reply(self, node_id: str, message: wire.Message) -> None:
         """Takes a reply to what this node has asked."""
         match message:
+            case wire.Promise():
+                self._promising.holder.take_promise(
+                    message.term, message.sequence
+                )
+            case wire.Release():
+                self._promising.take_release(message)
             case wire.Outcome():
                 self._entry.take_outcome(node_id, message)
             case wire.Wanted():
-                self._send_wanted(
-                    message.service,
-                    lambda whole: self._send_quietly(node_id, whole),
-                )
+                self._news.answer(node_id, message.service)
             case wire.Whole():
-                self._take_whole(message)
+                self._news.take_whole(message)
             case _:
                 self.link_failed(node_id, type(message).__name__)
 
@@ -191,7 +224,7 @@
 
     def link_down(self, node_id: str) -> None:
         """Takes note that a link is lost."""
-        self._directory.lose(node_id)
+        self._directory.lose(node_id, read_now_ms())
         self._owner.note_link(node_id, is_up=False)
         pending_count = self._entry.lose_node(node_id)
         self._journal.emit(
@@ -228,6 +261,7 @@
             broadcast=self._links.broadcast,
             on_change=self._take_ownership_change,
             find_rates=self._upstream.find_rates,
+            promising=self._promising,
         )
 
     def _make_entry(self) -> entry.Entry:
@@ -247,6 +281,19 @@
             random_source=random.Random(secrets.randbits(64)),
         )
 
+    def _make_stopping(self) -> stopping.Stopping:
+        return stopping.Stopping(
+            callers=self._servers["callers"],
+            requests=self._entry,
+            local=self._upstream,
+            heartbeats=self._control,
+            owner=self._owner,
+            promises=self._promising,
+            events=self._journal,
+            grace_ms=self._deployment.bounds.grace_ms,
+            tell_state=self._tell_state,
+        )
+
     def _make_server(self, handler: http_server.Handler) -> http_server.Server:
         return http_server.Server(handler=handler, limits=self._get_limits)
 
@@ -259,6 +306,7 @@
             "callers": self._deployment.callers,
             "heartbeats": self._deployment.heartbeats,
             "readiness": self._deployment.readiness,
+            "metrics": self._deployment.metrics,
         }
         for name, address in addresses.items():
             stack.callback(self._servers[name].close)
@@ -295,95 +343,6 @@
         # Without one of its tasks the process would serve wrongly unseen.
         self._stop.set()
 
-    # Work of other nodes.
-
-    def _take_work(
-        self, work: wire.Work, reply: Callable[[wire.Message], None]
-    ) -> None:
-        is_wrong = work.target_incarnation != self._state.incarnation
-        if is_wrong or work.service != self._state.service:
-            reply(
-                wire.Outcome(
-                    number=work.number,
-                    verdict=wire.Verdict.NOT_RUN,
-                    reason=wire.Reason.NOT_OWNER,
-                )
-            )
-            return
-        name = (work.origin, work.number)
-
-        def finish(outcome: wire.Outcome) -> None:
-            self._remote_jobs.pop(name, None)
-            reply(outcome)
-
-        job = self._upstream.submit(work, finish)
-        if job is not None and not job.is_ended:
-            self._remote_jobs[name] = job
-
-    def _cancel_work(self, message: wire.Cancel) -> None:
-        job = self._remote_jobs.pop((message.origin, message.number), None)
-        if job is not None:
-            self._upstream.cancel(job)
-
-    # News of other nodes.
-
-    def _take_state(self, state: wire.State) -> None:
-        if state.node_id == self._state.node_id:
-            return
-        self._links.connect(state.node_id, state.address)
-        if not self._links.is_up(state.node_id):
-            return
-        self._directory.take_state(state, read_now_ms())
-        mine = self._directory.list_revisions()
-        is_behind = state.config_version > self._config.version or any(
-            revision > mine.get(service, 0)
-            for service, revision in state.assignments.items()
-        )
-        if is_behind:
-            self._loop.call_later(ASK_AGAIN_S, self._ask_missed, state)
-        self._entry.wake_parked()
-
-    def _ask_missed(self, state: wire.State) -> None:
-        if state.config_version > self._config.version:
-            self._links.send(state.node_id, wire.Wanted(service=""))
-        mine = self._directory.list_revisions()
-        for service, revision in state.assignments.items():
-            if revision > mine.get(service, 0):
-                self._links.send(state.node_id, wire.Wanted(service=service))
-
-    def _send_wanted(
-        self, service: str, reply: Callable[[wire.Message], None]
-    ) -> None:
-        if not service:
-            if self._config.content:
-                reply(
-                    wire.Whole(
-                        service="",
-                        revision=self._config.version,
-                        content=self._config.content,
-                    )
-                )
-            return
-        value, revision = self._directory.get_assignment(service)
-        if revision:
-            reply(
-                wire.Whole(
-                    service=service, revision=revision, content=value.encode()
-                )
-            )
-
-    def _send_quietly(self, node_id: str, message: wire.Message) -> None:
-        if not self._links.send(node_id, message):
-            self.link_failed(node_id, "link is down")
-
-    def _take_whole(self, message: wire.Whole) -> None:
-        if not message.service:
-            self._config.take(message.content, "node")
-            return
-        self._owner.take_whole(
-            message.service, message.content, message.revision
-        )
-
     # Own changes.
 
     def _take_table(self, table: routing_table.RoutingTable) -> None:
@@ -399,6 +358,23 @@
         self._upstream.pump()
         self._entry.wake_parked()
 
+    def _watch_server(self) -> None:
+        """Takes no requests for a server that neither reports nor answers."""
+        life = self._owner.life
+        if life is None or not self._upstream.is_serving:
+            return
+        silent_ms = read_now_ms() - life.heard_at_ms
+        if silent_ms < self._deployment.heartbeat_ms * SILENT_HEARTBEATS:
+            return
+        if self._upstream.is_stuck():
+            self._upstream.stop_serving(wire.Reason.SERVER_GONE)
+            self._tell_state()
+
+    async def _watch_often(self) -> None:
+        while True:
+            self._watch_server()
+            await asyncio.sleep(WATCH_EVERY_S)
+
     def _refresh_state(self) -> wire.State:
         state = self._state
         room = self._upstream.room
@@ -410,7 +386,7 @@
         state.running_count = room.running_count
         state.waiting_count = room.waiting_count
         state.wait_ms = int(room.estimate_wait_ms(read_now_ms()))
-        state.service_ms = room.list_service_ms()
+        state.service_ms = room.list_service_ms(read_now_ms())
         state.capacity_per_s = self._upstream.find_capacity_per_s()
         rate = sum(self._upstream.find_rates().values())
         state.load_per_mille = int(1_000 * rate / state.capacity_per_s)
@@ -418,6 +394,20 @@
         state.assignments = self._directory.list_revisions()
         return state
 
+    def _find_gauges(self) -> dict[str, float]:
+        """Finds what the metrics page shows of the present."""
+        room = self._upstream.room
+        return {
+            "running_requests": room.running_count,
+            "waiting_requests": room.waiting_count,
+            "pending_requests": self._entry.count_pending(),
+            "slots": room.slot_count,
+            "config_version": self._config.version,
+            "held_keys": self._owner.count_held(),
+            "right_left_ms": self._owner.find_right_ms(),
+            "known_nodes": self._directory.count_nodes(),
+        }
+
     def _tell_state(self) -> None:
         self._links.broadcast(self._refresh_state())
 
@@ -447,50 +437,6 @@
             catalog.Event.SETTINGS_READ_AGAIN, is_valid=not error, error=error
         )
 
-    async def _finish(self) -> None:
-        """Finishes what is in progress, within the platform's time."""
-        began_s = self._loop.time()
-        callers = self._servers["callers"]
-        self._journal.emit(
-            catalog.Event.ROUTER_STOPPING,
-            pending_count=callers.count_pending(),
-            running_count=self._upstream.room.running_count,
-        )
-        self._is_stopping = True
-        self._owner.is_stopping = True
-        callers.close_gently()
-        self._tell_state()
-        await self._owner.renew_before_stop()
-        grace_s = self._deployment.bounds.grace_ms / 1_000
-        last_s = began_s + grace_s - GRACE_MARGIN_S
-        while self._loop.time() < last_s:
-            waited_s = self._loop.time() - began_s
-            is_idle = not (
-                callers.count_pending() or self._upstream.room.running_count
-            )
-            if waited_s >= LEAVE_AFTER_S:
-                self._stop_serving()
-                callers.close_idle()
-                if is_idle:
-                    break
-            if waited_s >= REFUSE_AFTER_S:
-                self._entry.is_closed = True
-            await asyncio.sleep(0.05)
-        self._entry.end_all()
-        self._journal.emit(
-            catalog.Event.ROUTER_STOPPED,
-            pending_count=callers.count_pending(),
-            waited_ms=int((self._loop.time() - began_s) * 1_000),
-        )
-
-    def _stop_serving(self) -> None:
-        """Takes no more requests for the server beside this node."""
-        self._control.is_stopping = True
-        if self._upstream.is_serving:
-            self._upstream.is_serving = False
-            self._upstream.turn_away_all()
-            self._tell_state()
-
 
 _FIRST_LIMITS = routing_table.ClientLimits()
 
--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -17,10 +17,12 @@
 from rhubarblead.keyspace import lease
 from rhubarblead.keyspace import members
 from rhubarblead.keyspace import planning
+from rhubarblead.keyspace import promises
 from rhubarblead.platform import heartbeats
 from rhubarblead.platform import store
 from rhubarblead.router import directory
 from rhubarblead.router import journal
+from rhubarblead.router import promising
 from rhubarblead.router import store_client
 from rhubarblead.router import wire
 
@@ -38,6 +40,9 @@
 """From the start until a node registers without having heard its server."""
 
 RELIEF_EVERY_MS = 1_000
+GRANTER_EVERY_MS = 1_000
+"""Between two choices of a granter, so that a storm costs few writes."""
+
 RETRY_AFTER_MS = 500
 """After a call to the store that failed."""
 
@@ -81,22 +86,26 @@
         "_directory",
         "_down_since_ms",
         "_find_rates",
+        "_granter_at_ms",
         "_heartbeat_ms",
         "_holdings",
         "_is_loaded",
         "_is_registered",
         "_journal",
+        "_lapsed_revisions",
         "_lease",
         "_max_hold_ms",
         "_member",
         "_now_ms",
         "_on_change",
         "_own_revision",
+        "_promising",
         "_relief_at_ms",
         "_retry_at_ms",
         "_started_at_ms",
         "_store",
         "_store_failed",
+        "_term",
         "is_stopping",
         "life",
         "wake",
@@ -116,6 +125,7 @@
         broadcast: Callable[[wire.Message], None],
         on_change: Callable[[], None],
         find_rates: Callable[[], dict[int, float]],
+        promising: promising.Promising,
     ) -> None:
         """Makes the task's state; `run` does the work.
 
@@ -131,6 +141,7 @@
             broadcast: Sends a message to all nodes.
             on_change: Called when keys have moved or are held.
             find_rates: Finds the requests a second of the server's keys.
+            promising: Exchanges short promises with other nodes.
         """
         self._member = member
         self._directory = known
@@ -143,6 +154,7 @@
         self._broadcast = broadcast
         self._on_change = on_change
         self._find_rates = find_rates
+        self._promising = promising
         self._clock = lease.StoreClock()
         self._lease = lease.Lease(store_clock=self._clock)
         self._started_at_ms = now_ms()
@@ -150,19 +162,36 @@
             held_until_ms=self._started_at_ms + max_hold_ms
         )
         self._own_revision = 0
+        self._granter_at_ms = 0
         self._is_registered = False
         self._is_loaded = False
         self._absences: dict[str, _Absence] = {}
+        self._lapsed_revisions: dict[str, int] = {}
         self._down_since_ms: dict[str, int] = {}
         self._relief_at_ms = 0
         self._retry_at_ms = 0
         self._store_failed = False
+        self._term = 0
         self.is_stopping = False
         self.life: ServerLife | None = None
         self.wake = asyncio.Event()
 
     # What the other tasks tell and ask.
 
+    def get_own_revision(self) -> int:
+        """Gets the revision of the node's row."""
+        return self._own_revision
+
+    def count_held(self) -> int:
+        """Counts the keys that the server was granted last."""
+        return self._holdings.count_granted()
+
+    def find_right_ms(self) -> int:
+        """Finds how long this node may let its server hold keys."""
+        now_ms = self._now_ms()
+        lease_ms = self._lease.find_remaining_ms(now_ms)
+        return self._promising.holder.find_remaining_ms(lease_ms, now_ms)
+
     def is_held(self, key: int) -> bool:
         """Tells whether the server holds a key now."""
         return self._holdings.is_held(key, self._now_ms())
@@ -217,7 +246,7 @@
             return heartbeats.encode_reply(None, 0)
         reply = self._holdings.make_reply(
             heartbeat_ms=self._heartbeat_ms,
-            lease_ms=self._lease.find_remaining_ms(now_ms),
+            lease_ms=self.find_right_ms(),
             now_ms=now_ms,
             max_hold_ms=self._max_hold_ms,
             least_hold_ms=STOPPING_HOLD_MS if self.is_stopping else 0,
@@ -311,6 +340,8 @@
             return
         if self._lease.find_remaining_ms(self._now_ms()) <= 0:
             return
+        if await self._take_lapsed():
+            return
         gifts, cause = self._plan_own()
         if not gifts:
             gifts, cause = self._plan_orphans()
@@ -367,7 +398,10 @@
         if not self._is_registered and self.life is None:
             has_waited = now_ms - self._started_at_ms > FIRST_HEARTBEAT_MS
             return has_waited and self._lease.is_due(now_ms)
-        return self._lease.is_due(now_ms)
+        is_lone = self._is_loaded and self._promising.needs_other()
+        return self._lease.is_due(now_ms) or (
+            is_lone and self._lease.is_held and now_ms >= self._granter_at_ms
+        )
 
     async def _register(self) -> None:
         """Writes the node's own row; for a keyed service it is the lease."""
@@ -377,6 +411,8 @@
         member = msgspec.structs.replace(
             self._member, ends_store_ms=ends_ms, born_ms=born_ms
         )
+        if self._is_keyed() and self._is_loaded:
+            member = self._choose_granter(member)
         key = MEMBER_PREFIX + member.node_id
         outcome = await self._store.write(
             expected=(store.Expected(key=key, revision=self._own_revision),),
@@ -389,6 +425,7 @@
                 self._own_revision = outcome.revision
                 self._member = member
                 self._is_registered = True
+                self._promising.begin_term(member.granter, member.term)
                 self._lease.renewed(
                     ends_store_ms=ends_ms, sent_at_ms=sent_at_ms
                 )
@@ -409,6 +446,19 @@
                 self._lease.failed(self._now_ms())
                 self._fail("renew", outcome)
 
+    def _choose_granter(self, member: members.Member) -> members.Member:
+        """Names another granter where the present one is out of reach."""
+        if not self._promising.needs_other():
+            return member
+        self._granter_at_ms = self._now_ms() + GRANTER_EVERY_MS
+        return msgspec.structs.replace(
+            member, granter=self._promising.choose(), term=self._next_term()
+        )
+
+    def _next_term(self) -> int:
+        self._term += 1
+        return self._term
+
     def _take_own_conflict(self, rows: tuple[store.Row, ...]) -> None:
         """Finds out who has written the node's own row."""
         key = MEMBER_PREFIX + self._member.node_id
@@ -431,6 +481,8 @@
         self._is_registered = False
         self._is_loaded = False
         self._lease.lost()
+        self._member = msgspec.structs.replace(self._member, granter="")
+        self._promising.begin_term("", self._next_term())
         self._journal.emit(
             catalog.Event.LEASE_TAKEN, revision=self._own_revision
         )
@@ -664,7 +716,7 @@
             expected.append(
                 store.Expected(key=lost_key, revision=lost_revision)
             )
-            removed = (lost_key,)
+            removed = (lost_key,) if lost_revision else ()
         sent_at_ms = self._now_ms()
         outcome = await self._store.write(
             expected=tuple(expected),
@@ -677,6 +729,9 @@
                 self._clock.observe(
                     asked_at_ms=sent_at_ms, store_ms=outcome.now_ms
                 )
+                if lost_id:
+                    self._promising.granter.forget(lost_id)
+                    self._lapsed_revisions.pop(lost_id, None)
                 self._report_moved(changed, outcome.revision, gifts, cause)
                 self._adopt(service, changed, outcome.revision)
                 self._broadcast(
@@ -691,7 +746,7 @@
                     )
                 )
             case store.Conflict(rows=rows):
-                self._take_conflict(rows)
+                self._take_conflict(rows, lost_id)
             case store.InDoubt():
                 # A new revision of the own row bars the write from later.
                 self._fail("assign", outcome)
@@ -700,13 +755,22 @@
             case _:
                 self._fail("assign", outcome)
 
-    def _take_conflict(self, rows: tuple[store.Row, ...]) -> None:
-        key = ASSIGNMENT_PREFIX + self._member.service
-        for row in rows:
-            if row.key == key and row.revision:
-                self.take_whole(self._member.service, row.value, row.revision)
-                return
-        self._is_loaded = False
+    def _take_conflict(self, rows: tuple[store.Row, ...], lost_id: str) -> None:
+        """Takes the present rows, by which the next try is planned."""
+        by_key = {row.key: row for row in rows if row.revision}
+        assigned = by_key.get(ASSIGNMENT_PREFIX + self._member.service)
+        own = by_key.get(MEMBER_PREFIX + self._member.node_id)
+        lost = by_key.get(MEMBER_PREFIX + lost_id) if lost_id else None
+        if lost is not None:
+            self._follow_lapsed_row(lost)
+        elif lost_id:
+            self._promising.granter.forget(lost_id)
+        if own is None or own.revision != self._own_revision:
+            self._lease.expire_renewal()
+        if assigned is None:
+            self._is_loaded = False
+            return
+        self.take_whole(self._member.service, assigned.value, assigned.revision)
 
     def _report_moved(
         self,
@@ -801,9 +865,48 @@
             wait_ms = ends_store_ms - outcome.now_ms + lease.TAKEOVER_MARGIN_MS
             absence.look_at_ms = self._now_ms() + wait_ms
             return
-        await self._take_keys(node_id, row)
+        await self._take_keys(node_id, row.revision if row is not None else 0)
+
+    async def _take_lapsed(self) -> bool:
+        """Takes the keys of a node whose promises by this one have ended.
+
+        Returns:
+            Whether there was such a node.
+        """
+        granter = self._promising.granter
+        lapsed = granter.list_lapsed(self._now_ms())
+        if not lapsed:
+            return False
+        node_id, revision = lapsed[0]
+        value, _ = self._directory.get_assignment(self._member.service)
+        if not value.list_of_node(node_id):
+            granter.forget(node_id)
+            return True
+        await self._take_keys(
+            node_id, self._lapsed_revisions.get(node_id, revision)
+        )
+        return True
+
+    def _follow_lapsed_row(self, row: store.Row) -> None:
+        """Finds out whether a lapsed node's row still names this process."""
+        found: dict[str, members.Member] = {}
+        self._take_member_row(row, found)
+        own = promising.name_process(
+            self._member.node_id, self._member.incarnation
+        )
+        for node_id, member in found.items():
+            term = promises.Term(
+                node_id=node_id,
+                incarnation=member.incarnation,
+                number=member.term,
+            )
+            is_same = self._promising.granter.is_term(term)
+            if member.granter == own and is_same:
+                self._lapsed_revisions[node_id] = row.revision
+            else:
+                self._promising.granter.forget(node_id)
 
-    async def _take_keys(self, node_id: str, row: store.Row | None) -> None:
+    async def _take_keys(self, node_id: str, row_revision: int) -> None:
         value, revision = self._directory.get_assignment(self._member.service)
         candidates = [
             item
@@ -823,8 +926,8 @@
             revision=revision,
             gifts=gifts,
             cause=f"lease of {node_id} has ended",
-            lost_id=node_id if row is not None else "",
-            lost_revision=row.revision if row is not None else 0,
+            lost_id=node_id,
+            lost_revision=row_revision,
         )
 
     # Failures of the store.
--- /dev/null
+++ b/src/rhubarblead/router/promising.py
@@ -0,0 +1,189 @@
+"""Exchanges the short promises between this node and others."""
+
+import asyncio
+from collections.abc import Callable
+import zlib
+
+from rhubarblead.keyspace import promises
+from rhubarblead.router import directory
+from rhubarblead.router import peers
+from rhubarblead.router import wire
+
+LEAVE_TIMEOUT_S = 0.3
+"""For the granter's word that it takes no keys while this node restarts."""
+
+
+class Promising:
+    """The granter of this node, and the nodes that it is granter of."""
+
+    __slots__ = (
+        "_directory",
+        "_granter_id",
+        "_links",
+        "_now_ms",
+        "_released",
+        "granter",
+        "holder",
+    )
+
+    def __init__(
+        self,
+        *,
+        known: directory.Directory,
+        links: peers.Links,
+        now_ms: Callable[[], int],
+    ) -> None:
+        self._directory = known
+        self._links = links
+        self._now_ms = now_ms
+        self._granter_id = ""
+        self._released = asyncio.Event()
+        self.holder = promises.Holder()
+        self.granter = promises.Granter()
+
+    def choose(self) -> str:
+        """Chooses a granter: a process of the own service, elsewhere.
+
+        Returns:
+            Its name as the row is to hold it, empty where there is none.
+        """
+        own = self._directory.own_state
+        found = [
+            state
+            for state, _ in self._directory.list_servers(
+                own.service, self._now_ms()
+            )
+            if state.node_id != own.node_id
+        ]
+        apart = [s for s in found if s.failure_domain != own.failure_domain]
+        choices = apart or found
+        if not choices:
+            return ""
+        chosen = max(choices, key=lambda state: _weigh(own, state))
+        return name_process(chosen.node_id, chosen.incarnation)
+
+    def begin_term(self, granter: str, number: int) -> None:
+        """Takes note of a choice that the store has acknowledged."""
+        if (granter, number) == (self.holder.granter, self.holder.term_number):
+            return
+        self._granter_id = granter.rpartition("#")[0]
+        self.holder.begin_term(granter, number, self._now_ms())
+
+    def needs_other(self) -> bool:
+        """Tells whether another granter is to be chosen."""
+        if self.holder.is_leaving:
+            return False
+        if not self.holder.granter:
+            return bool(self.choose())
+        state = self._directory.find_state(self._granter_id)
+        if state is not None and state.is_stopping:
+            return True
+        is_gone = state is None or self.holder.granter != name_process(
+            state.node_id, state.incarnation
+        )
+        return is_gone or self.holder.needs_other(self._now_ms())
+
+    async def send_often(self, find_revision: Callable[[], int]) -> None:
+        """Sends heartbeats to the granter until it is cancelled."""
+        while True:
+            if self.holder.granter and not self.holder.is_leaving:
+                self._send_heartbeat(find_revision())
+            await asyncio.sleep(promises.HEARTBEAT_MS / 1_000)
+
+    async def leave(self) -> None:
+        """Has the granter give up its right, as this node restarts."""
+        if not self.holder.granter:
+            return
+        self._released.clear()
+        self.holder.leave()
+        self._send_leave()
+        try:
+            async with asyncio.timeout(LEAVE_TIMEOUT_S):
+                await self._released.wait()
+        except TimeoutError:
+            return
+
+    def take(
+        self,
+        message: wire.LeaseHeartbeat | wire.LeaseLeave,
+        reply: Callable[[wire.Message], None],
+    ) -> None:
+        """Takes what a node asks that has chosen this one."""
+        match message:
+            case wire.LeaseHeartbeat():
+                self._take_heartbeat(message, reply)
+            case wire.LeaseLeave():
+                self._take_leave(message, reply)
+
+    def _take_heartbeat(
+        self,
+        message: wire.LeaseHeartbeat,
+        reply: Callable[[wire.Message], None],
+    ) -> None:
+        """Takes a heartbeat of a node that has chosen this one."""
+        term = promises.Term(
+            node_id=message.node_id,
+            incarnation=message.incarnation,
+            number=message.term,
+        )
+        is_promised = self.granter.take_heartbeat(
+            term,
+            row_revision=message.row_revision,
+            is_bound=message.is_bound,
+            now_ms=self._now_ms(),
+        )
+        if is_promised:
+            reply(wire.Promise(term=message.term, sequence=message.sequence))
+
+    def _take_leave(
+        self, message: wire.LeaseLeave, reply: Callable[[wire.Message], None]
+    ) -> None:
+        """Takes a node's wish to restart without losing its keys."""
+        term = promises.Term(
+            node_id=message.node_id,
+            incarnation=message.incarnation,
+            number=message.term,
+        )
+        if self.granter.release(term):
+            reply(wire.Release(term=message.term))
+
+    def take_release(self, message: wire.Release) -> None:
+        """Takes the granter's word that it won't take keys."""
+        self.holder.take_release(message.term)
+        self._released.set()
+
+    def _send_leave(self) -> None:
+        own = self._directory.own_state
+        self._links.send(
+            self._granter_id,
+            wire.LeaseLeave(
+                node_id=own.node_id,
+                incarnation=own.incarnation,
+                term=self.holder.term_number,
+            ),
+        )
+
+    def _send_heartbeat(self, row_revision: int) -> None:
+        own = self._directory.own_state
+        sequence, is_bound = self.holder.make_heartbeat(self._now_ms())
+        self._links.send(
+            self._granter_id,
+            wire.LeaseHeartbeat(
+                node_id=own.node_id,
+                incarnation=own.incarnation,
+                term=self.holder.term_number,
+                sequence=sequence,
+                row_revision=row_revision,
+                is_bound=is_bound,
+            ),
+        )
+
+
+def name_process(node_id: str, incarnation: str) -> str:
+    """Names one process of a node."""
+    return f"{node_id}#{incarnation}"
+
+
+def _weigh(own: wire.State, other: wire.State) -> int:
+    """Spreads the choices of all nodes evenly, and the same each time."""
+    return zlib.crc32(f"{own.node_id}>{other.node_id}".encode())
--- /dev/null
+++ b/src/rhubarblead/router/remote_work.py
@@ -0,0 +1,53 @@
+"""Requests that other nodes send to the server beside this one."""
+
+from collections.abc import Callable
+
+from rhubarblead.router import upstream
+from rhubarblead.router import wire
+
+
+class RemoteWork:
+    """Running and waiting requests of other nodes, which they may cancel."""
+
+    __slots__ = ("_jobs", "_state", "_upstream")
+
+    def __init__(self, *, state: wire.State, local: upstream.Upstream) -> None:
+        """Makes an empty list.
+
+        Args:
+            state: What this node tells of itself.
+            local: The server beside this node.
+        """
+        self._state = state
+        self._upstream = local
+        self._jobs: dict[tuple[str, int], upstream.Job] = {}
+
+    def take(
+        self, work: wire.Work, reply: Callable[[wire.Message], None]
+    ) -> None:
+        """Takes a request, and replies once with its outcome."""
+        is_wrong = work.target_incarnation != self._state.incarnation
+        if is_wrong or work.service != self._state.service:
+            reply(
+                wire.Outcome(
+                    number=work.number,
+                    verdict=wire.Verdict.NOT_RUN,
+                    reason=wire.Reason.NOT_OWNER,
+                )
+            )
+            return
+        name = (work.origin, work.number)
+
+        def finish(outcome: wire.Outcome) -> None:
+            self._jobs.pop(name, None)
+            reply(outcome)
+
+        job = self._upstream.submit(work, finish)
+        if job is not None and not job.is_ended:
+            self._jobs[name] = job
+
+    def cancel(self, message: wire.Cancel) -> None:
+        """Drops a request whose caller no longer waits."""
+        job = self._jobs.pop((message.origin, message.number), None)
+        if job is not None:
+            self._upstream.cancel(job)
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -9,6 +9,7 @@
 from rhubarblead.platform import heads
 from rhubarblead.platform import settings
 from rhubarblead.requests import waiting
+from rhubarblead.router import crashes
 from rhubarblead.router import http_client
 from rhubarblead.router import journal
 from rhubarblead.router import wire
@@ -25,6 +26,9 @@
 LATE_ANSWER_MS = 150
 """Beyond the deadline; the server itself answers at the deadline."""
 
+STUCK_MS = 900
+"""Without any answer while requests run; most runs take less than 0.5 s."""
+
 SETTLE_MS = 30
 """A cancelled request frees its slot so much later."""
 
@@ -48,6 +52,8 @@
     """The server beside this node, with its queue and connections."""
 
     __slots__ = (
+        "_answered_at_ms",
+        "_closed_reason",
         "_demand",
         "_is_held",
         "_jobs",
@@ -58,9 +64,9 @@
         "_pool",
         "_room",
         "_wake",
+        "crashes",
         "is_reachable",
         "is_serving",
-        "on_crash",
         "server_id",
     )
 
@@ -71,6 +77,7 @@
         events: journal.Journal,
         now_ms: Callable[[], int],
         is_held: Callable[[int], bool],
+        broadcast: Callable[[wire.Message], None],
     ) -> None:
         """Makes an upstream of which nothing is known yet.
 
@@ -79,6 +86,7 @@
             events: The journal.
             now_ms: A clock that goes on while the instance is suspended.
             is_held: Tells whether the server holds a key now.
+            broadcast: Sends a message to all nodes.
         """
         self._loop = asyncio.get_running_loop()
         self._journal = events
@@ -92,10 +100,17 @@
         self._jobs: dict[int, Job] = {}
         self._next_number = 0
         self._wake: asyncio.TimerHandle | None = None
+        self._answered_at_ms = 0
+        self._closed_reason = wire.Reason.LEAVING
         self.server_id = ""
         self.is_serving = False
         self.is_reachable = True
-        self.on_crash: Callable[[list[wire.Work]], None] | None = None
+        self.crashes = crashes.CrashWatch(
+            pool=self._pool,
+            events=events,
+            now_ms=now_ms,
+            broadcast=broadcast,
+        )
 
     @property
     def room(self) -> waiting.WaitingRoom:
@@ -131,7 +146,10 @@
             The job to cancel, or None when it is over already.
         """
         if not self.is_serving or not self.server_id:
-            reply(self._refuse(work, wire.Reason.LEAVING))
+            reply(self._refuse(work, self._closed_reason))
+            return None
+        if self.crashes.is_condemned(work):
+            reply(self._refuse(work, wire.Reason.POISON))
             return None
         now_ms = self._now_ms()
         if work.key != wire.NO_KEY:
@@ -185,11 +203,28 @@
                 return
             self._run(self._jobs[ticket.number])
 
-    def turn_away_all(self) -> None:
-        """Refuses all waiting requests, as the server leaves."""
+    def turn_away_all(self, reason: wire.Reason) -> None:
+        """Takes no more requests, and refuses those that wait."""
+        self.is_serving = False
+        self._closed_reason = reason
         for ticket in self._room.list_waiting():
             self._room.withdraw(ticket.number)
-            self._refuse_waiting(ticket.number, wire.Reason.LEAVING)
+            self._refuse_waiting(ticket.number, reason)
+
+    def is_stuck(self) -> bool:
+        """Tells whether requests run, and none was answered for a while."""
+        if not any(job.is_sent for job in self._jobs.values()):
+            return False
+        return self._now_ms() - self._answered_at_ms > STUCK_MS
+
+    def stop_serving(self, reason: wire.Reason) -> None:
+        """Gives up a server that is gone, and what may run elsewhere."""
+        self.turn_away_all(reason)
+        for job in list(self._jobs.values()):
+            if job.is_sent and not job.work.is_once:
+                self._report_unusable(job, "silent server")
+                self._stop_running(job)
+                self._end(job, self._make_broken(job))
 
     def close(self) -> None:
         """Closes all connections."""
@@ -325,20 +360,16 @@
             return
         match result:
             case http_client.Received():
+                self._answered_at_ms = self._now_ms()
                 outcome = self._judge(job, result)
                 self._note_idle_timeout(result)
             case http_client.Broken(failure=failure):
                 self._report_unusable(job, failure.value)
                 outcome = self._make_broken(job)
                 if failure is http_client.Failure.CLOSED:
-                    self._check_crash()
+                    self.crashes.take_reset(job.work)
         self._end(job, outcome)
 
-    def _check_crash(self) -> None:
-        """Reports what runs when the server resets its connections."""
-        if self.on_crash is not None:
-            self.on_crash([j.work for j in self._jobs.values() if j.is_sent])
-
     def _judge(self, job: Job, received: http_client.Received) -> wire.Outcome:
         work = job.work
         head = heads.read_answer(received.fields)
@@ -354,6 +385,7 @@
             outcome = self._refuse(work, reason)
             outcome.has_arrived = True
             return outcome
+        self.crashes.take_answer(work)
         cause = _find_fault(received, head)
         if cause:
             self._report_unusable(job, cause)
--- a/src/rhubarblead/router/wire.py
+++ b/src/rhubarblead/router/wire.py
@@ -151,8 +151,54 @@
     fingerprints: list[int]
 
 
+class LeaseHeartbeat(msgspec.Struct, tag=9, array_like=True, kw_only=True):
+    """A node asks its granter for a promise (see `keyspace.promises`).
+
+    `row_revision` is the revision of the node's row in the store.
+    """
+
+    node_id: str
+    incarnation: str
+    term: int
+    sequence: int
+    row_revision: int
+    is_bound: bool
+
+
+class Promise(msgspec.Struct, tag=10, array_like=True, kw_only=True):
+    """A granter promises, counted from the heartbeat with this number."""
+
+    term: int
+    sequence: int
+
+
+class LeaseLeave(msgspec.Struct, tag=11, array_like=True, kw_only=True):
+    """A node restarts, and asks its granter not to take its keys."""
+
+    node_id: str
+    incarnation: str
+    term: int
+
+
+class Release(msgspec.Struct, tag=12, array_like=True, kw_only=True):
+    """A granter takes no keys in this term."""
+
+    term: int
+
+
 Message: TypeAlias = (
-    Work | Outcome | Cancel | State | Changed | Wanted | Whole | Suspects
+    Work
+    | Outcome
+    | Cancel
+    | State
+    | Changed
+    | Wanted
+    | Whole
+    | Suspects
+    | LeaseHeartbeat
+    | Promise
+    | LeaseLeave
+    | Release
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/tests/rhubarblead/requests/waiting.feature
+++ b/tests/rhubarblead/requests/waiting.feature
@@ -48,6 +48,13 @@
     And request z comes as late
     Then request z is turned away
 
+  Scenario: Of those that have become late while they waited, the surplus goes
+    Given 2 slots and runs of 200 ms
+    When requests a and b come
+    And 6 requests come that can wait 500 ms
+    And 400 ms pass
+    Then 5 of them are turned away, and 1 waits
+
   Scenario: A request whose key isn't held yet leaves the slot to others
     Given 1 slots and runs of 200 ms
     When request k comes for a key that isn't held
--- /dev/null
+++ b/tests/rhubarblead/router/ownership.feature
@@ -0,0 +1,68 @@
+Feature: Every key has one owner through failures, and gets it back in time
+
+  Scenario: Nodes that start together share out all keys
+    Given a world of 6 nodes
+    When 8000 ms go by in the world
+    Then all keys are held
+    And no key had two holders
+
+  Scenario Outline: A failure costs a bounded time without an owner
+    Given a world of 6 nodes that has settled
+    When <failure> fails in the world
+    And <wait> ms go by in the world
+    Then all keys are held
+    And no key had two holders
+
+    Examples: waits are the bounds of each case
+      | failure                    | wait  |
+      | an instance                | 5200  |
+      | two instances              | 6200  |
+      | a server for good          | 5200  |
+      | a server that comes back   | 2000  |
+      | a node that comes back     | 2500  |
+      | a planned restart          | 2500  |
+      | a draining server          | 2500  |
+      | everything at once         | 4500  |
+
+  Scenario: Keys stay with their owners while the store is away
+    Given a world of 6 nodes that has settled
+    When the store is down in the world
+    And 8500 ms go by in the world
+    Then all keys are held
+    And no key had two holders
+
+  Scenario: Keys stay with a node that only the store turns away
+    Given a world of 6 nodes that has settled
+    When node n1 is cut from the store
+    And 8500 ms go by in the world
+    Then all keys are held
+    And n1's server holds keys
+    And no key had two holders
+
+  Scenario: A node that nobody reaches loses its keys to others
+    Given a world of 6 nodes that has settled
+    When node n1 is cut from the store
+    And node n1 is cut from all nodes
+    And 6000 ms go by in the world
+    Then all keys are held
+    And n1's server holds no keys
+    And no key had two holders
+
+  Scenario: A restarted node waits for what its earlier process has granted
+    Given a world of 6 nodes that has settled
+    When node n1 restarts while the others can't hear it
+    And 600 ms go by in the world
+    Then no key had two holders
+
+  Scenario: A server that has left gets no keys, whoever plans
+    Given a world of 6 nodes that has settled
+    When a draining server fails in the world
+    And 6000 ms go by in the world
+    Then n1's server holds no keys
+
+  Scenario Outline: Random failures never give a key to two servers
+    Then <count> random stories of a world with seed <seed> keep every rule
+
+    Examples:
+      | count | seed |
+      | 12    | 1    |
--- a/tests/steps/requests_waiting.py
+++ b/tests/steps/requests_waiting.py
@@ -82,6 +82,26 @@
         _offer(context, _make_ticket(context, name, kind="late"))
 
 
+@behave.when("{count:d} requests come that can wait {target:d} ms")
+def come_together(context: runner.Context, count: int, target: int) -> None:
+    for number in range(count):
+        ticket = waiting.Ticket(
+            number=ord("A") + number,
+            route="r",
+            priority=1,
+            is_call=False,
+            target_at_ms=context.now_ms + target,
+            deadline_at_ms=context.now_ms + _DEADLINE_MS,
+        )
+        context.room._tickets[ticket.number] = ticket
+
+
+@behave.then("{gone:d} of them are turned away, and {left:d} waits")
+def check_surplus(context: runner.Context, gone: int, left: int) -> None:
+    assert len(context.expired) == gone, context.expired
+    assert context.room.waiting_count == left
+
+
 @behave.when("request {name:w} comes and may not wait")
 def come_in_haste(context: runner.Context, name: str) -> None:
     _offer(context, _make_ticket(context, name, may_wait=False))
