--- a/src/rhubarblead/cli.py
+++ b/src/rhubarblead/cli.py
@@ -19,6 +19,7 @@
 from rhubarblead import settings
 from rhubarblead.events import filters
 from rhubarblead.operate import admin
+from rhubarblead.operate import explain
 from rhubarblead.operate import fleet
 from rhubarblead.operate import lookups
 from rhubarblead.operate import outcome
@@ -52,6 +53,16 @@
         self.settings = settings_command.SettingsCommand()
         self.tables = tables.TablesCommand
 
+    @_keep_text("request")
+    def explain(self, *files: str, request: str) -> outcome.Outcome:
+        """Shows what the logs of all processes say of one request.
+
+        Args:
+            files: Collected logs of the routers.
+            request: The request's id.
+        """
+        return explain.explain(request, [str(name) for name in files])
+
     @_keep_text("settings")
     def node(self, settings: str) -> outcome.Command:  # noqa: A002
         """Runs the node process until it is told to stop.
--- a/src/rhubarblead/keyspace/holdings.py
+++ b/src/rhubarblead/keyspace/holdings.py
@@ -4,6 +4,7 @@
 says that it has released it, or until its hold has certainly run out.
 """
 
+import bisect
 from collections.abc import Iterable
 import dataclasses
 
@@ -19,9 +20,6 @@
 MAX_TOKENS = 20
 """Ranges, and tokens of new ones, that fit into an answer of 4 KiB."""
 
-TAKE_MS = 3
-"""From the answer to a heartbeat until its server has read the grants."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Reply:
@@ -50,7 +48,8 @@
 
     __slots__ = (
         "_granted",
-        "_granted_from_ms",
+        "_granted_firsts",
+        "_granted_lasts",
         "_granted_until_ms",
         "_last_sequence",
         "_owned",
@@ -66,7 +65,8 @@
         """
         self._owned: dict[tuple[int, int], assignment.KeyRange] = {}
         self._granted: set[tuple[int, int, int]] = set()
-        self._granted_from_ms = 0
+        self._granted_firsts: list[int] = []
+        self._granted_lasts: list[int] = []
         self._granted_until_ms = held_until_ms
         self._releases: dict[tuple[int, int], _Release] = {}
         self._last_sequence = -1
@@ -146,7 +146,9 @@
                 release.asked_sequence = self._last_sequence
         ranges = self._list_granted()
         self._granted = {(r.first, r.last, r.fence) for r in ranges}
-        self._granted_from_ms = now_ms + TAKE_MS
+        # Asked for each waiting request; the ranges are in order of keys.
+        self._granted_firsts = [item.first for item in ranges]
+        self._granted_lasts = [item.last for item in ranges]
         self._granted_until_ms = max(
             self._granted_until_ms, now_ms + int(hold_ms * CLOCK_SLOWNESS) + 1
         )
@@ -171,10 +173,14 @@
         """Tells whether the server holds a key and is to go on holding it."""
         if now_ms >= self._granted_until_ms:
             return False
-        for first, last, _ in self._granted:
-            if first <= key <= last:
-                return not self.is_releasing(key)
-        return False
+        index = bisect.bisect_right(self._granted_firsts, key) - 1
+        if index < 0 or key > self._granted_lasts[index]:
+            return False
+        # Until the server is told, it may as well go on with the key.
+        return not any(
+            first <= key <= last and release.asked_sequence is not None
+            for (first, last), release in self._releases.items()
+        )
 
     def is_releasing(self, key: int) -> bool:
         """Tells whether a key is being taken from the server."""
@@ -191,6 +197,15 @@
             )
             self._split_owned(span)
 
+    def follow_earlier(self, held_until_ms: int) -> None:
+        """Takes until when an earlier process has let the server hold keys."""
+        if not self._granted:
+            self._granted_until_ms = held_until_ms
+
+    def give_back(self) -> None:
+        """Lets the server keep what was being taken from it."""
+        self._releases.clear()
+
     def expire(self, now_ms: int) -> None:
         """Ends the releases whose hold has certainly run out."""
         for release in self._releases.values():
--- a/src/rhubarblead/keyspace/lease.py
+++ b/src/rhubarblead/keyspace/lease.py
@@ -88,7 +88,10 @@
             self._renew_at_ms = sent_at_ms
             return
         self._ends_store_ms = ends_store_ms
-        self._renew_at_ms = sent_at_ms + RENEW_AFTER_MS
+        # The end of an earlier process may be near.
+        left_ms = ends_store_ms - self._clock.find_latest(sent_at_ms)
+        passed_ms = max(0, DURATION_MS - left_ms)
+        self._renew_at_ms = sent_at_ms + max(0, RENEW_AFTER_MS - passed_ms)
 
     def failed(self, now_ms: int) -> None:
         """Takes note that a renewal was not acknowledged."""
--- a/src/rhubarblead/keyspace/members.py
+++ b/src/rhubarblead/keyspace/members.py
@@ -13,7 +13,8 @@
     `ends_store_ms` is the store time at which its lease ends, 0 for a node
     whose server holds no keys. `born_ms` is 0 while no server is known.
     `granter` is the process that may take its keys by short promises, and
-    `term` counts the choices of it by this process.
+    `term` counts the choices of it by this process. `hold_ms` is the longest
+    hold that the process has let its server have, from the last heartbeat on.
     """
 
     node_id: str
@@ -25,6 +26,7 @@
     ends_store_ms: int = 0
     granter: str = ""
     term: int = 0
+    hold_ms: int = 0
 
 
 def encode(member: Member) -> bytes:
--- a/src/rhubarblead/keyspace/planning.py
+++ b/src/rhubarblead/keyspace/planning.py
@@ -23,7 +23,7 @@
 LACKING_LOAD = 0.4
 """A server with few keys and more load than this is slow, not new."""
 
-WELCOME_SHARE = 0.6
+WELCOME_SHARE = 0.4
 """Of a fair share, up to which a new server gets keys by their number."""
 
 BEARABLE_LOAD = 0.6
--- /dev/null
+++ b/src/rhubarblead/operate/explain.py
@@ -0,0 +1,105 @@
+"""Shows what the logs of all processes say of one request."""
+
+from collections.abc import Iterable
+import pathlib
+from typing import Any
+
+import msgspec
+
+from rhubarblead.operate import outcome
+
+AROUND_MS = 4_000
+"""Before a request's last line; a takeover of keys takes as long."""
+
+_STATE_RANGES = frozenset({30, 31, 32, 33, 34})
+"""Hundreds of the numbers of events that change what a node believes."""
+
+_HIDDEN = frozenset({"wall_ms", "instance", "number", "event"})
+
+
+def explain(request: str, files: Iterable[str]) -> outcome.Outcome:
+    """Merges the lines of one request, and of what happened around it.
+
+    Args:
+        request: The request's id.
+        files: Collected logs; lines that are no JSON objects are passed over,
+            and what stands before an object in a line, too.
+
+    Returns:
+        The lines in order of time, those of the request marked with `>`.
+    """
+    records: list[dict[str, Any]] = []
+    complaints: list[str] = []
+    for name in files:
+        try:
+            text = pathlib.Path(name).read_text(
+                encoding="utf-8", errors="replace"
+            )
+        except OSError as error:
+            return outcome.refuse(f"{name}: {error.strerror}")
+        found, unreadable_count = _read_records(text)
+        records.extend(found)
+        if unreadable_count:
+            complaints.append(f"{name}: {unreadable_count} lines passed over")
+    own = [r for r in records if r.get("request_id") == request]
+    if not own:
+        return outcome.refuse(f"no line names the request {request!r}")
+    shown = own + _list_around(records, own)
+    shown.sort(key=_get_time)
+    first_ms = _get_time(shown[0])
+    return outcome.Outcome(
+        text="\n".join(_describe(r, first_ms, request) for r in shown),
+        complaints=tuple(complaints),
+    )
+
+
+def _read_records(text: str) -> tuple[list[dict[str, Any]], int]:
+    records = []
+    unreadable_count = 0
+    for line in text.splitlines():
+        begin = line.find("{")
+        try:
+            record = msgspec.json.decode(line[begin:])
+        except msgspec.DecodeError:
+            unreadable_count += 1
+            continue
+        if isinstance(record, dict) and "wall_ms" in record:
+            records.append(record)
+        else:
+            unreadable_count += 1
+    return records, unreadable_count
+
+
+def _list_around(
+    records: list[dict[str, Any]], own: list[dict[str, Any]]
+) -> list[dict[str, Any]]:
+    """Lists what changed at the request's nodes while it went on."""
+    nodes = {record["instance"] for record in own}
+    nodes |= {
+        str(record.get("node_id", "")).partition("@")[0] for record in own
+    }
+    last_ms = max(map(_get_time, own))
+    return [
+        record
+        for record in records
+        if record["instance"] in nodes
+        and record.get("number", 0) // 100 in _STATE_RANGES
+        and last_ms - AROUND_MS <= _get_time(record) <= last_ms
+    ]
+
+
+def _get_time(record: dict[str, Any]) -> int:
+    return int(record["wall_ms"])
+
+
+def _describe(record: dict[str, Any], first_ms: int, request: str) -> str:
+    mark = ">" if record.get("request_id") == request else " "
+    fields = " ".join(
+        f"{name}={value}"
+        for name, value in record.items()
+        if name not in _HIDDEN
+    )
+    return (
+        f"{mark} {_get_time(record) - first_ms:6d} ms {record['instance']}"
+        f" {record['event']} {fields}"
+    )
--- a/src/rhubarblead/requests/waiting.py
+++ b/src/rhubarblead/requests/waiting.py
@@ -24,8 +24,11 @@
 MAX_LATE_PER_SLOT = 0.5
 """Waiting requests for each slot that will miss their target."""
 
-OVERTAKING = 1.5
-"""By which the wait of a request grows that more urgent ones overtake."""
+MAX_PARKED_PER_SLOT = 3
+"""Requests for each slot that wait for keys; more could hardly be served."""
+
+PARKED_RETRY_MS = 700
+"""Until keys that move have arrived: a heartbeat of the server."""
 
 _FAR_MS = 60_000
 
@@ -80,10 +83,18 @@
 IsReady: TypeAlias = Callable[[Ticket], bool]
 
 
+def accept_all(ticket: Ticket) -> bool:
+    """Takes each request for one that may run."""
+    del ticket
+    return True
+
+
 class WaitingRoom:
     """Slots of one server, and the requests that wait for them."""
 
     __slots__ = (
+        "_is_ready",
+        "_parked",
         "_mean_run_ms",
         "_ran_at_ms",
         "_running",
@@ -92,9 +103,20 @@
         "_tickets",
     )
 
-    def __init__(self, *, slot_count: int) -> None:
+    def __init__(
+        self, *, slot_count: int, is_ready: IsReady = accept_all
+    ) -> None:
+        """Makes a room with free slots.
+
+        Args:
+            slot_count: How many requests run at a time.
+            is_ready: Tells whether the server holds a request's key; others
+                wait without being in anybody's way.
+        """
+        self._is_ready = is_ready
         self._slot_count = slot_count
         self._tickets: dict[int, Ticket] = {}
+        self._parked: dict[int, Ticket] = {}
         self._running: dict[int, tuple[str, int]] = {}
         self._service_ms: dict[str, float] = {}
         self._ran_at_ms: dict[str, int] = {}
@@ -117,11 +139,11 @@
     @property
     def waiting_count(self) -> int:
         """How many requests wait."""
-        return len(self._tickets)
+        return len(self._tickets) + len(self._parked)
 
     def list_waiting(self) -> list[Ticket]:
         """Lists the requests that wait."""
-        return list(self._tickets.values())
+        return [*self._tickets.values(), *self._parked.values()]
 
     def find_service_ms(self, route: str) -> float:
         """Finds the mean time of a route's runs at this server."""
@@ -180,44 +202,48 @@
         )
         return self.find_wait_ms(probe, now_ms)
 
-    def offer(self, ticket: Ticket, now_ms: int, *, is_parked: bool) -> Offer:
+    def offer(self, ticket: Ticket, now_ms: int) -> Offer:
         """Decides on a request that has just come.
 
         Args:
             ticket: The request.
             now_ms: The present moment.
-            is_parked: Whether the server doesn't hold its key yet.
         """
+        if not self._is_ready(ticket):
+            return self._park(ticket)
         is_free = len(self._running) < self._slot_count
         wait_ms = self.find_wait_ms(ticket, now_ms)
-        if is_free and not is_parked and wait_ms <= 0:
+        if is_free and wait_ms <= 0:
             self._start(ticket, now_ms)
             return Start()
         if not ticket.may_wait:
             return Busy(wait_ms=int(wait_ms) + 1)
-        if self._is_hopeless(ticket, now_ms + wait_ms * OVERTAKING):
+        if self._is_hopeless(ticket, now_ms + wait_ms):
             return self.turn_away(wait_ms)
         self._tickets[ticket.number] = ticket
         return Queued()
 
-    def take_next(
-        self, now_ms: int, is_ready: IsReady
-    ) -> tuple[Ticket | None, list[Ticket]]:
+    def take_next(self, now_ms: int) -> tuple[Ticket | None, list[Ticket]]:
         """Takes the request that runs next, if a slot is free.
 
         Args:
             now_ms: The present moment.
-            is_ready: Tells whether the server holds a request's key.
 
         Returns:
             The request, if any, and those that can't be served any more.
         """
-        expired = self._list_hopeless(now_ms)
+        self._unpark()
+        expired = [
+            ticket
+            for ticket in self.list_waiting()
+            if self._is_too_late(ticket, now_ms)
+        ]
         for ticket in expired:
-            del self._tickets[ticket.number]
+            self.withdraw(ticket.number)
         if len(self._running) >= self._slot_count:
             return None, expired
-        ready = [t for t in self._tickets.values() if is_ready(t)]
+        # A key that has left the server meanwhile waits for its next owner.
+        ready = [t for t in self._tickets.values() if self._is_ready(t)]
         if not ready:
             return None, expired
         chosen = min(ready, key=lambda ticket: self._rank(ticket, now_ms))
@@ -227,7 +253,8 @@
 
     def withdraw(self, number: int) -> Ticket | None:
         """Removes a waiting request; returns None when it doesn't wait."""
-        return self._tickets.pop(number, None)
+        parked = self._parked.pop(number, None)
+        return parked or self._tickets.pop(number, None)
 
     def finish(self, number: int, now_ms: int, *, is_whole: bool) -> None:
         """Frees the slot of a request.
@@ -257,6 +284,20 @@
         after_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms))
         return TurnAway(retry_after_ms=int(after_ms))
 
+    def _park(self, ticket: Ticket) -> Offer:
+        """Has a request wait for its key, in nobody's way."""
+        if len(self._parked) >= MAX_PARKED_PER_SLOT * self._slot_count:
+            return self.turn_away(PARKED_RETRY_MS)
+        self._parked[ticket.number] = ticket
+        return Queued()
+
+    def _unpark(self) -> None:
+        """Lets the requests queue whose keys the server holds by now."""
+        for ticket in list(self._parked.values()):
+            if self._is_ready(ticket):
+                del self._parked[ticket.number]
+                self._tickets[ticket.number] = ticket
+
     def _start(self, ticket: Ticket, now_ms: int) -> None:
         self._running[ticket.number] = (ticket.route, now_ms)
 
@@ -282,21 +323,6 @@
         )
         return late_count >= MAX_LATE_PER_SLOT * self._slot_count
 
-    def _list_hopeless(self, now_ms: int) -> list[Ticket]:
-        """Lists what can't end in its time, or will be late behind others."""
-        hopeless: list[Ticket] = []
-        late: list[Ticket] = []
-        for ticket in self._tickets.values():
-            if self._is_too_late(ticket, now_ms):
-                hopeless.append(ticket)
-            elif self._rank(ticket, now_ms)[1]:
-                late.append(ticket)
-        most = int(MAX_LATE_PER_SLOT * self._slot_count)
-        if len(late) > most:
-            late.sort(key=lambda ticket: self._rank(ticket, now_ms))
-            hopeless.extend(late[most:])
-        return hopeless
-
     def _is_too_late(self, ticket: Ticket, now_ms: int) -> bool:
         service_ms = self.find_service_ms(ticket.route)
         return now_ms + service_ms * FINISH_SHARE > ticket.deadline_at_ms
--- a/src/rhubarblead/router/directory.py
+++ b/src/rhubarblead/router/directory.py
@@ -8,7 +8,7 @@
 from rhubarblead.requests import placement
 from rhubarblead.router import wire
 
-STATE_VALID_MS = 6_000
+STATE_VALID_MS = 8_000
 """Without news of a node for so long, its server is taken to be gone."""
 
 
@@ -45,6 +45,19 @@
         self._heard_at_ms[state.node_id] = now_ms
         self._lost_at_ms.pop(state.node_id, None)
 
+    def take_load(self, message: wire.Load, now_ms: int) -> wire.State | None:
+        """Takes the newest load of a process.
+
+        Returns:
+            Its state, or None where the process isn't known.
+        """
+        for node_id, state in self._states.items():
+            if state.incarnation == message.incarnation:
+                state.load = message.load
+                self._heard_at_ms[node_id] = now_ms
+                return state
+        return None
+
     def find_absence_ms(self, node_id: str, now_ms: int) -> int:
         """Finds for how long a node has been out of reach."""
         lost_at_ms = self._lost_at_ms.get(node_id)
@@ -62,6 +75,10 @@
             return self._own_state
         return self._states.get(node_id)
 
+    def list_states(self) -> list[wire.State]:
+        """Lists the newest states of the other nodes in reach."""
+        return list(self._states.values())
+
     def count_nodes(self) -> int:
         """Counts the nodes that are known, with this one."""
         return len(self._states) + 1
@@ -87,8 +104,8 @@
         return [
             planning.Candidate(
                 owner=assignment.name_owner(state.node_id, state.born_ms),
-                load=state.load_per_mille / 1_000,
-                capacity_per_s=state.capacity_per_s,
+                load=state.load.load_per_mille / 1_000,
+                capacity_per_s=state.load.capacity_per_s,
             )
             for state, _ in self.list_servers(service, now_ms)
             if state.born_ms and not state.is_stopping
@@ -105,11 +122,11 @@
                     state.failure_domain == self._own_state.failure_domain
                 ),
                 free_count=state.slot_count
-                - state.running_count
-                - state.waiting_count,
-                wait_ms=state.wait_ms,
+                - state.load.running_count
+                - state.load.waiting_count,
+                wait_ms=state.load.wait_ms,
                 age_ms=age_ms,
-                service_ms=state.service_ms.get(route),
+                service_ms=state.load.service_ms.get(route),
             )
             for state, age_ms in self.list_servers(service, now_ms)
         ]
--- a/src/rhubarblead/router/entry.py
+++ b/src/rhubarblead/router/entry.py
@@ -32,6 +32,9 @@
 """For a request that has crashed several servers; it earns nothing."""
 
 PARK_CHECK_S = 0.05
+PARK_RETRY_MS = 250
+"""Between tries at the same node; hundreds may wait for one that restarts."""
+
 SHED_PAUSE_S = 0.03
 """Before a request goes again to a server that has turned it away."""
 
@@ -64,6 +67,7 @@
     sent_count: int = 0
     bounce_count: int = 0
     parked_at_ms: int | None = None
+    retry_at_ms: int = 0
     may_have_run: bool = False
     is_ended: bool = False
     refused_waits: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -192,12 +196,29 @@
             )
         return len(lost)
 
-    def wake_parked(self) -> None:
-        """Tries again what waits for a node or an owner."""
+    def wake_parked(self, node_id: str = "") -> None:
+        """Tries again what waits for a node or an owner, and has a chance.
+
+        Args:
+            node_id: A node that is in reach again, or has told of a change.
+        """
+        now_ms = self._now_ms()
         parked, self._parked = self._parked, []
         for attempt in parked:
-            if not attempt.is_ended:
+            if attempt.is_ended:
+                continue
+            if self._has_chance(attempt, node_id, now_ms):
                 self._dispatch(attempt)
+            else:
+                self._parked.append(attempt)
+
+    def _has_chance(self, attempt: Attempt, node_id: str, now_ms: int) -> bool:
+        """Tells whether a parked request may fare better than before."""
+        if now_ms >= attempt.retry_at_ms or not attempt.is_keyed:
+            return True
+        assert attempt.head.key is not None
+        owner = self._directory.find_owner(attempt.service, attempt.head.key)
+        return bool(owner) and (owner == node_id or owner != attempt.node_id)
 
     def forget_shares(self) -> None:
         """Begins the split of traffic anew, after a change of the config."""
@@ -249,6 +270,8 @@
         node_id = self._directory.find_owner(attempt.service, attempt.head.key)
         if node_id and self._send(attempt, node_id, may_wait=True):
             return
+        # For the log: where the request would have gone.
+        attempt.node_id = node_id
         absence_ms = self._directory.find_absence_ms(node_id, self._now_ms())
         if absence_ms > PARK_MS:
             # Its keys come back when its promises have ended, not before.
@@ -362,8 +385,11 @@
             case wire.Reason.BUSY:
                 attempt.refused_waits[node_id] = outcome.wait_ms
                 self._dispatch(attempt)
+            case wire.Reason.NOT_OWNER if outcome.has_arrived:
+                # The server itself has refused; each arrival counts.
+                self._take_shed(attempt)
             case wire.Reason.NOT_OWNER:
-                self._park(attempt)
+                self._follow_owner(attempt)
             case wire.Reason.LEAVING | wire.Reason.SERVER_GONE:
                 attempt.excluded.add(node_id)
                 if not attempt.is_keyed:
@@ -380,6 +406,16 @@
                 cause = wire.Reason(outcome.reason).name.lower()
                 self._give_up(attempt, cause, outcome.wait_ms)
 
+    def _follow_owner(self, attempt: Attempt) -> None:
+        """Sends a request to the owner that is known by now."""
+        assert attempt.head.key is not None
+        node_id = self._directory.find_owner(attempt.service, attempt.head.key)
+        if node_id == attempt.node_id or attempt.bounce_count >= MAX_BOUNCES:
+            self._park(attempt)
+            return
+        attempt.bounce_count += 1
+        self._dispatch(attempt)
+
     def _take_shed(self, attempt: Attempt) -> None:
         if not self._may_send_again(attempt):
             self._give_up(attempt, "shed", 0)
@@ -424,6 +460,7 @@
         if now_ms - attempt.parked_at_ms > PARK_MS:
             self._give_up(attempt, "no owner in reach", PARK_MS // 2)
             return
+        attempt.retry_at_ms = now_ms + PARK_RETRY_MS
         self._parked.append(attempt)
         if self._park_timer is None:
             self._park_timer = self._loop.call_later(
@@ -433,6 +470,10 @@
     def _check_parked(self) -> None:
         self._park_timer = None
         self.wake_parked()
+        if self._parked and self._park_timer is None:
+            self._park_timer = self._loop.call_later(
+                PARK_CHECK_S, self._check_parked
+            )
 
     def _run_out(self, attempt: Attempt) -> None:
         """Ends a request at its deadline."""
--- a/src/rhubarblead/router/news.py
+++ b/src/rhubarblead/router/news.py
@@ -39,7 +39,7 @@
         owner: ownership.Ownership,
         events: journal.Journal,
         now_ms: Callable[[], int],
-        on_news: Callable[[], None],
+        on_news: Callable[[str], None],
     ) -> None:
         """Makes the part.
 
@@ -67,20 +67,30 @@
         if state.node_id == self._state.node_id:
             return
         self._links.connect(state.node_id, state.address)
-        if not self._links.is_up(state.node_id):
-            return
+        # It is kept also while the own link isn't up yet: it isn't sent again
+        # soon, and what can't be sent over the link certainly isn't.
         self._directory.take_state(state, self._clock_ms())
+        self._compare(state)
+        self._on_news(state.node_id)
+
+    def take_load(self, message: wire.Load) -> None:
+        """Takes the newest load of another node."""
+        state = self._directory.take_load(message, self._clock_ms())
+        if state is not None:
+            self._compare(state)
+
+    def _compare(self, state: wire.State) -> None:
+        """Asks later for what another node has and this one hasn't."""
         mine = self._directory.list_revisions()
-        is_behind = state.config_version > self._config.version or any(
+        is_behind = state.load.config_version > self._config.version or any(
             revision > mine.get(service, 0)
             for service, revision in state.assignments.items()
         )
         if is_behind:
             self._loop.call_later(ASK_AGAIN_S, self._ask_missed, state)
-        self._on_news()
 
     def _ask_missed(self, state: wire.State) -> None:
-        if state.config_version > self._config.version:
+        if state.load.config_version > self._config.version:
             self._links.send(state.node_id, wire.Wanted(service=""))
         mine = self._directory.list_revisions()
         for service, revision in state.assignments.items():
@@ -109,6 +119,21 @@
                 )
             )
 
+    def take(
+        self,
+        message: wire.Changed | wire.Wanted | wire.Whole,
+        reply: Callable[[wire.Message], None],
+    ) -> None:
+        """Takes what another node tells or asks of the shared values."""
+        match message:
+            case wire.Changed():
+                if not self._owner.assignments.take_changed(message):
+                    reply(wire.Wanted(service=message.service))
+            case wire.Wanted():
+                self.send_wanted(message.service, reply)
+            case wire.Whole():
+                self.take_whole(message)
+
     def answer(self, node_id: str, service: str) -> None:
         """Sends a node what it has asked for in a reply."""
         self.send_wanted(
@@ -124,7 +149,7 @@
         if not message.service:
             self._config.take(message.content, "node")
             return
-        self._owner.take_whole(
+        self._owner.assignments.take_whole(
             message.service, message.content, message.revision
         )
 
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -27,15 +27,14 @@
 from rhubarblead.router import ownership
 from rhubarblead.router import peers
 from rhubarblead.router import promising
+from rhubarblead.router import relay
 from rhubarblead.router import remote_work
 from rhubarblead.router import stopping
 from rhubarblead.router import store_client
+from rhubarblead.router import telling
 from rhubarblead.router import upstream
 from rhubarblead.router import wire
 
-STATE_EVERY_S = 1.5
-"""Between states that a node tells the others without a change."""
-
 WATCH_EVERY_S = 0.2
 SILENT_HEARTBEATS = 1.6
 """After so many without a word, a server that doesn't answer counts as gone."""
@@ -63,6 +62,7 @@
         "_news",
         "_owner",
         "_promising",
+        "_relay",
         "_remote",
         "_servers",
         "_started_at_s",
@@ -70,6 +70,7 @@
         "_stop",
         "_store",
         "_tasks",
+        "_telling",
         "_upstream",
     )
 
@@ -83,12 +84,15 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._state = _make_state(deployment)
         self._directory = directory.Directory(own_state=self._state)
-        self._store = store_client.StoreClient(address=deployment.store)
+        self._store = store_client.StoreClient(
+            address=deployment.store, now_ms=read_now_ms
+        )
         self._upstream = upstream.Upstream(
             address=deployment.upstream,
             events=self._journal,
             now_ms=read_now_ms,
             is_held=lambda key: self._owner.is_held(key),
+            is_owned=lambda key: self._owner.is_owned(key),
             broadcast=lambda message: self._links.broadcast(message),
         )
         self._links = peers.Links(
@@ -99,12 +103,29 @@
         self._promising = promising.Promising(
             known=self._directory, links=self._links, now_ms=read_now_ms
         )
+        self._relay = relay.Relay(
+            client=self._store,
+            known=self._directory,
+            links=self._links,
+            events=self._journal,
+            random_source=random.Random(secrets.randbits(64)),
+        )
+        self._store.relay = self._relay.call
         self._owner = self._make_owner()
         self._config = config_feed.ConfigFeed(
             client=self._store,
             events=self._journal,
             on_table=self._take_table,
         )
+        self._telling = telling.Telling(
+            known=self._directory,
+            links=self._links,
+            local=self._upstream,
+            owner=self._owner,
+            config=self._config,
+            client=self._store,
+            now_ms=read_now_ms,
+        )
         self._entry = self._make_entry()
         self._news = news.News(
             known=self._directory,
@@ -159,13 +180,14 @@
             )
             self._start(self._config.run())
             self._start(self._owner.run())
-            self._start(self._tell_often())
+            self._start(self._telling.run())
             self._start(self._watch_often())
             self._start(
                 self._promising.send_often(self._owner.get_own_revision)
             )
             await self._stop.wait()
             self._is_stopping = True
+            self._telling.is_stopping = True
             await self._make_stopping().run()
             for running in self._tasks:
                 running.cancel()
@@ -181,15 +203,14 @@
                 self._remote.take(message, reply)
             case wire.State():
                 self._news.take_state(message)
-            case wire.Changed():
-                if not self._owner.take_changed(message):
-                    reply(wire.Wanted(service=message.service))
-            case wire.Wanted():
-                self._news.send_wanted(message.service, reply)
-            case wire.Whole():
-                self._news.take_whole(message)
+            case wire.Load():
+                self._news.take_load(message)
+            case wire.Changed() | wire.Wanted() | wire.Whole():
+                self._news.take(message, reply)
             case wire.Suspects():
                 self._upstream.crashes.take_suspects(message)
+            case wire.StoreCall():
+                self._relay.take_call(message, reply)
             case wire.LeaseHeartbeat() | wire.LeaseLeave():
                 self._promising.take(message, reply)
             case wire.Cancel():
@@ -200,6 +221,8 @@
     def take_reply(self, node_id: str, message: wire.Message) -> None:
         """Takes a reply to what this node has asked."""
         match message:
+            case wire.StoreReply():
+                self._relay.take_reply(message)
             case wire.Promise():
                 self._promising.holder.take_promise(
                     message.term, message.sequence
@@ -218,14 +241,14 @@
     def link_up(self, node_id: str) -> None:
         """Takes note that a link works, and introduces this node."""
         self._journal.emit(catalog.Event.LINK_UP, node_id=node_id)
-        self._owner.note_link(node_id, is_up=True)
-        self._links.send(node_id, self._refresh_state())
-        self._entry.wake_parked()
+        self._owner.losses.note_link(node_id, is_up=True)
+        self._links.send(node_id, self._telling.refresh())
+        self._entry.wake_parked(node_id)
 
     def link_down(self, node_id: str) -> None:
         """Takes note that a link is lost."""
         self._directory.lose(node_id, read_now_ms())
-        self._owner.note_link(node_id, is_up=False)
+        self._owner.losses.note_link(node_id, is_up=False)
         pending_count = self._entry.lose_node(node_id)
         self._journal.emit(
             catalog.Event.LINK_DOWN,
@@ -261,7 +284,7 @@
             broadcast=self._links.broadcast,
             on_change=self._take_ownership_change,
             find_rates=self._upstream.find_rates,
-            promising=self._promising,
+            promises=self._promising,
         )
 
     def _make_entry(self) -> entry.Entry:
@@ -355,6 +378,7 @@
         if life is not None and life.is_silent:
             self._upstream.is_serving = False
             self._tell_state()
+        self._upstream.turn_away_foreign()
         self._upstream.pump()
         self._entry.wake_parked()
 
@@ -375,25 +399,6 @@
             self._watch_server()
             await asyncio.sleep(WATCH_EVERY_S)
 
-    def _refresh_state(self) -> wire.State:
-        state = self._state
-        room = self._upstream.room
-        life = self._owner.life
-        state.born_ms = life.born_ms if life is not None else 0
-        state.is_serving = self._upstream.is_serving
-        state.is_stopping = self._is_stopping
-        state.slot_count = room.slot_count
-        state.running_count = room.running_count
-        state.waiting_count = room.waiting_count
-        state.wait_ms = int(room.estimate_wait_ms(read_now_ms()))
-        state.service_ms = room.list_service_ms(read_now_ms())
-        state.capacity_per_s = self._upstream.find_capacity_per_s()
-        rate = sum(self._upstream.find_rates().values())
-        state.load_per_mille = int(1_000 * rate / state.capacity_per_s)
-        state.config_version = self._config.version
-        state.assignments = self._directory.list_revisions()
-        return state
-
     def _find_gauges(self) -> dict[str, float]:
         """Finds what the metrics page shows of the present."""
         room = self._upstream.room
@@ -409,12 +414,7 @@
         }
 
     def _tell_state(self) -> None:
-        self._links.broadcast(self._refresh_state())
-
-    async def _tell_often(self) -> None:
-        while True:
-            self._tell_state()
-            await asyncio.sleep(STATE_EVERY_S)
+        self._telling.tell()
 
     # Readiness, settings and the end.
 
@@ -453,14 +453,8 @@
         is_serving=False,
         is_stopping=False,
         slot_count=1,
-        running_count=0,
-        waiting_count=0,
-        wait_ms=0,
-        service_ms={},
-        load_per_mille=0,
-        capacity_per_s=0.0,
-        config_version=-1,
         assignments={},
+        load=wire.ServerLoad(),
     )
 
 
--- /dev/null
+++ b/src/rhubarblead/router/relay.py
@@ -0,0 +1,164 @@
+"""Calls to the store by way of another node.
+
+Answers a store that turns some nodes away and serves the others: their leases
+go on, and what they have released still finds its new owner.
+"""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+from rhubarblead.events import catalog
+from rhubarblead.platform import store
+from rhubarblead.router import directory
+from rhubarblead.router import http_client
+from rhubarblead.router import journal
+from rhubarblead.router import peers
+from rhubarblead.router import store_client
+from rhubarblead.router import wire
+
+REPLY_TIMEOUT_S = 0.9
+"""For the other node's call and the way there and back."""
+
+MAX_RUNNING = 8
+"""Calls for others at a time, so that none waits behind many."""
+
+
+class Relay:
+    """Makes calls by way of others, and for others."""
+
+    __slots__ = (
+        "_directory",
+        "_journal",
+        "_links",
+        "_loop",
+        "_next_number",
+        "_random",
+        "_running",
+        "_store",
+        "_waiting",
+    )
+
+    def __init__(
+        self,
+        *,
+        client: store_client.StoreClient,
+        known: directory.Directory,
+        links: peers.Links,
+        events: journal.Journal,
+        random_source: random.Random,
+    ) -> None:
+        self._loop = asyncio.get_running_loop()
+        self._store = client
+        self._directory = known
+        self._links = links
+        self._journal = events
+        self._random = random_source
+        self._next_number = 0
+        self._running: set[asyncio.Task[None]] = set()
+        self._waiting: dict[int, asyncio.Future[wire.StoreReply]] = {}
+
+    async def call(self, call: store.Call) -> http_client.Result:
+        """Has another node make a call.
+
+        Args:
+            call: The call, which may be made more than once.
+
+        Returns:
+            The store's answer, or that none came.
+        """
+        helpers = [
+            state.node_id
+            for state in self._directory.list_states()
+            if state.load.has_store and not state.is_stopping
+        ]
+        if not helpers:
+            return http_client.Broken(
+                failure=http_client.Failure.CONNECT, is_sent=False
+            )
+        self._next_number += 1
+        number = self._next_number
+        future: asyncio.Future[wire.StoreReply] = self._loop.create_future()
+        self._waiting[number] = future
+        message = wire.StoreCall(
+            number=number,
+            method=call.method,
+            target=call.target,
+            body=call.body,
+        )
+        try:
+            if not self._links.send(self._random.choice(helpers), message):
+                return http_client.Broken(
+                    failure=http_client.Failure.CONNECT, is_sent=False
+                )
+            async with asyncio.timeout(REPLY_TIMEOUT_S):
+                return _read(await future)
+        except TimeoutError:
+            return http_client.Broken(
+                failure=http_client.Failure.CLOSED, is_sent=True
+            )
+        finally:
+            del self._waiting[number]
+
+    def take_reply(self, reply: wire.StoreReply) -> None:
+        """Takes what came of a call that another node has made."""
+        future = self._waiting.get(reply.number)
+        if future is not None and not future.done():
+            future.set_result(reply)
+
+    def take_call(
+        self, message: wire.StoreCall, reply: Callable[[wire.Message], None]
+    ) -> None:
+        """Makes a call for another node."""
+        if len(self._running) >= MAX_RUNNING:
+            reply(
+                wire.StoreReply(
+                    number=message.number, status=0, is_sent=False, body=b""
+                )
+            )
+            return
+        task = self._loop.create_task(self._make(message, reply))
+        self._running.add(task)
+        task.add_done_callback(self._end)
+
+    async def _make(
+        self, message: wire.StoreCall, reply: Callable[[wire.Message], None]
+    ) -> None:
+        call = store.Call(
+            method=message.method, target=message.target, body=message.body
+        )
+        result = await self._store.pass_on(call)
+        match result:
+            case http_client.Received():
+                answer = wire.StoreReply(
+                    number=message.number,
+                    status=result.status,
+                    is_sent=True,
+                    body=result.body,
+                )
+            case _:
+                answer = wire.StoreReply(
+                    number=message.number,
+                    status=0,
+                    is_sent=result.is_sent,
+                    body=b"",
+                )
+        reply(answer)
+
+    def _end(self, task: "asyncio.Task[None]") -> None:
+        self._running.discard(task)
+        error = None if task.cancelled() else task.exception()
+        if error is not None:
+            self._journal.emit(
+                catalog.Event.INTERNAL_ERROR, task="relay", error=repr(error)
+            )
+
+
+def _read(reply: wire.StoreReply) -> http_client.Result:
+    if reply.status:
+        return http_client.Received(
+            status=reply.status, reason=b"", fields=[], body=reply.body
+        )
+    return http_client.Broken(
+        failure=http_client.Failure.CLOSED, is_sent=reply.is_sent
+    )
--- /dev/null
+++ b/src/rhubarblead/router/store_access.py
@@ -0,0 +1,133 @@
+"""Calls of the ownership task to the store: its time, failures and pauses."""
+
+from collections.abc import Callable
+
+from rhubarblead.events import catalog
+from rhubarblead.keyspace import lease
+from rhubarblead.keyspace import members
+from rhubarblead.platform import store
+from rhubarblead.router import journal
+from rhubarblead.router import store_client
+
+MEMBER_PREFIX = "m/"
+ASSIGNMENT_PREFIX = "a/"
+
+RETRY_AFTER_MS = 500
+"""After a call to the store that failed."""
+
+
+class StoreAccess:
+    """The store as the ownership task uses it, one call after the other."""
+
+    __slots__ = (
+        "_client",
+        "_has_failed",
+        "_journal",
+        "_now_ms",
+        "_retry_at_ms",
+        "clock",
+    )
+
+    def __init__(
+        self,
+        *,
+        client: store_client.StoreClient,
+        events: journal.Journal,
+        now_ms: Callable[[], int],
+    ) -> None:
+        self._client = client
+        self._journal = events
+        self._now_ms = now_ms
+        self._has_failed = False
+        self._retry_at_ms = 0
+        self.clock = lease.StoreClock()
+
+    @property
+    def is_pausing(self) -> bool:
+        """Whether the next call is to wait, as the last one failed."""
+        return self._now_ms() < self._retry_at_ms
+
+    @property
+    def is_working(self) -> bool:
+        """Whether the last calls, by whatever way, went well."""
+        return self._client.is_working and not self._has_failed
+
+    async def read(self, purpose: str) -> store.Rows | None:
+        """Reads all rows of the system.
+
+        Args:
+            purpose: Why, for the log.
+
+        Returns:
+            The rows, or None when the call failed.
+        """
+        asked_at_ms = self._now_ms()
+        outcome = await self._client.read(store.TABLE)
+        if not isinstance(outcome, store.Rows):
+            self._fail(purpose, outcome)
+            return None
+        self._succeed(purpose)
+        self.clock.observe(asked_at_ms=asked_at_ms, store_ms=outcome.now_ms)
+        return outcome
+
+    async def write(
+        self,
+        purpose: str,
+        *,
+        expected: tuple[store.Expected, ...],
+        puts: tuple[store.Put, ...],
+        removed_keys: tuple[str, ...] = (),
+    ) -> store.WriteOutcome:
+        """Applies a transaction; its purpose is for the log."""
+        asked_at_ms = self._now_ms()
+        outcome = await self._client.write(
+            expected=expected, puts=puts, removed_keys=removed_keys
+        )
+        match outcome:
+            case store.Applied():
+                self._succeed(purpose)
+                self.clock.observe(
+                    asked_at_ms=asked_at_ms, store_ms=outcome.now_ms
+                )
+            case store.Conflict():
+                self._succeed(purpose)
+            case _:
+                self._fail(purpose, outcome)
+        return outcome
+
+    def read_member(self, row: store.Row) -> members.Member | None:
+        """Reads a node's row; a malformed one is logged and names nobody."""
+        try:
+            return members.decode(row.value)
+        except members.CannotDecode as error:
+            self._journal.emit(
+                catalog.Event.MESSAGE_REFUSED, source=row.key, error=str(error)
+            )
+            return None
+
+    def _fail(
+        self, purpose: str, outcome: store.WriteOutcome | store.ReadOutcome
+    ) -> None:
+        self._retry_at_ms = self._now_ms() + RETRY_AFTER_MS
+        self._has_failed = True
+        self._journal.emit(
+            catalog.Event.STORE_CALL_FAILED,
+            call=purpose,
+            outcome=type(outcome).__name__,
+            reason=getattr(outcome, "reason", ""),
+        )
+
+    def _succeed(self, purpose: str) -> None:
+        if self._has_failed:
+            self._has_failed = False
+            self._journal.emit(catalog.Event.STORE_CALLS_RESUMED, call=purpose)
+
+
+def name_member(node_id: str) -> str:
+    """Names a node's row."""
+    return MEMBER_PREFIX + node_id
+
+
+def name_assignment(service: str) -> str:
+    """Names the row of a service's assignment."""
+    return ASSIGNMENT_PREFIX + service
--- a/src/rhubarblead/router/store_client.py
+++ b/src/rhubarblead/router/store_client.py
@@ -1,13 +1,21 @@
 """Calls the platform's store over HTTP, each with a bounded wait."""
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+from typing import TypeAlias
 
 from rhubarblead.platform import settings
 from rhubarblead.platform import store
 from rhubarblead.router import http_client
 
-WRITE_TIMEOUT_S = 2.0
-READ_TIMEOUT_S = 2.0
+WRITE_TIMEOUT_S = 0.7
+READ_TIMEOUT_S = 0.7
+"""The store takes 4 ms for a call, and 60 times as long when it is slow."""
+
+FAILED_MS = 3_000
+"""After a failure, calls go by way of another node first for so long."""
+
 FEED_SLACK_S = 1.5
 """Beyond the time that the store may hold a wait for changes."""
 
@@ -15,13 +23,28 @@
 """An older connection may have gone silent; renewals come as often."""
 
 
+Relay: TypeAlias = Callable[[store.Call], Awaitable[http_client.Result]]
+
+
 class StoreClient:
     """The one client of this process for the platform's store."""
 
-    __slots__ = ("_host", "_pool")
+    __slots__ = ("_failed_at_ms", "_host", "_now_ms", "_pool", "relay")
+
+    def __init__(
+        self, *, address: settings.Address, now_ms: Callable[[], int]
+    ) -> None:
+        """Makes a client without connections.
 
-    def __init__(self, *, address: settings.Address) -> None:
+        Args:
+            address: The store's address.
+            now_ms: The clock.
+        """
         self._host = str(address).encode()
+        self._now_ms = now_ms
+        self._failed_at_ms: int | None = None
+        # Has another node make a call; None where no node is known.
+        self.relay: Relay | None = None
         self._pool = http_client.Pool(
             ip=address.ip, port=address.port, max_idle_s=MAX_IDLE_S
         )
@@ -71,7 +94,16 @@
         """Waits until a table has changed, or the time is over."""
         call = store.encode_feed(table, after_revision, wait_ms)
         timeout_s = wait_ms / 1_000 + FEED_SLACK_S
-        return self._decode(await self._call(call, timeout_s))
+        return self._decode(await self._call_directly(call, timeout_s))
+
+    @property
+    def is_working(self) -> bool:
+        """Whether the store has answered this node's last call."""
+        return self._failed_at_ms is None
+
+    async def pass_on(self, call: store.Call) -> http_client.Result:
+        """Makes a call for another node, whose own call has failed."""
+        return await self._call_directly(call, WRITE_TIMEOUT_S)
 
     def close(self) -> None:
         """Closes all connections."""
@@ -86,6 +118,50 @@
 
     async def _call(
         self, call: store.Call, timeout_s: float
+    ) -> http_client.Result:
+        """Makes a call, by way of another node where the store refuses it.
+
+        Repeating a call is safe: each write expects rows at the revisions that
+        it would change itself.
+        """
+        is_in_doubt = False
+        for is_direct in self._order_ways():
+            if is_direct:
+                result = await self._call_directly(call, timeout_s)
+            elif self.relay is not None:
+                result = await self.relay(call)
+            else:
+                continue
+            if _is_answered(result):
+                return result
+            if isinstance(result, http_client.Broken):
+                is_in_doubt = is_in_doubt or result.is_sent
+        if is_in_doubt:
+            return http_client.Broken(
+                failure=http_client.Failure.CLOSED, is_sent=True
+            )
+        return result
+
+    def _order_ways(self) -> tuple[bool, bool]:
+        """Orders the ways to the store, the direct one as True."""
+        failed_at_ms = self._failed_at_ms
+        if failed_at_ms is None or self.relay is None:
+            return (True, False)
+        has_failed_lately = self._now_ms() - failed_at_ms < FAILED_MS
+        return (False, True) if has_failed_lately else (True, False)
+
+    async def _call_directly(
+        self, call: store.Call, timeout_s: float
+    ) -> http_client.Result:
+        result = await self._exchange(call, timeout_s)
+        if _is_answered(result):
+            self._failed_at_ms = None
+        else:
+            self._failed_at_ms = self._now_ms()
+        return result
+
+    async def _exchange(
+        self, call: store.Call, timeout_s: float
     ) -> http_client.Result:
         connection = self._pool.take()
         if connection is None:
@@ -126,3 +202,12 @@
             return http_client.Broken(
                 failure=http_client.Failure.CLOSED, is_sent=True
             )
+
+
+def _is_answered(result: http_client.Result) -> bool:
+    """Tells whether the store has dealt with a call."""
+    match result:
+        case http_client.Received(status=status):
+            return status not in (429, 503)
+        case _:
+            return False
--- /dev/null
+++ b/src/rhubarblead/router/telling.py
@@ -0,0 +1,124 @@
+"""Tells the other nodes of this one: all on change, the load now and then."""
+
+import asyncio
+from collections.abc import Callable
+
+from rhubarblead.router import config_feed
+from rhubarblead.router import directory
+from rhubarblead.router import ownership
+from rhubarblead.router import peers
+from rhubarblead.router import store_client
+from rhubarblead.router import upstream
+from rhubarblead.router import wire
+
+LOAD_EVERY_S = 1.5
+"""Between loads; keys move by them once a second at the most."""
+
+LOADS_PER_STATE = 4
+"""How often all is told anew, for those who have missed a change."""
+
+
+class Telling:
+    """The newest state of this node, and who is told of it when."""
+
+    __slots__ = (
+        "_client",
+        "_config",
+        "_directory",
+        "_links",
+        "_now_ms",
+        "_owner",
+        "_state",
+        "_upstream",
+        "is_stopping",
+    )
+
+    def __init__(
+        self,
+        *,
+        known: directory.Directory,
+        links: peers.Links,
+        local: upstream.Upstream,
+        owner: ownership.Ownership,
+        config: config_feed.ConfigFeed,
+        client: store_client.StoreClient,
+        now_ms: Callable[[], int],
+    ) -> None:
+        """Makes the part.
+
+        Args:
+            known: What this node knows of the others.
+            links: Links to them.
+            local: The server beside this node.
+            owner: Decides on keys.
+            config: The configuration.
+            client: The store's client.
+            now_ms: The clock.
+        """
+        self._directory = known
+        self._state = known.own_state
+        self._links = links
+        self._upstream = local
+        self._owner = owner
+        self._config = config
+        self._client = client
+        self._now_ms = now_ms
+        self.is_stopping = False
+
+    def refresh(self) -> wire.State:
+        """Brings the state of this node up to date."""
+        state = self._state
+        life = self._owner.life
+        state.born_ms = life.born_ms if life is not None else 0
+        state.is_serving = self._upstream.is_serving
+        state.is_stopping = self.is_stopping
+        state.slot_count = self._upstream.room.slot_count
+        state.assignments = self._directory.list_revisions()
+        state.load = self._find_load()
+        return state
+
+    def tell(self) -> None:
+        """Tells all nodes of a change."""
+        self._links.broadcast(self.refresh())
+
+    async def run(self) -> None:
+        """Tells the load until it is cancelled."""
+        count = 0
+        while True:
+            if count % LOADS_PER_STATE == 0:
+                self.tell()
+            else:
+                self._tell_load()
+            count += 1
+            await asyncio.sleep(LOAD_EVERY_S)
+
+    def _tell_load(self) -> None:
+        """Tells the load to those who choose by it.
+
+        Servers with keys are chosen by key; only their own kind needs it.
+        """
+        load = self.refresh().load
+        message = wire.Load(incarnation=self._state.incarnation, load=load)
+        for state in self._directory.list_states():
+            if not self._is_keyed() or state.service == self._state.service:
+                self._links.send(state.node_id, message)
+
+    def _is_keyed(self) -> bool:
+        table = self._directory.table
+        return table is not None and table.is_keyed(self._state.service)
+
+    def _find_load(self) -> wire.ServerLoad:
+        room = self._upstream.room
+        now_ms = self._now_ms()
+        capacity_per_s = self._upstream.find_capacity_per_s()
+        rate = sum(self._upstream.find_rates().values())
+        return wire.ServerLoad(
+            running_count=room.running_count,
+            waiting_count=room.waiting_count,
+            wait_ms=int(room.estimate_wait_ms(now_ms)),
+            service_ms={} if self._is_keyed() else room.list_service_ms(now_ms),
+            load_per_mille=int(1_000 * rate / capacity_per_s),
+            capacity_per_s=int(capacity_per_s),
+            has_store=self._client.is_working,
+            config_version=self._config.version,
+        )
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -29,6 +29,9 @@
 STUCK_MS = 900
 """Without any answer while requests run; most runs take less than 0.5 s."""
 
+EXPIRED_RETRY_MS = 300
+"""For the callers of requests that waited in vain; about one run."""
+
 SETTLE_MS = 30
 """A cancelled request frees its slot so much later."""
 
@@ -56,6 +59,7 @@
         "_closed_reason",
         "_demand",
         "_is_held",
+        "_is_owned",
         "_jobs",
         "_journal",
         "_loop",
@@ -77,6 +81,7 @@
         events: journal.Journal,
         now_ms: Callable[[], int],
         is_held: Callable[[int], bool],
+        is_owned: Callable[[int], bool],
         broadcast: Callable[[wire.Message], None],
     ) -> None:
         """Makes an upstream of which nothing is known yet.
@@ -86,16 +91,18 @@
             events: The journal.
             now_ms: A clock that goes on while the instance is suspended.
             is_held: Tells whether the server holds a key now.
+            is_owned: Tells whether it is to hold a key, now or soon.
             broadcast: Sends a message to all nodes.
         """
         self._loop = asyncio.get_running_loop()
         self._journal = events
         self._now_ms = now_ms
         self._is_held = is_held
+        self._is_owned = is_owned
         self._pool = http_client.Pool(
             ip=address.ip, port=address.port, max_idle_s=MAX_IDLE_S
         )
-        self._room = waiting.WaitingRoom(slot_count=1)
+        self._room = waiting.WaitingRoom(slot_count=1, is_ready=self._is_ready)
         self._demand = demand.Demand()
         self._jobs: dict[int, Job] = {}
         self._next_number = 0
@@ -151,6 +158,9 @@
         if self.crashes.is_condemned(work):
             reply(self._refuse(work, wire.Reason.POISON))
             return None
+        if not self._is_ours(work):
+            reply(self._refuse(work, wire.Reason.NOT_OWNER))
+            return None
         now_ms = self._now_ms()
         if work.key != wire.NO_KEY:
             self._demand.add(work.key, now_ms)
@@ -166,8 +176,7 @@
             key=None if work.key == wire.NO_KEY else work.key,
         )
         job = Job(work=work, reply=reply, ticket=ticket)
-        is_parked = not self._is_ready(ticket)
-        match self._room.offer(ticket, now_ms, is_parked=is_parked):
+        match self._room.offer(ticket, now_ms):
             case waiting.Start():
                 self._jobs[ticket.number] = job
                 self._run(job)
@@ -194,15 +203,21 @@
     def pump(self) -> None:
         """Starts what can run, and turns away what no longer can."""
         while True:
-            ticket, expired = self._room.take_next(
-                self._now_ms(), self._is_ready
-            )
+            ticket, expired = self._room.take_next(self._now_ms())
             for late in expired:
                 self._refuse_waiting(late.number, wire.Reason.TOO_LATE)
             if ticket is None:
                 return
             self._run(self._jobs[ticket.number])
 
+    def turn_away_foreign(self) -> None:
+        """Sends back the waiting requests whose keys have another owner."""
+        for ticket in self._room.list_waiting():
+            job = self._jobs[ticket.number]
+            if not self._is_ours(job.work):
+                self._room.withdraw(ticket.number)
+                self._refuse_waiting(ticket.number, wire.Reason.NOT_OWNER)
+
     def turn_away_all(self, reason: wire.Reason) -> None:
         """Takes no more requests, and refuses those that wait."""
         self.is_serving = False
@@ -232,6 +247,9 @@
             self._wake.cancel()
         self._pool.close()
 
+    def _is_ours(self, work: wire.Work) -> bool:
+        return work.key == wire.NO_KEY or self._is_owned(work.key)
+
     def _is_ready(self, ticket: waiting.Ticket) -> bool:
         return ticket.key is None or self._is_held(ticket.key)
 
@@ -261,8 +279,7 @@
         if job is None or job.is_ended:
             return
         job.is_ended = True
-        wait_ms = int(self._room.find_wait_ms(job.ticket, self._now_ms()))
-        job.reply(self._refuse(job.work, reason, wait_ms))
+        job.reply(self._refuse(job.work, reason, EXPIRED_RETRY_MS))
 
     def _run(self, job: Job) -> None:
         max_idle_s = MAX_IDLE_ONCE_S if job.work.is_once else None
--- a/src/rhubarblead/router/wire.py
+++ b/src/rhubarblead/router/wire.py
@@ -88,14 +88,31 @@
     number: int
 
 
+class ServerLoad(msgspec.Struct, array_like=True, kw_only=True):
+    """How busy a node's server is, and how well the node is connected.
+
+    `service_ms` holds the mean time of its runs by route, empty for servers
+    that are chosen by key. `load_per_mille` is the part of its slots that the
+    requests for its keys would use, and `capacity_per_s` how many of them it
+    can run. `has_store` tells whether the store answers the node.
+    """
+
+    running_count: int = 0
+    waiting_count: int = 0
+    wait_ms: int = 0
+    service_ms: dict[str, int] = msgspec.field(default_factory=dict)
+    load_per_mille: int = 0
+    capacity_per_s: int = 0
+    has_store: bool = False
+    config_version: int = -1
+
+
 class State(msgspec.Struct, tag=4, array_like=True, kw_only=True):
-    """What a node tells the others of itself, now and then and on change.
+    """What a node tells the others of itself, on change and now and then.
 
     `is_serving` tells whether its server takes requests; `is_stopping`
     whether the node itself ends soon. `born_ms` tells lives of the server
-    apart, 0 while it isn't known. `service_ms` holds the mean time of its runs
-    by route. `load_per_mille` is the part of its slots that the requests for
-    its keys would use, and `capacity_per_s` how many of them it can run.
+    apart, 0 while it isn't known.
     """
 
     node_id: str
@@ -107,14 +124,15 @@
     is_serving: bool
     is_stopping: bool
     slot_count: int
-    running_count: int
-    waiting_count: int
-    wait_ms: int
-    service_ms: dict[str, int]
-    load_per_mille: int
-    capacity_per_s: float
-    config_version: int
     assignments: dict[str, int]
+    load: ServerLoad
+
+
+class Load(msgspec.Struct, tag=15, array_like=True, kw_only=True):
+    """The newest load of a process whose state is known."""
+
+    incarnation: str
+    load: ServerLoad
 
 
 class Changed(msgspec.Struct, tag=5, array_like=True, kw_only=True):
@@ -186,6 +204,24 @@
     term: int
 
 
+class StoreCall(msgspec.Struct, tag=13, array_like=True, kw_only=True):
+    """A call to the store that this node is to make for another."""
+
+    number: int
+    method: str
+    target: str
+    body: bytes
+
+
+class StoreReply(msgspec.Struct, tag=14, array_like=True, kw_only=True):
+    """What came of a call; `status` is 0 where no answer came."""
+
+    number: int
+    status: int
+    is_sent: bool
+    body: bytes
+
+
 Message: TypeAlias = (
     Work
     | Outcome
@@ -199,6 +235,9 @@
     | Promise
     | LeaseLeave
     | Release
+    | StoreCall
+    | StoreReply
+    | Load
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/tests/rhubarblead/cli.feature
+++ b/tests/rhubarblead/cli.feature
@@ -91,3 +91,25 @@
     When the command "status --platform 127.0.0.1:1" is run
     Then the command's exit code is 4
     And the command printed "platform: unavailable"
+
+  Scenario: What the logs say of one request is shown with what happened around it
+    Given a command's file "a.log" with the router's lines
+      """
+        1.0 n1 {"wall_ms": 1000, "instance": "n1", "number": 3401, "event": "LINK_DOWN", "node_id": "n2@1"}
+        1.1 n1 {"wall_ms": 1100, "instance": "n1", "number": 3501, "event": "ANSWER_OWN", "request_id": "ab", "status": 503, "cause": "owner away", "node_id": "n2@1"}
+        1.2 n1 {"wall_ms": 1200, "instance": "n1", "number": 3501, "event": "ANSWER_OWN", "request_id": "cd", "status": 503}
+      """
+    And a command's file "b.log" with the router's lines
+      """
+      {"wall_ms": 900, "instance": "n2", "number": 3001, "event": "ROUTER_STOPPING"}
+      {"wall_ms": 950, "instance": "n3", "number": 3001, "event": "ROUTER_STOPPING"}
+      no line of a router
+      """
+    When the command "explain a.log b.log --request ab" is run
+    Then the command's exit code is 0
+    And the command printed ">    200 ms n1 ANSWER_OWN request_id=ab status=503 cause=owner away"
+    And the command printed "     100 ms n1 LINK_DOWN node_id=n2@1"
+    And the command printed "       0 ms n2 ROUTER_STOPPING"
+    And the command printed "b.log: 1 lines passed over"
+    When the command "explain a.log --request ef" is run
+    Then the command's exit code is 2
--- a/tests/rhubarblead/keyspace/lease.feature
+++ b/tests/rhubarblead/keyspace/lease.feature
@@ -40,3 +40,16 @@
       | unknown | 60000 |
       | 40000   | 60000 |
       | 50000   | 63102 |
+
+  Scenario Outline: A renewal is due when 9 s of the lease are left
+    Given a lease whose earlier process named the end <ends>
+    When the store's time is 50000
+    And a renewal is sent at 0 ms that names <ends>
+    Then the next renewal is due at <due> ms
+
+    Examples:
+      | ends  | due  |
+      | 63001 | 4000 |
+      | 62001 | 3000 |
+      | 59001 | 0    |
+      | 52000 | 0    |
--- a/tests/rhubarblead/router/ownership.feature
+++ b/tests/rhubarblead/router/ownership.feature
@@ -23,6 +23,7 @@
       | a planned restart          | 2500  |
       | a draining server          | 2500  |
       | everything at once         | 4500  |
+      | a server whose node restarts | 6200 |
 
   Scenario: Keys stay with their owners while the store is away
     Given a world of 6 nodes that has settled
--- a/tests/steps/cli.py
+++ b/tests/steps/cli.py
@@ -209,6 +209,11 @@
     _find_folder(context).joinpath(name).write_text("{" + rest)
 
 
+@behave.given("a command's file \"{name}\" with the router's lines")
+def write_lines(context: runner.Context, name: str) -> None:
+    _find_folder(context).joinpath(name).write_text(context.text)
+
+
 @behave.given(
     'a command\'s file "{name}" with a log of instance "{instance}" and a'
     " broken line"
--- a/tests/steps/keyspace_lease.py
+++ b/tests/steps/keyspace_lease.py
@@ -37,6 +37,17 @@
         context.clock.observe(asked_at_ms=0, store_ms=int(known))
 
 
+@behave.when("a renewal is sent at {sent:d} ms that names {ends:d}")
+def send_renewal(context: runner.Context, sent: int, ends: int) -> None:
+    context.lease.renewed(ends_store_ms=ends, sent_at_ms=sent)
+
+
+@behave.then("the next renewal is due at {due:d} ms")
+def check_due(context: runner.Context, due: int) -> None:
+    assert context.lease.is_due(due + 2)
+    assert not due or not context.lease.is_due(due - 2)
+
+
 @behave.then("a renewal at {now:d} ms names {ends:d}")
 def check_end(context: runner.Context, now: int, ends: int) -> None:
     found = context.lease.find_end(now)
--- /dev/null
+++ b/tests/steps/router_news.py
@@ -0,0 +1,117 @@
+"""Steps for what nodes tell each other."""
+
+import asyncio
+from typing import Any
+
+import behave
+from behave import runner
+
+from rhubarblead.router import directory
+from rhubarblead.router import news
+from rhubarblead.router import wire
+
+
+class _Links:
+    """Links that are all down."""
+
+    def __init__(self) -> None:
+        self.wanted: list[str] = []
+
+    def connect(self, node_id: str, address: str) -> None:
+        """Takes note of a wish."""
+        del address
+        self.wanted.append(node_id)
+
+    def is_up(self, node_id: str) -> bool:
+        """Tells whether a link works."""
+        del node_id
+        return False
+
+    def send(self, node_id: str, message: wire.Message) -> bool:
+        """Sends nothing."""
+        del node_id, message
+        return False
+
+
+class _Config:
+    """A configuration that is as new as any."""
+
+    version = 1_000
+
+
+def _make_state(node_id: str) -> wire.State:
+    return wire.State(
+        node_id=node_id,
+        incarnation=f"{node_id}-b",
+        address="127.0.0.1:1",
+        failure_domain="d",
+        service="s",
+        born_ms=1,
+        is_serving=True,
+        is_stopping=False,
+        slot_count=9,
+        assignments={},
+        load=wire.ServerLoad(),
+    )
+
+
+@behave.given("a node that hears of others")
+def make(context: runner.Context) -> None:
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.links = _Links()
+    context.known = directory.Directory(own_state=_make_state("n1"))
+    context.loop.run_until_complete(_open(context))
+
+
+async def _open(context: runner.Context) -> None:
+    unused: Any = None
+    links: Any = context.links
+    config: Any = _Config()
+    context.news = news.News(
+        known=context.known,
+        links=links,
+        config=config,
+        owner=unused,
+        events=unused,
+        now_ms=lambda: 0,
+        on_news=lambda node_id: None,
+    )
+
+
+@behave.when("the state of node {name:w} comes while the link to it is down")
+def take_state(context: runner.Context, name: str) -> None:
+    context.news.take_state(_make_state(name))
+
+
+@behave.when("a load of {load:d} comes from its process")
+def take_load(context: runner.Context, load: int) -> None:
+    _take_load(context, "n2-b", load)
+
+
+@behave.when("a load of {load:d} comes from an earlier process of it")
+def take_earlier_load(context: runner.Context, load: int) -> None:
+    _take_load(context, "n2-a", load)
+
+
+def _take_load(context: runner.Context, incarnation: str, load: int) -> None:
+    context.news.take_load(
+        wire.Load(
+            incarnation=incarnation, load=wire.ServerLoad(load_per_mille=load)
+        )
+    )
+
+
+@behave.then("node {name:w} is known")
+def check_known(context: runner.Context, name: str) -> None:
+    assert context.known.find_state(name) is not None
+
+
+@behave.then("a link to {name:w} is wanted")
+def check_wanted(context: runner.Context, name: str) -> None:
+    assert context.links.wanted == [name]
+
+
+@behave.then("the load of {name:w} is {load:d}")
+def check_load(context: runner.Context, name: str, load: int) -> None:
+    assert context.known.find_state(name).load.load_per_mille == load
--- a/tests/steps/router_ownership.py
+++ b/tests/steps/router_ownership.py
@@ -51,6 +51,9 @@
             _restart(one)
         case "a planned restart":
             _restart_as_planned(one)
+        case "a server whose node restarts":
+            one.server.is_up = False
+            _restart(one)
         case "a draining server":
             one.server.is_draining = True
         case _:
