--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -496,6 +496,13 @@
         "More events than are logged in a second; the fields are the names of"
         " events, `lost_count` counts lines that nobody read.",
     )
+    METRICS_UNAVAILABLE = _define(
+        3005,
+        _WARNING,
+        "address error",
+        "The port for the measures is taken; the router runs without them.",
+        "Free the port, or read the events instead.",
+    )
     CONFIG_IN_FORCE = _define(
         3100,
         _INFO,
--- a/src/rhubarblead/router/entry.py
+++ b/src/rhubarblead/router/entry.py
@@ -2,16 +2,16 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import http
 import random
 
 from rhubarblead import routing_table
-from rhubarblead.events import catalog
 from rhubarblead.keyspace import promises
 from rhubarblead.platform import heads
 from rhubarblead.requests import allowance
 from rhubarblead.requests import placement
+from rhubarblead.router import answering
+from rhubarblead.router import attempt as attempts
 from rhubarblead.router import directory
 from rhubarblead.router import http_server
 from rhubarblead.router import journal
@@ -35,44 +35,15 @@
 PARK_RETRY_MS = 250
 """Between tries at the same node; hundreds may wait for one that restarts."""
 
+MIN_RETRY_AFTER_MS = 50
+"""A way to a caller and back takes 6 ms; sooner would find nothing new."""
+
 SHED_PAUSE_S = 0.03
 """Before a request goes again to a server that has turned it away."""
 
 MAX_BOUNCES = 24
 """Sendings of one request that reached no server."""
 
-_UNKNOWN_PATH = "-"
-
-
-@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
-class Attempt:
-    """One request of a caller, until it is answered.
-
-    `sent_count` counts arrivals at servers. `number` names the outstanding
-    sending, 0 while there is none.
-    """
-
-    exchange: http_server.Exchange
-    head: heads.RequestHead
-    route: routing_table.Route
-    service: str
-    is_keyed: bool
-    started_at_ms: int
-    deadline_at_ms: int
-    forwarded: bytes
-    number: int = 0
-    node_id: str = ""
-    job: upstream.Job | None = None
-    timer: asyncio.TimerHandle | None = None
-    sent_count: int = 0
-    bounce_count: int = 0
-    parked_at_ms: int | None = None
-    retry_at_ms: int = 0
-    may_have_run: bool = False
-    is_ended: bool = False
-    refused_waits: dict[str, int] = dataclasses.field(default_factory=dict)
-    excluded: set[str] = dataclasses.field(default_factory=set)
-
 
 class Entry:
     """The requests of the callers on this instance."""
@@ -80,7 +51,7 @@
     __slots__ = (
         "_allowance",
         "_directory",
-        "_journal",
+        "_answers",
         "_links",
         "_loop",
         "_next_number",
@@ -95,7 +66,6 @@
         "_shares",
         "_upstream",
         "is_closed",
-        "observe",
     )
 
     def __init__(
@@ -115,19 +85,25 @@
         self._links = links
         self._upstream = local
         self._allowance = retries
-        self._journal = events
+        self._answers = answering.Answering(
+            known=known, events=events, now_ms=now_ms
+        )
         self._now_ms = now_ms
         self._own_ip = own_ip
         self._own_id = known.own_state.node_id
         self._own_service = known.own_state.service
         self._random = random_source
-        self._outstanding: dict[int, Attempt] = {}
-        self._parked: list[Attempt] = []
+        self._outstanding: dict[int, attempts.Attempt] = {}
+        self._parked: list[attempts.Attempt] = []
         self._park_timer: asyncio.TimerHandle | None = None
         self._shares: dict[str, dict[str, float]] = {}
         self._next_number = 0
         self.is_closed = False
-        self.observe: Callable[[str, int, int], None] | None = None
+
+    @property
+    def answers(self) -> answering.Answering:
+        """Gives the answers, and counts them."""
+        return self._answers
 
     def handle(self, exchange: http_server.Exchange) -> None:
         """Takes one request of a caller."""
@@ -139,18 +115,22 @@
         try:
             head = heads.read_request(exchange.fields)
         except heads.CannotRead as error:
-            self._answer_early(exchange, 400, "", str(error))
+            self._answers.refuse_early(exchange, 400, "", str(error))
             return
         if table is None:
-            self._answer_early(exchange, 503, head.request_id, "no config")
+            self._answers.refuse_early(
+                exchange, 503, head.request_id, "no config"
+            )
             return
         path = http_server.read_path(exchange.target)
         route = table.find_route(head.host, path)
         if route is None:
-            self._answer_early(exchange, 404, head.request_id, "no route")
+            self._answers.refuse_early(
+                exchange, 404, head.request_id, "no route"
+            )
             return
         service = self._choose_service(route)
-        attempt = Attempt(
+        attempt = attempts.Attempt(
             exchange=exchange,
             head=head,
             route=route,
@@ -164,7 +144,7 @@
             ),
         )
         if attempt.is_keyed and head.key is None:
-            self._answer_early(exchange, 400, head.request_id, "no key")
+            self._answers.refuse_early(exchange, 400, head.request_id, "no key")
             return
         self._allowance.take_request(service, now_ms)
         exchange.on_gone = lambda: self._leave(attempt)
@@ -212,7 +192,9 @@
             else:
                 self._parked.append(attempt)
 
-    def _has_chance(self, attempt: Attempt, node_id: str, now_ms: int) -> bool:
+    def _has_chance(
+        self, attempt: attempts.Attempt, node_id: str, now_ms: int
+    ) -> bool:
         """Tells whether a parked request may fare better than before."""
         if now_ms >= attempt.retry_at_ms or not attempt.is_keyed:
             return True
@@ -236,7 +218,7 @@
 
     def _refuse_closed(self, exchange: http_server.Exchange) -> None:
         request_id = http_server.find_field(exchange.fields, heads.REQUEST_ID)
-        self._answer_early(
+        self._answers.refuse_early(
             exchange, 503, request_id.decode("latin-1"), "node stops"
         )
 
@@ -259,13 +241,13 @@
         turns[chosen] -= total
         return chosen
 
-    def _dispatch(self, attempt: Attempt) -> None:
+    def _dispatch(self, attempt: attempts.Attempt) -> None:
         if attempt.is_keyed:
             self._dispatch_keyed(attempt)
         else:
             self._dispatch_unkeyed(attempt)
 
-    def _dispatch_keyed(self, attempt: Attempt) -> None:
+    def _dispatch_keyed(self, attempt: attempts.Attempt) -> None:
         assert attempt.head.key is not None
         node_id = self._directory.find_owner(attempt.service, attempt.head.key)
         if node_id and self._send(attempt, node_id, may_wait=True):
@@ -280,7 +262,7 @@
             return
         self._park(attempt)
 
-    def _dispatch_unkeyed(self, attempt: Attempt) -> None:
+    def _dispatch_unkeyed(self, attempt: attempts.Attempt) -> None:
         now_ms = self._now_ms()
         while attempt.bounce_count < MAX_BOUNCES:
             choice = placement.choose(
@@ -304,7 +286,9 @@
         attempt.excluded.clear()
         self._park(attempt)
 
-    def _send(self, attempt: Attempt, node_id: str, *, may_wait: bool) -> bool:
+    def _send(
+        self, attempt: attempts.Attempt, node_id: str, *, may_wait: bool
+    ) -> bool:
         """Sends a request to a node; returns False where it can't be."""
         self._next_number += 1
         number = self._next_number
@@ -329,7 +313,7 @@
 
     def _make_work(
         self,
-        attempt: Attempt,
+        attempt: attempts.Attempt,
         number: int,
         state: wire.State,
         may_wait: bool,
@@ -358,12 +342,14 @@
             body=exchange.body,
         )
 
-    def _take_own(self, attempt: Attempt, outcome: wire.Outcome) -> None:
+    def _take_own(
+        self, attempt: attempts.Attempt, outcome: wire.Outcome
+    ) -> None:
         # A reply during the sending must not be handled within it.
         self._loop.call_soon(self.take_outcome, self._own_id, outcome)
         del attempt
 
-    def _take(self, attempt: Attempt, outcome: wire.Outcome) -> None:
+    def _take(self, attempt: attempts.Attempt, outcome: wire.Outcome) -> None:
         self._outstanding.pop(outcome.number, None)
         if attempt.is_ended or attempt.number != outcome.number:
             return
@@ -372,14 +358,16 @@
         attempt.sent_count += outcome.has_arrived
         match outcome.verdict:
             case wire.Verdict.RAN:
-                self._return_answer(attempt, outcome)
+                self._answers.pass_on(attempt, outcome)
             case wire.Verdict.NOT_RUN:
                 self._take_not_run(attempt, outcome)
             case _:
                 attempt.may_have_run = True
                 self._take_doubt(attempt, outcome)
 
-    def _take_not_run(self, attempt: Attempt, outcome: wire.Outcome) -> None:
+    def _take_not_run(
+        self, attempt: attempts.Attempt, outcome: wire.Outcome
+    ) -> None:
         node_id = attempt.node_id
         match outcome.reason:
             case wire.Reason.BUSY:
@@ -406,7 +394,7 @@
                 cause = wire.Reason(outcome.reason).name.lower()
                 self._give_up(attempt, cause, outcome.wait_ms)
 
-    def _follow_owner(self, attempt: Attempt) -> None:
+    def _follow_owner(self, attempt: attempts.Attempt) -> None:
         """Sends a request to the owner that is known by now."""
         assert attempt.head.key is not None
         node_id = self._directory.find_owner(attempt.service, attempt.head.key)
@@ -416,43 +404,45 @@
         attempt.bounce_count += 1
         self._dispatch(attempt)
 
-    def _take_shed(self, attempt: Attempt) -> None:
+    def _take_shed(self, attempt: attempts.Attempt) -> None:
         if not self._may_send_again(attempt):
             self._give_up(attempt, "shed", 0)
             return
-        self._report_again(attempt, "shed")
+        self._answers.report_again(attempt, "shed")
         if attempt.is_keyed:
             self._loop.call_later(SHED_PAUSE_S, self._dispatch_later, attempt)
             return
         attempt.excluded.add(attempt.node_id)
         self._dispatch(attempt)
 
-    def _dispatch_later(self, attempt: Attempt) -> None:
+    def _dispatch_later(self, attempt: attempts.Attempt) -> None:
         if not attempt.is_ended:
             self._dispatch(attempt)
 
-    def _take_doubt(self, attempt: Attempt, outcome: wire.Outcome) -> None:
+    def _take_doubt(
+        self, attempt: attempts.Attempt, outcome: wire.Outcome
+    ) -> None:
         cause = wire.Reason(outcome.reason).name.lower()
         is_repeatable = attempt.route.kind.is_repeatable
         if outcome.reason == wire.Reason.TOO_LATE:
-            self._fail(attempt, http.HTTPStatus.GATEWAY_TIMEOUT, cause)
+            self._answers.fail(attempt, http.HTTPStatus.GATEWAY_TIMEOUT, cause)
             return
         if not is_repeatable or not self._may_send_again(attempt):
-            self._fail(attempt, http.HTTPStatus.BAD_GATEWAY, cause)
+            self._answers.fail(attempt, http.HTTPStatus.BAD_GATEWAY, cause)
             return
-        self._report_again(attempt, cause)
+        self._answers.report_again(attempt, cause)
         if not attempt.is_keyed:
             attempt.excluded.add(attempt.node_id)
         self._dispatch(attempt)
 
-    def _may_send_again(self, attempt: Attempt) -> bool:
+    def _may_send_again(self, attempt: attempts.Attempt) -> bool:
         if attempt.sent_count >= attempt.route.max_attempts:
             return False
         return self._allowance.take_retry(
             attempt.service, self._now_ms(), self._directory.count_nodes()
         )
 
-    def _park(self, attempt: Attempt) -> None:
+    def _park(self, attempt: attempts.Attempt) -> None:
         """Keeps a request until its owner is known and in reach."""
         now_ms = self._now_ms()
         if attempt.parked_at_ms is None:
@@ -475,7 +465,7 @@
                 PARK_CHECK_S, self._check_parked
             )
 
-    def _run_out(self, attempt: Attempt) -> None:
+    def _run_out(self, attempt: attempts.Attempt) -> None:
         """Ends a request at its deadline."""
         if attempt.is_ended:
             return
@@ -484,23 +474,17 @@
         if is_waiting_only:
             self._give_up(attempt, "deadline", 0)
             return
-        self._fail(attempt, http.HTTPStatus.GATEWAY_TIMEOUT, "deadline")
+        self._answers.fail(attempt, http.HTTPStatus.GATEWAY_TIMEOUT, "deadline")
 
-    def _leave(self, attempt: Attempt) -> None:
+    def _leave(self, attempt: attempts.Attempt) -> None:
         """Drops a request whose caller has gone."""
         if attempt.is_ended:
             return
         self._withdraw(attempt)
-        self._end(attempt)
-        self._journal.emit(
-            catalog.Event.CALLER_GONE,
-            request_id=attempt.head.request_id,
-            route=attempt.route.name,
-            node_id=attempt.node_id,
-            took_ms=self._now_ms() - attempt.started_at_ms,
-        )
+        attempt.end()
+        self._answers.report_gone(attempt)
 
-    def _withdraw(self, attempt: Attempt) -> None:
+    def _withdraw(self, attempt: attempts.Attempt) -> None:
         """Has the node that works on a request drop it."""
         if not attempt.number:
             return
@@ -517,129 +501,14 @@
             )
         attempt.number = 0
 
-    def _end(self, attempt: Attempt) -> None:
-        attempt.is_ended = True
-        if attempt.timer is not None:
-            attempt.timer.cancel()
-
-    def _return_answer(self, attempt: Attempt, outcome: wire.Outcome) -> None:
-        self._end(attempt)
-        attempt.exchange.finish(
-            http_server.Answer(
-                status=outcome.status,
-                reason=outcome.phrase,
-                fields=outcome.head,
-                body=outcome.body,
-            )
-        )
-        took_ms = self._now_ms() - attempt.started_at_ms
-        self._journal.emit(
-            catalog.Event.ANSWER_RETURNED,
-            request_id=attempt.head.request_id,
-            route=attempt.route.name,
-            status=outcome.status,
-            node_id=attempt.node_id,
-            sent_count=attempt.sent_count,
-            took_ms=took_ms,
-            config_version=self._get_version(),
-        )
-        self._count(attempt, outcome.status, took_ms)
-
     def _give_up(
-        self, attempt: Attempt, cause: str, retry_after_ms: int
+        self, attempt: attempts.Attempt, cause: str, retry_after_ms: int
     ) -> None:
         """Ends a request that has not run, or says that it may have."""
         if attempt.may_have_run:
-            self._fail(attempt, http.HTTPStatus.BAD_GATEWAY, cause)
+            self._answers.fail(attempt, http.HTTPStatus.BAD_GATEWAY, cause)
             return
         # Callers that were refused together don't come back together.
-        after_ms = max(50, retry_after_ms) * (
-            0.75 + 0.5 * self._random.random()
-        )
-        self._end(attempt)
-        attempt.exchange.finish(
-            _make_own_answer(
-                503, attempt.head.request_id, retry_after_ms=int(after_ms)
-            )
-        )
-        self._report_own(attempt, 503, cause, int(after_ms))
-
-    def _fail(
-        self, attempt: Attempt, status: http.HTTPStatus, cause: str
-    ) -> None:
-        self._end(attempt)
-        attempt.exchange.finish(
-            _make_own_answer(status, attempt.head.request_id)
-        )
-        self._report_own(attempt, status, cause)
-
-    def _answer_early(
-        self,
-        exchange: http_server.Exchange,
-        status: int,
-        request_id: str,
-        cause: str,
-    ) -> None:
-        after_ms = 500 if status == 503 else 0
-        exchange.finish(
-            _make_own_answer(status, request_id, retry_after_ms=after_ms)
-        )
-        self._journal.emit(
-            catalog.Event.ANSWER_OWN,
-            request_id=request_id,
-            route=_UNKNOWN_PATH,
-            status=status,
-            cause=cause,
-            config_version=self._get_version(),
-        )
-
-    def _report_own(
-        self,
-        attempt: Attempt,
-        status: int,
-        cause: str,
-        retry_after_ms: int = 0,
-    ) -> None:
-        took_ms = self._now_ms() - attempt.started_at_ms
-        _, revision = self._directory.get_assignment(attempt.service)
-        self._journal.emit(
-            catalog.Event.ANSWER_OWN,
-            request_id=attempt.head.request_id,
-            route=attempt.route.name,
-            status=int(status),
-            cause=cause,
-            node_id=attempt.node_id,
-            sent_count=attempt.sent_count,
-            took_ms=took_ms,
-            retry_after_ms=retry_after_ms,
-            config_version=self._get_version(),
-            assignment_revision=revision,
-        )
-        self._count(attempt, int(status), took_ms)
-
-    def _count(self, attempt: Attempt, status: int, took_ms: int) -> None:
-        if self.observe is not None:
-            self.observe(attempt.route.name, status, took_ms)
-
-    def _get_version(self) -> int:
-        table = self._directory.table
-        return table.version if table is not None else 0
-
-    def _report_again(self, attempt: Attempt, cause: str) -> None:
-        self._journal.emit(
-            catalog.Event.REQUEST_SENT_AGAIN,
-            request_id=attempt.head.request_id,
-            route=attempt.route.name,
-            node_id=attempt.node_id,
-            cause=cause,
-            sent_count=attempt.sent_count,
-        )
-
-
-def _make_own_answer(
-    status: int, request_id: str, *, retry_after_ms: int = 0
-) -> http_server.Answer:
-    fields = heads.encode_own_answer(request_id) if request_id else b""
-    if retry_after_ms:
-        fields += b"retry-after: %.3f\r\n" % (retry_after_ms / 1_000)
-    return http_server.Answer(status=status, fields=fields)
+        spread = 0.75 + 0.5 * self._random.random()
+        after_ms = max(MIN_RETRY_AFTER_MS, retry_after_ms) * spread
+        self._answers.refuse(attempt, cause, int(after_ms))
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -149,7 +149,7 @@
         self._measures = measures.Measures(
             events=self._journal, gauges=self._find_gauges
         )
-        self._entry.observe = self._measures.observe
+        self._entry.answers.observe = self._measures.observe
         self._servers = {
             "metrics": self._make_server(self._measures.handle),
             "callers": self._make_server(self._entry.handle),
@@ -241,14 +241,14 @@
     def link_up(self, node_id: str) -> None:
         """Takes note that a link works, and introduces this node."""
         self._journal.emit(catalog.Event.LINK_UP, node_id=node_id)
-        self._owner.losses.note_link(node_id, is_up=True)
+        self._owner.takeover.note_link(node_id, is_up=True)
         self._links.send(node_id, self._telling.refresh())
         self._entry.wake_parked(node_id)
 
     def link_down(self, node_id: str) -> None:
         """Takes note that a link is lost."""
         self._directory.lose(node_id, read_now_ms())
-        self._owner.losses.note_link(node_id, is_up=False)
+        self._owner.takeover.note_link(node_id, is_up=False)
         pending_count = self._entry.lose_node(node_id)
         self._journal.emit(
             catalog.Event.LINK_DOWN,
@@ -329,11 +329,25 @@
             "callers": self._deployment.callers,
             "heartbeats": self._deployment.heartbeats,
             "readiness": self._deployment.readiness,
-            "metrics": self._deployment.metrics,
         }
         for name, address in addresses.items():
             stack.callback(self._servers[name].close)
             await self._servers[name].listen(address.ip, address.port)
+        await self._listen_for_metrics(stack)
+
+    async def _listen_for_metrics(self, stack: contextlib.ExitStack) -> None:
+        """Serves the measures, if their port is free on this instance."""
+        address = self._deployment.metrics
+        server = self._servers["metrics"]
+        stack.callback(server.close)
+        try:
+            await server.listen(address.ip, address.port)
+        except OSError as error:
+            self._journal.emit(
+                catalog.Event.METRICS_UNAVAILABLE,
+                address=str(address),
+                error=str(error),
+            )
 
     def _start(self, work: Coroutine[None, None, None]) -> None:
         task = self._loop.create_task(work)
--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -144,7 +144,7 @@
             access=self._access,
             assignments=self._assigning,
             own=self._registration,
-            promises_of=promises,
+            granting=promises,
             now_ms=now_ms,
         )
         self._started_at_ms = now_ms()
@@ -167,7 +167,7 @@
         return self._assigning
 
     @property
-    def losses(self) -> takeover.Takeover:
+    def takeover(self) -> takeover.Takeover:
         """Takes note of links that work or are lost."""
         return self._takeover
 
--- a/src/rhubarblead/router/takeover.py
+++ b/src/rhubarblead/router/takeover.py
@@ -51,7 +51,7 @@
         access: store_access.StoreAccess,
         assignments: assigning.Assigning,
         own: registration.Registration,
-        promises_of: promising.Promising,
+        granting: promising.Promising,
         now_ms: Callable[[], int],
     ) -> None:
         """Makes a part that knows of no lost node.
@@ -61,14 +61,14 @@
             access: The store.
             assignments: Writes the changes.
             own: The node's own row.
-            promises_of: The nodes that this one promises to.
+            granting: The nodes that this one promises to.
             now_ms: The clock.
         """
         self._directory = known
         self._access = access
         self._assigning = assignments
         self._registration = own
-        self._promising = promises_of
+        self._promising = granting
         self._now_ms = now_ms
         self._service = known.own_state.service
         self._absences: dict[str, _Absence] = {}
