--- a/tests/steps/upstream_client.py
+++ b/tests/steps/upstream_client.py
@@ -27,7 +27,6 @@
 TIMEOUT_MS = 8_000
 SHORT_TIMEOUT_MS = 400
 SILENT_TIMEOUT_MS = 1_600
-DRAINED_RUN_MS = 3_000
 SLOTS = 2
 FIRST_FENCE = 5
 SHARD = 7
@@ -250,10 +249,14 @@
     context.is_silent = True
     for _ in range(2):
         send(context, make_request(is_repeatable=True))
-    body = json.dumps({"is_black_holing": True})
+    set_mode(context, is_black_holing=True)
+
+
+def set_mode(context: runner.Context, **mode: bool) -> None:
+    """Replaces the way in which the stand-in misbehaves."""
     connection = http.client.HTTPConnection("127.0.0.1", context.stand_in.port)
     with contextlib.closing(connection):
-        connection.request("PUT", "/-/mode", body)
+        connection.request("PUT", "/-/mode", json.dumps(mode))
         assert connection.getresponse().status == http.HTTPStatus.NO_CONTENT
 
 
@@ -371,13 +374,16 @@
 
 @behave.when("a request meets a stand-in that drains with one run in progress")
 def send_to_draining(context: runner.Context) -> None:
-    context.running = start_run(context, DRAINED_RUN_MS)
+    # The run ends when it is told to, however busy the machine is.
+    set_mode(context, is_holding_runs=True)
+    context.running = start_run(context, 0)
     context.stand_in.process.terminate()
     for _ in range(START_TRIES):
         health = context.client.probe("/-/health", TIMEOUT_MS).unwrap()
         if json.loads(health)["state"] == "draining":
             break
     send(context, make_request())
+    set_mode(context, is_holding_runs=False)
 
 
 @behave.when("a request is sent while the client's only connection is in use")
--- /dev/null
+++ b/tools/standins/conditions.py
@@ -0,0 +1,151 @@
+"""The faults, the budget and the counts of the platform's stand-in."""
+
+import http
+import threading
+import time
+from typing import Literal
+
+import msgspec
+
+from tools.standins import exchange
+
+
+class Mode(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """Which fault the services show.
+
+    "down" drops each connection without an answer, "refusing" answers 503.
+    "slow" waits `delay_ms` before a request takes effect. "answer-lost" lets a
+    transaction take effect and then drops the connection; "late" drops it at
+    once, and the transaction is tried `delay_ms` afterwards. `count` is the
+    number of requests (transactions, for the last two) after which the fault is
+    over, without it the fault stays. With `instances` only their requests are
+    affected.
+    """
+
+    mode: Literal["up", "down", "refusing", "slow", "answer-lost", "late"] = (
+        "up"
+    )
+    delay_ms: int = 0
+    count: int | None = None
+    instances: tuple[str, ...] = ()
+
+
+class Budget(
+    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
+):
+    """How many requests a second the services take; bursts of one second."""
+
+    reads_per_s: int = 2_000
+    writes_per_s: int = 400
+
+
+class Counts(msgspec.Struct, kw_only=True):
+    """What was served since the start.
+
+    `reads` includes `not_modified`; `writes` are the transactions and objects
+    that took effect. `refused` went over the budget. Bytes are bodies.
+    """
+
+    reads: int = 0
+    not_modified: int = 0
+    writes: int = 0
+    conflicts: int = 0
+    refused: int = 0
+    received_bytes: int = 0
+    sent_bytes: int = 0
+
+
+class _Allowance:
+    """A token bucket that holds what one second allows."""
+
+    __slots__ = ("_filled_at_s", "_rate_per_s", "_tokens")
+
+    def __init__(self, *, rate_per_s: int, now_s: float) -> None:
+        self._rate_per_s = rate_per_s
+        self._tokens = float(rate_per_s)
+        self._filled_at_s = now_s
+
+    def take(self, *, now_s: float) -> bool:
+        """Takes one token; tells whether there was one."""
+        gained = (now_s - self._filled_at_s) * self._rate_per_s
+        self._tokens = min(float(self._rate_per_s), self._tokens + gained)
+        self._filled_at_s = now_s
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+
+class Conditions:
+    """The fault, budget and counts in force, shared by all threads."""
+
+    __slots__ = ("_counts", "_lock", "_mode", "_reads", "_writes")
+
+    def __init__(self, *, budget: Budget) -> None:
+        self._lock = threading.Lock()
+        self._mode = Mode()
+        self._counts = Counts()
+        self.set_budget(budget)
+
+    def set_mode(self, mode: Mode) -> None:
+        """Replaces the fault."""
+        with self._lock:
+            self._mode = mode
+
+    def set_budget(self, budget: Budget) -> None:
+        """Replaces the budget, and fills it."""
+        now_s = time.monotonic()
+        with self._lock:
+            self._reads = _Allowance(rate_per_s=budget.reads_per_s, now_s=now_s)
+            self._writes = _Allowance(
+                rate_per_s=budget.writes_per_s, now_s=now_s
+            )
+
+    def draw_mode(self, request: exchange.Request) -> Mode:
+        """Finds the fault that one request meets, and counts it down."""
+        with self._lock:
+            mode = self._mode
+            if not self._is_met(request) or mode.count == 0:
+                return Mode()
+            if mode.count is not None:
+                self._mode = msgspec.structs.replace(mode, count=mode.count - 1)
+            return mode
+
+    def take_budget(self, request: exchange.Request) -> bool:
+        """Counts a request against the budget; tells whether it fits."""
+        with self._lock:
+            is_read = request.method == "GET"
+            allowance = self._reads if is_read else self._writes
+            if allowance.take(now_s=time.monotonic()):
+                return True
+            self._counts.refused += 1
+            return False
+
+    def count(self, request: exchange.Request, reply: exchange.Reply) -> None:
+        """Counts a request that was served."""
+        with self._lock:
+            counts = self._counts
+            counts.received_bytes += len(request.body)
+            counts.sent_bytes += len(reply.body)
+            if request.method == "GET":
+                counts.reads += 1
+                is_known = reply.status is http.HTTPStatus.NOT_MODIFIED
+                counts.not_modified += is_known
+            elif reply.status is http.HTTPStatus.CONFLICT:
+                counts.conflicts += 1
+            elif reply.status < http.HTTPStatus.BAD_REQUEST:
+                counts.writes += 1
+
+    def encode_counts(self) -> bytes:
+        """Encodes the counts as JSON."""
+        with self._lock:
+            return msgspec.json.encode(self._counts)
+
+    def _is_met(self, request: exchange.Request) -> bool:
+        mode = self._mode
+        if mode.instances and request.instance not in mode.instances:
+            return False
+        is_for_writes = mode.mode in ("answer-lost", "late")
+        return request.is_transaction or not is_for_writes
--- /dev/null
+++ b/tools/standins/rows.py
@@ -0,0 +1,270 @@
+"""Rows of the platform's store, as its pages describe them, without a network.
+
+Time is handed in. Tables, parts and keys are texts; each transaction takes the
+next number of one counter, which all its rows bear.
+"""
+
+import base64
+import binascii
+from collections.abc import Iterator
+import dataclasses
+import http
+from typing import Any
+from typing import TypeAlias
+
+import msgspec
+
+MAX_NAME_BYTES = 200
+MAX_ENTRIES = 100
+MAX_ANSWER_ROWS = 500
+"""Bounds of one call, from the platform's pages."""
+
+READ_ONLY_TABLES = frozenset({"op", "servers"})
+
+_Name: TypeAlias = tuple[str, str, str]
+
+
+class _Entry(msgspec.Struct, rename="camel"):
+    table: str
+    key: str
+    part: str = ""
+    value: str = ""
+    revision_number: int = 0
+
+
+class _Transaction(msgspec.Struct):
+    expect: list[_Entry] = msgspec.field(default_factory=list)
+    put: list[_Entry] = msgspec.field(default_factory=list)
+    remove: list[_Entry] = msgspec.field(default_factory=list)
+    across: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """An answer of the store; `body` is to be encoded as JSON."""
+
+    status: http.HTTPStatus
+    body: dict[str, Any] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Row:
+    value: bytes
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Change:
+    name: _Name
+    revision: int
+    value: bytes | None
+
+
+class RowStore:
+    """All rows, and the changes that are still remembered."""
+
+    __slots__ = ("_changes", "_forgotten", "_revision", "_row_bytes", "_rows")
+
+    def __init__(self, *, row_bytes: int) -> None:
+        """Makes an empty store.
+
+        Args:
+            row_bytes: The longest value.
+        """
+        self._row_bytes = row_bytes
+        self._rows: dict[_Name, _Row] = {}
+        self._changes: list[_Change] = []
+        self._revision = 1
+        self._forgotten = 0
+
+    @property
+    def revision(self) -> int:
+        """The number of the newest transaction."""
+        return self._revision
+
+    def write_operator(self, table: str, key: str, value: bytes) -> None:
+        """Writes a row of a table that only the operator may write."""
+        self._revision += 1
+        self._apply((table, "", key), value)
+
+    def transact(self, content: bytes, now_ms: int) -> Reply:
+        """Applies a transaction, all of it or nothing.
+
+        Args:
+            content: The body of the call.
+            now_ms: The store's clock.
+        """
+        try:
+            wanted = msgspec.json.decode(content, type=_Transaction)
+            puts = [(entry, _decode(entry.value)) for entry in wanted.put]
+        except (msgspec.MsgspecError, binascii.Error) as error:
+            return _refuse(http.HTTPStatus.BAD_REQUEST, str(error))
+        fault = self._find_fault(wanted, [value for _, value in puts])
+        if fault is not None:
+            return fault
+        if not all(self._is_expected(entry) for entry in wanted.expect):
+            rows = [self._describe(_name(entry)) for entry in wanted.expect]
+            return Reply(
+                status=http.HTTPStatus.PRECONDITION_FAILED,
+                body=self._frame(rows, now_ms),
+            )
+        self._revision += 1
+        for entry, value in puts:
+            self._apply(_name(entry), value)
+        for entry in wanted.remove:
+            self._apply(_name(entry), None)
+        return Reply(status=http.HTTPStatus.OK, body=self._frame([], now_ms))
+
+    def read(self, query: dict[str, str], now_ms: int) -> Reply:
+        """Reads rows of one part of a table, in the order of their keys.
+
+        Args:
+            query: The fields of the call's target.
+            now_ms: The store's clock.
+        """
+        if "table" not in query:
+            return _refuse(http.HTTPStatus.BAD_REQUEST, "no table is named")
+        first = query.get("from", "").encode()
+        end = query["to"].encode() if "to" in query else None
+        limit = min(int(query.get("limit", MAX_ANSWER_ROWS)), MAX_ANSWER_ROWS)
+        names = [
+            name
+            for name in self._list_names(query["table"], query.get("part", ""))
+            if name[2].encode() >= first
+            and (end is None or name[2].encode() < end)
+        ]
+        rows = [self._describe(name) for name in names[:limit]]
+        return Reply(
+            status=http.HTTPStatus.OK,
+            body={
+                **self._frame(rows, now_ms),
+                "hasMore": len(names) > limit,
+            },
+        )
+
+    def list_parts(self, query: dict[str, str], now_ms: int) -> Reply:
+        """Lists the parts of a table."""
+        table = query.get("table", "")
+        after = query.get("after", "")
+        parts = sorted(
+            {p for t, p, _ in self._rows if t == table and p > after}
+        )
+        return Reply(
+            status=http.HTTPStatus.OK,
+            body={**self._frame([], now_ms), "parts": parts[:1_000]},
+        )
+
+    def read_changes(self, query: dict[str, str], now_ms: int) -> Reply | None:
+        """Reads what has changed in a table since a revision.
+
+        Returns:
+            The changes, that they are forgotten, or None while there are none.
+        """
+        after = int(query.get("after", "0"))
+        if after < self._forgotten:
+            return _refuse(http.HTTPStatus.GONE, "history is forgotten")
+        rows = [
+            _describe_change(change)
+            for change in self._changes
+            if change.revision > after and change.name[0] == query.get("table")
+        ]
+        if not rows:
+            return None
+        return Reply(status=http.HTTPStatus.OK, body=self._frame(rows, now_ms))
+
+    def make_empty(self, now_ms: int) -> Reply:
+        """Makes the answer to a wait during which nothing has changed."""
+        return Reply(status=http.HTTPStatus.OK, body=self._frame([], now_ms))
+
+    def forget(self) -> None:
+        """Forgets all changes of the past; the rows stay."""
+        self._forgotten = self._revision
+        self._changes.clear()
+
+    def _find_fault(
+        self, wanted: _Transaction, values: list[bytes]
+    ) -> Reply | None:
+        """Finds what the pages forbid in a transaction."""
+        changed = [*wanted.put, *wanted.remove]
+        entries = [*wanted.expect, *changed]
+        if len(entries) > MAX_ENTRIES:
+            return _refuse(http.HTTPStatus.BAD_REQUEST, "too many entries")
+        if any(not _has_good_name(entry) for entry in entries):
+            return _refuse(http.HTTPStatus.BAD_REQUEST, "name too long")
+        if any(len(value) > self._row_bytes for value in values):
+            return _refuse(http.HTTPStatus.BAD_REQUEST, "value too long")
+        if any(entry.table in READ_ONLY_TABLES for entry in changed):
+            return _refuse(http.HTTPStatus.FORBIDDEN, "the operator's table")
+        if len({entry.part for entry in entries}) > 1 and not wanted.across:
+            return _refuse(http.HTTPStatus.BAD_REQUEST, "several parts")
+        return None
+
+    def _is_expected(self, entry: _Entry) -> bool:
+        row = self._rows.get(_name(entry))
+        return (row.revision if row else 0) == entry.revision_number
+
+    def _apply(self, name: _Name, value: bytes | None) -> None:
+        if value is None:
+            if self._rows.pop(name, None) is None:
+                return
+        else:
+            self._rows[name] = _Row(value=value, revision=self._revision)
+        self._changes.append(
+            _Change(name=name, revision=self._revision, value=value)
+        )
+
+    def _list_names(self, table: str, part: str) -> Iterator[_Name]:
+        found = [name for name in self._rows if name[:2] == (table, part)]
+        yield from sorted(found, key=lambda name: name[2].encode())
+
+    def _describe(self, name: _Name) -> dict[str, Any]:
+        row = self._rows.get(name)
+        return _describe_change(
+            _Change(
+                name=name,
+                revision=row.revision if row else 0,
+                value=row.value if row else None,
+            )
+        )
+
+    def _frame(self, rows: list[dict[str, Any]], now_ms: int) -> dict[str, Any]:
+        return {
+            "rows": rows,
+            "revisionNumber": self._revision,
+            "nowMs": now_ms,
+        }
+
+
+def _name(entry: _Entry) -> _Name:
+    return (entry.table, entry.part, entry.key)
+
+
+def _has_good_name(entry: _Entry) -> bool:
+    return all(
+        len(text.encode()) <= MAX_NAME_BYTES
+        for text in (entry.table, entry.part, entry.key)
+    )
+
+
+def _decode(value: str) -> bytes:
+    return base64.b64decode(value, validate=True)
+
+
+def _refuse(status: http.HTTPStatus, reason: str) -> Reply:
+    return Reply(status=status, body={"error": reason})
+
+
+def _describe_change(change: _Change) -> dict[str, Any]:
+    table, part, key = change.name
+    described = {
+        "table": table,
+        "part": part,
+        "key": key,
+        "revisionNumber": change.revision,
+    }
+    if change.value is None:
+        return {**described, "removed": True}
+    return {
+        **described,
+        "value": base64.b64encode(change.value).decode("ascii"),
+    }
--- a/tools/standins/upstream.py
+++ b/tools/standins/upstream.py
@@ -36,6 +36,7 @@
 DRAIN_S = 30.0
 DRAIN_LINGER_S = 0.2
 HANG_S = 60.0
+HOLD_STEP_S = 0.01
 LATE_S = 0.3
 DEFAULT_DEADLINE_MS = 1_000
 RETRY_AFTER_S = 1
@@ -187,6 +188,9 @@
             service_ms = HANG_S * 1_000
         if service_ms > 0 and cancelled.wait(service_ms / 1_000):
             return upstream_state.Reason.CANCELLED
+        while state.mode.is_holding_runs:
+            if cancelled.wait(HOLD_STEP_S):
+                return upstream_state.Reason.CANCELLED
         outcome = state.commit(grant)
         state.record(
             upstream_state.Run(
--- a/tools/standins/upstream_state.py
+++ b/tools/standins/upstream_state.py
@@ -33,7 +33,8 @@
 
     `is_black_holing` silences the connections that were open when the mode was
     set. `health_state` and `in_flight` replace the truth in reports, which are
-    `report_lag_ms` old. Each run takes `slow_ms` longer.
+    `report_lag_ms` old. Each run takes `slow_ms` longer, and none ends while
+    `is_holding_runs` is set.
     """
 
     is_black_holing: bool = False
@@ -41,6 +42,7 @@
     in_flight: int | None = None
     report_lag_ms: int = 0
     slow_ms: int = 0
+    is_holding_runs: bool = False
 
 
 class Grant(msgspec.Struct, frozen=True, kw_only=True):
