--- a/tools/standins/conditions.py
+++ b/tools/standins/conditions.py
@@ -18,10 +18,10 @@
     "down" drops each connection without an answer, "refusing" answers 503.
     "slow" waits `delay_ms` before a request takes effect. "answer-lost" lets a
     transaction take effect and then drops the connection; "late" drops it at
-    once, and the transaction is tried `delay_ms` afterwards. `count` is the
-    number of requests (transactions, for the last two) after which the fault is
-    over, without it the fault stays. With `instances` only their requests are
-    affected.
+    once, and the transaction is tried `delay_ms` afterwards, without it when
+    late ones are delivered. `count` is the number of requests (transactions,
+    for the last two) after which the fault is over, without it the fault stays.
+    With `instances` only their requests are affected.
     """
 
     mode: Literal["up", "down", "refusing", "slow", "answer-lost", "late"] = (
--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -3,7 +3,8 @@
 Run as `python -m tools.standins.platform --port N [--object-port M]`. Both
 ports serve all. `PUT /-/mode` brings about faults, `PUT /-/budget` changes the
 budget, `PUT /-/operator/NAME` writes a row as the operator does, `POST
-/-/forget` drops the history, and `GET /-/counts` tells what was served.
+/-/forget` drops the history, `POST /-/deliver` lets late transactions arrive,
+and `GET /-/counts` tells what was served.
 """
 
 import argparse
@@ -43,13 +44,14 @@
 class Services:
     """All services as one WSGI application, with control of their faults."""
 
-    __slots__ = ("_conditions", "_objects", "_rows", "_tables")
+    __slots__ = ("_conditions", "_held", "_objects", "_rows", "_tables")
 
     def __init__(self, *, budget: conditions.Budget) -> None:
         self._conditions = conditions.Conditions(budget=budget)
         self._tables = table_service.TableService()
         self._objects = table_service.ObjectStore()
         self._rows = row_calls.RowCalls()
+        self._held: list[exchange.Request] = []
 
     def __call__(
         self, environ: _Environ, start_response: _StartResponse
@@ -79,6 +81,9 @@
         return _send(reply, start_response)
 
     def _serve_later(self, request: exchange.Request, delay_ms: int) -> None:
+        if not delay_ms:
+            self._held.append(request)
+            return
         timer = threading.Timer(
             delay_ms / _MS_PER_S, self._serve, args=(request,)
         )
@@ -122,6 +127,11 @@
                         path.removeprefix("/-/operator/"), request.body
                     )
                     return exchange.Reply(status=http.HTTPStatus.NO_CONTENT)
+                case "POST", "/-/deliver":
+                    held, self._held = self._held, []
+                    for late in held:
+                        self._serve(late)
+                    return exchange.Reply(status=http.HTTPStatus.NO_CONTENT)
                 case "POST", "/-/forget":
                     self._rows.forget()
                     return exchange.Reply(status=http.HTTPStatus.NO_CONTENT)
