A fault soak on real processes: routers, keyed servers, the platform's store

tools/soak plays random faults in series on the real programs: routers killed, stopped as planned, frozen; servers killed, drained, frozen; the store down, refusing, slow, losing or delaying answers, forgetting its history; each node's way to it refused, reset, silent, cut one way or slow by a proxy; configurations. Callers keep their connections.

--- a/tools/processes.py
+++ b/tools/processes.py
@@ -1,6 +1,7 @@
 """Child processes that a development tool owns, each ended by its own id."""
 
 from collections.abc import Iterator
+from collections.abc import Mapping
 import contextlib
 import dataclasses
 import enum
@@ -50,6 +51,7 @@
     __slots__ = (
         "_arguments",
         "_child",
+        "_environment",
         "_is_ending",
         "log_path",
         "name",
@@ -63,7 +65,18 @@
         role: Role,
         arguments: tuple[str, ...],
         folder: pathlib.Path,
+        environment: Mapping[str, str] | None = None,
     ) -> None:
+        """Defines a process that doesn't run yet.
+
+        Args:
+            name: Which one of its role it is.
+            role: What it is.
+            arguments: The module and its arguments.
+            folder: Where its log goes.
+            environment: Variables besides those of this process.
+        """
+        self._environment = environment or {}
         self.name = name
         self.role = role
         self.log_path = folder / f"{role.value}-{name}.log"
@@ -85,7 +98,7 @@
             self._child = subprocess.Popen(
                 [sys.executable, "-m", *self._arguments],
                 cwd=_ROOT,
-                env=make_environment(),
+                env={**make_environment(), **self._environment},
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=log,
--- /dev/null
+++ b/tools/soak/callers.py
@@ -0,0 +1,134 @@
+"""Callers that keep their connections, and note what they were told."""
+
+import contextlib
+import dataclasses
+import http
+import http.client
+import itertools
+import random
+import threading
+import time
+
+from tools.soak import cluster
+from tools.standins import keyed
+
+TIMEOUT_MS = 2_000
+KEY_COUNT = 65_536
+_PAUSE_S = 0.01
+_SPARE_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Outcome:
+    """What a caller was told of one request; `status` 0 without an answer."""
+
+    request_id: str
+    node: str
+    is_once: bool
+    path: str
+    key: int
+    status: int
+    is_right: bool
+    sent_ms: float
+    ended_ms: float
+
+
+class Callers:
+    """Threads that send requests to all nodes until they are stopped."""
+
+    def __init__(
+        self, *, nodes: list[cluster.Node], count: int, seed: int
+    ) -> None:
+        self._nodes = nodes
+        self._seed = seed
+        self._is_stopped = threading.Event()
+        self._numbers = itertools.count()
+        self._threads = [
+            threading.Thread(target=self._run, args=(number,), daemon=True)
+            for number in range(count)
+        ]
+        self.outcomes: list[Outcome] = []
+
+    def start(self) -> None:
+        """Begins to send."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Ends after the requests that are under way."""
+        self._is_stopped.set()
+        for thread in self._threads:
+            thread.join()
+
+    def _run(self, number: int) -> None:
+        source = random.Random(self._seed * 1_000 + number)
+        with contextlib.ExitStack() as stack:
+            connections: dict[str, http.client.HTTPConnection] = {}
+            while not self._is_stopped.is_set():
+                node = source.choice(self._nodes)
+                connection = connections.get(node.name)
+                if connection is None:
+                    connection = open_connection(node)
+                    stack.callback(connection.close)
+                    connections[node.name] = connection
+                outcome = self.send(
+                    node, connection, source.randrange(KEY_COUNT), source
+                )
+                self.outcomes.append(outcome)
+                time.sleep(_PAUSE_S)
+
+    def send(
+        self,
+        node: cluster.Node,
+        connection: http.client.HTTPConnection,
+        key: int,
+        source: random.Random,
+    ) -> Outcome:
+        """Sends one request, and judges the answer."""
+        request_id = f"r{self._seed}-{next(self._numbers)}"
+        is_once = source.random() < 0.5
+        path = f"/{'write' if is_once else 'read'}/{request_id}"
+        sent_ms = keyed.read_ms()
+        status, is_right = 0, True
+        try:
+            connection.request(
+                "POST" if is_once else "GET",
+                path,
+                b"x" * source.randrange(2_000) if is_once else None,
+                {
+                    "Host": cluster.HOST,
+                    keyed.REQUEST_ID: request_id,
+                    "X-Rhubarblead-Deadline-Ms": str(TIMEOUT_MS),
+                    "X-Rhubarblead-Shard-Key": str(key),
+                },
+            )
+            response = connection.getresponse()
+            body = response.read()
+            status = response.status
+            is_right = status != http.HTTPStatus.OK or (
+                body == keyed.make_body(request_id)
+                and bool(response.headers.get("X-Rhubarblead-Server-Seal"))
+            )
+        except (OSError, http.client.HTTPException):
+            # No answer; the next request opens a new connection.
+            connection.close()
+        return Outcome(
+            request_id=request_id,
+            node=node.name,
+            is_once=is_once,
+            path=path,
+            key=key,
+            status=status,
+            is_right=is_right,
+            sent_ms=sent_ms,
+            ended_ms=keyed.read_ms(),
+        )
+
+
+def open_connection(node: cluster.Node) -> http.client.HTTPConnection:
+    """Prepares a connection to a node's address for callers."""
+    return http.client.HTTPConnection(
+        node.ip,
+        node.ports["callers"],
+        timeout=TIMEOUT_MS / 1_000 + _SPARE_S,
+    )
--- /dev/null
+++ b/tools/soak/cluster.py
@@ -0,0 +1,242 @@
+"""Routers, keyed servers and the platform's store, as processes on loopback."""
+
+import contextlib
+import http.client
+import json
+import pathlib
+import time
+from typing import Any
+
+from tools import processes
+from tools.soak import proxy
+
+SERVICE = "s"
+HOST = "one.example"
+HEARTBEAT_MS = 500
+SLOT_COUNT = 4
+_DOMAINS = ("a", "b", "c")
+_READY_S = 60.0
+_POLL_S = 0.05
+_BASE_IP = "127.0.{block}.{number}"
+
+_COLUMNS = [
+    "name",
+    "host",
+    "prefix",
+    "type",
+    "timeoutMs",
+    "targetLatencyMs",
+    "priority",
+    "service",
+    "maxAttempts",
+]
+
+
+class CannotRun(Exception):
+    """The cluster didn't become ready."""
+
+
+class Node:
+    """One instance: a server, the router beside it and its way to the store."""
+
+    def __init__(
+        self,
+        *,
+        number: int,
+        ip: str,
+        ports: dict[str, int],
+        folder: pathlib.Path,
+        store_port: int,
+    ) -> None:
+        self.name = f"n{number}"
+        self.ip = ip
+        self.domain = _DOMAINS[number % len(_DOMAINS)]
+        self.ports = ports
+        self._folder = folder
+        self._life_number = 0
+        self.records: list[pathlib.Path] = []
+        # When each life of the server began and ended, for the audit.
+        self.store_proxy = proxy.Proxy(
+            ip=ip,
+            port=ports["store"],
+            target_ip=processes.LOOPBACK,
+            target_port=store_port,
+        )
+        self._settings = folder / f"settings-{self.name}.json"
+        self._settings.write_text(json.dumps(self._make_settings()))
+        self.router = processes.Process(
+            name=self.name,
+            role=processes.Role.NODE,
+            arguments=("router_daemon",),
+            folder=folder,
+            environment={"RHUBARBLEAD_NODE_FILE": str(self._settings)},
+        )
+        self.server = self._make_server()
+
+    def start_server(self) -> None:
+        """Starts a new life of the server, under a new name."""
+        self.server = self._make_server()
+        self.server.start()
+
+    def close(self) -> None:
+        """Ends all that belongs to the instance."""
+        for process in (self.router, self.server):
+            process.thaw()
+            process.kill()
+        self.store_proxy.close()
+
+    def is_ready(self) -> bool:
+        """Tells whether the router says that it is ready."""
+        connection = http.client.HTTPConnection(
+            self.ip, self.ports["readiness"], timeout=1.0
+        )
+        try:
+            connection.request("GET", "/readiness")
+            return connection.getresponse().status == http.HTTPStatus.OK
+        except (OSError, http.client.HTTPException):
+            return False
+        finally:
+            connection.close()
+
+    def _make_server(self) -> processes.Process:
+        self._life_number += 1
+        server_id = f"{self.name}-{self._life_number}"
+        records = self._folder / f"records-{server_id}.jsonl"
+        self.records.append(records)
+        return processes.Process(
+            name=server_id,
+            role=processes.Role.UPSTREAM,
+            arguments=(
+                "tools.standins.keyed",
+                *("--id", server_id, "--ip", self.ip),
+                *("--port", str(self.ports["server"])),
+                *("--control", f"{self.ip}:{self.ports['control']}"),
+                *("--service", SERVICE, "--zone", self.domain),
+                *("--slots", str(SLOT_COUNT), "--records", str(records)),
+            ),
+            folder=self._folder,
+        )
+
+    def _make_settings(self) -> dict[str, Any]:
+        ports = self.ports
+        return {
+            "nodeName": self.name,
+            "ipAddress": self.ip,
+            "zone": self.domain,
+            "listenAddresses": {
+                "outbound": f"{self.ip}:{ports['callers']}",
+                "readiness": f"{self.ip}:{ports['readiness']}",
+                "control": f"{self.ip}:{ports['control']}",
+            },
+            "internalPortRange": [ports["peers"], ports["peers"]],
+            "heartbeatIntervalMs": HEARTBEAT_MS,
+            "application": f"{self.ip}:{ports['server']}",
+            "service": SERVICE,
+            "platform": {"address": f"{self.ip}:{ports['store']}"},
+        }
+
+
+class Cluster:
+    """All processes of one run; leaving it ends them."""
+
+    def __init__(
+        self, *, node_count: int, folder: pathlib.Path, block: int = 77
+    ) -> None:
+        """Defines the processes.
+
+        Args:
+            node_count: Instances.
+            folder: For logs, settings and records.
+            block: Third part of the instances' loopback addresses, so that
+                runs beside each other don't meet.
+        """
+        self._stack = contextlib.ExitStack()
+        names = ("callers", "readiness", "control", "peers", "server", "store")
+        found = processes.list_free_ports(1 + len(names))
+        self.store_port = next(found)
+        ports = dict(zip(names, found, strict=True))
+        self.store = processes.Process(
+            name="store",
+            role=processes.Role.PLATFORM,
+            arguments=(
+                "tools.standins.platform",
+                *("--port", str(self.store_port)),
+            ),
+            folder=folder,
+        )
+        self.nodes = [
+            Node(
+                number=number,
+                ip=_BASE_IP.format(block=block, number=number + 1),
+                ports=ports,
+                folder=folder,
+                store_port=self.store_port,
+            )
+            for number in range(node_count)
+        ]
+
+    def __enter__(self) -> "Cluster":
+        self._stack.callback(self.store.kill)
+        self.store.start()
+        self._wait("the store", self._has_store)
+        self.apply_config(1)
+        for node in self.nodes:
+            self._stack.callback(node.close)
+            node.server.start()
+            node.router.start()
+        self._wait("the routers", self._is_ready)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._stack.close()
+
+    def apply_config(self, version: int) -> None:
+        """Writes a version of the configuration as the operator does."""
+        common = [2_000, 600, 1, SERVICE, 3]
+        document = {
+            "version": f"{version:08x}",
+            "routes": {
+                "columns": _COLUMNS,
+                "rows": [
+                    ["read", HOST, "/read/", "safe", *common],
+                    ["write", HOST, "/write/", "unsafe", *common],
+                ],
+            },
+            "services": {
+                "columns": ["name", "maxConnections", "sharded"],
+                "rows": [[SERVICE, 100, True]],
+            },
+        }
+        self.call_store("PUT", "/-/operator/config", json.dumps(document))
+
+    def call_store(self, method: str, path: str, body: str = "") -> None:
+        """Calls the store's stand-in, past the proxies."""
+        connection = http.client.HTTPConnection(
+            processes.LOOPBACK, self.store_port, timeout=5.0
+        )
+        try:
+            connection.request(method, path, body)
+            connection.getresponse().read()
+        finally:
+            connection.close()
+
+    def list_records(self) -> list[pathlib.Path]:
+        """Lists the files in which servers have recorded what they did."""
+        return [path for node in self.nodes for path in node.records]
+
+    def _has_store(self) -> bool:
+        try:
+            self.call_store("GET", "/-/counts")
+        except OSError:
+            return False
+        return True
+
+    def _is_ready(self) -> bool:
+        return all(node.is_ready() for node in self.nodes)
+
+    def _wait(self, what: str, is_done: Any) -> None:  # noqa: ANN401
+        ends_s = time.monotonic() + _READY_S
+        while not is_done():
+            if time.monotonic() > ends_s:
+                raise CannotRun(f"{what} didn't become ready")
+            time.sleep(_POLL_S)
--- /dev/null
+++ b/tools/standins/keyed.py
@@ -0,0 +1,305 @@
+"""A stand-in for a server of the platform that holds keys.
+
+Usage: python -m tools.standins.keyed --id i-1 --ip 127.0.2.1 --port 9001
+    --control 127.0.2.1:9003 --service s --zone a --slots 4
+    --records runs.jsonl
+
+It writes a line for each run and for each change of what it holds. It resets
+connections when it is full, as the platform's servers do. SIGTERM drains it.
+"""
+
+import argparse
+import hashlib
+import http
+import http.client
+import http.server
+import json
+import os
+import pathlib
+import random
+import signal
+import socket
+import socketserver
+import struct
+import sys
+import threading
+import time
+from typing import Any
+
+from tools.standins import keyed_holds
+
+HEARTBEAT_S = 0.5
+RELEASE_S = 0.1
+CALL_TIMEOUT_S = 1.0
+DRAIN_S = 2.5
+LEAST_RUN_MS = 10
+MOST_RUN_MS = 60
+NOT_EXECUTED = "X-Rhubarblead-Not-Executed"
+REQUEST_ID = "X-Rhubarblead-Request-Id"
+_RESET = struct.pack("ii", 1, 0)
+
+
+def read_ms() -> float:
+    """Reads the clock that all processes of the machine share."""
+    return time.clock_gettime_ns(time.CLOCK_MONOTONIC) / 1_000_000
+
+
+def make_body(request_id: str) -> bytes:
+    """Makes the answer's body, which shows whose it is."""
+    return hashlib.sha256(request_id.encode()).hexdigest().encode()
+
+
+class Records:
+    """Lines of one server, each written at once."""
+
+    def __init__(self, *, path: pathlib.Path, server_id: str) -> None:
+        self._descriptor = os.open(
+            path, os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o644
+        )
+        self._server_id = server_id
+
+    def write(self, kind: str, **fields: Any) -> None:  # noqa: ANN401
+        """Writes one line."""
+        line = {"kind": kind, "server": self._server_id, "at_ms": read_ms()}
+        os.write(
+            self._descriptor, json.dumps({**line, **fields}).encode() + b"\n"
+        )
+
+
+class State:
+    """All that the threads of one server share."""
+
+    def __init__(self, *, options: argparse.Namespace) -> None:
+        self.options = options
+        self.born_ms = int(time.time() * 1_000)
+        self.lock = threading.Lock()
+        self.holds = keyed_holds.Holds()
+        self.running_count = 0
+        self.is_draining = threading.Event()
+        self.records = Records(path=options.records, server_id=options.id)
+        self._sequence = 0
+
+    def make_heartbeat(
+        self,
+    ) -> tuple[dict[str, Any], list[tuple[keyed_holds.Held, str]], float]:
+        """Makes a heartbeat; returns it, what it frees, and when it was."""
+        now_ms = read_ms()
+        with self.lock:
+            self._sequence += 1
+            released = self.holds.take_released()
+            held = self.holds.list_told(now_ms)
+            sequence = self._sequence
+        state = "draining" if self.is_draining.is_set() else "ready"
+        body = {
+            "address": f"{self.options.ip}:{self.options.port}",
+            "born": self.born_ms,
+            "information": {
+                "service": self.options.service,
+                "version": "v1",
+                "zone": self.options.zone,
+                "slots": self.options.slots,
+            },
+            "status": {
+                "state": state,
+                "sequence": sequence,
+                "coldRemainingMs": 0,
+            },
+            "holds": [[h.first, h.last, h.fence] for h in held],
+            "freed": [[h.first, h.last, token] for h, token in released],
+        }
+        return body, released, now_ms
+
+    def take_reply(self, reply: dict[str, Any], sent_at_ms: float) -> None:
+        """Takes the answer to a heartbeat."""
+        if "holds" not in reply:
+            return
+        with self.lock:
+            self.holds.take(reply["holds"], reply["holdMs"], sent_at_ms)
+            # A reply that was taken late may give nothing any more.
+            held = self.holds.list_held(read_ms())
+        self.records.write(
+            "holds",
+            ranges=[[h.first, h.last, h.fence, h.until_ms] for h in held],
+        )
+
+
+class _Server(http.server.ThreadingHTTPServer):
+    daemon_threads = True
+    allow_reuse_address = True
+    request_queue_size = 128
+
+    def __init__(self, *, state: State) -> None:
+        self.state = state
+        super().__init__((state.options.ip, state.options.port), _Handler)
+
+    def server_bind(self) -> None:
+        """Binds without the look-up of the host's name."""
+        socketserver.TCPServer.server_bind(self)
+        self.server_name = self.state.options.ip
+        self.server_port = self.state.options.port
+
+    def handle_error(self, request: object, client_address: object) -> None:
+        """Keeps quiet about connections that the other end closed."""
+        if not isinstance(sys.exc_info()[1], OSError):
+            super().handle_error(request, client_address)  # type: ignore[arg-type]
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    server: _Server
+
+    def log_message(self, format: str, *args: object) -> None:  # noqa: A002
+        """Logs nothing for each request."""
+
+    def do_GET(self) -> None:  # noqa: N802
+        """Serves any method."""
+        length = int(self.headers.get("Content-Length", "0"))
+        body = self.rfile.read(length)
+        if self.path == "/health":
+            self._answer(http.HTTPStatus.OK, b"")
+            return
+        refusal = self._find_refusal()
+        if refusal is not None:
+            self._answer(refusal, b"", not_executed=True)
+            return
+        self._run(body)
+
+    do_POST = do_PUT = do_DELETE = do_GET  # noqa: N815
+
+    def _find_refusal(self) -> http.HTTPStatus | None:
+        state = self.server.state
+        expected = self.headers.get("X-Rhubarblead-Expected-Instance")
+        if expected not in (None, state.options.id):
+            return http.HTTPStatus.MISDIRECTED_REQUEST
+        if not self.headers.get(REQUEST_ID):
+            return http.HTTPStatus.BAD_REQUEST
+        key = self.headers.get("X-Rhubarblead-Shard-Key")
+        with state.lock:
+            if key and not state.holds.is_held(int(key), read_ms()):
+                return http.HTTPStatus.MISDIRECTED_REQUEST
+        return None
+
+    def _run(self, body: bytes) -> None:
+        state = self.server.state
+        request_id = self.headers[REQUEST_ID]
+        key = int(self.headers.get("X-Rhubarblead-Shard-Key", "-1"))
+        with state.lock:
+            is_full = state.running_count >= state.options.slots
+            if not is_full:
+                state.running_count += 1
+                state.holds.begin(request_id, key)
+        if is_full:
+            state.records.write("overfull", request_id=request_id)
+            self._reset()
+            return
+        state.records.write(
+            "run",
+            request_id=request_id,
+            key=key,
+            method=self.command,
+            path=self.path,
+            body_bytes=len(body),
+        )
+        time.sleep(random.uniform(LEAST_RUN_MS, MOST_RUN_MS) / 1_000)
+        with state.lock:
+            state.running_count -= 1
+            state.holds.end(request_id)
+        self._answer(http.HTTPStatus.OK, make_body(request_id))
+
+    def _answer(
+        self,
+        status: http.HTTPStatus,
+        body: bytes,
+        *,
+        not_executed: bool = False,
+    ) -> None:
+        options = self.server.state.options
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(body)))
+        self.send_header("X-Rhubarblead-Instance-Id", options.id)
+        self.send_header("Keep-Alive", "timeout=5")
+        if request_id := self.headers.get(REQUEST_ID):
+            self.send_header(REQUEST_ID, request_id)
+            self.send_header("X-Rhubarblead-Server-Seal", f"seal.{options.id}")
+        if not_executed:
+            self.send_header(NOT_EXECUTED, "1")
+        self.end_headers()
+        self.wfile.write(body)
+
+    def _reset(self) -> None:
+        self.close_connection = True
+        self.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET)
+        self.connection.close()
+
+
+def call_control(
+    control: str, server_id: str, name: str, body: dict[str, Any]
+) -> dict[str, Any] | None:
+    """Makes a call to the node beside the server; None without an answer."""
+    ip, _, port = control.rpartition(":")
+    connection = http.client.HTTPConnection(
+        ip, int(port), timeout=CALL_TIMEOUT_S
+    )
+    try:
+        connection.request(
+            "POST",
+            f"/rpc?call=instances.{name}&of={server_id}",
+            json.dumps(body),
+            {"Content-Type": "application/json"},
+        )
+        response = connection.getresponse()
+        content = response.read()
+        if response.status != http.HTTPStatus.OK:
+            return None
+        found: dict[str, Any] = json.loads(content or b"{}")
+        return found
+    except (OSError, http.client.HTTPException):
+        # The node is away; the next heartbeat finds out again.
+        return None
+    finally:
+        connection.close()
+
+
+def send_heartbeats(state: State, ended: threading.Event) -> None:
+    """Sends heartbeats until the server ends."""
+    options = state.options
+    while not ended.is_set():
+        body, released, sent_at_ms = state.make_heartbeat()
+        reply = call_control(options.control, options.id, "heartbeat", body)
+        with state.lock:
+            if reply is None:
+                state.holds.put_back(released)
+        if reply is not None:
+            state.take_reply(reply, sent_at_ms)
+        pause_s = RELEASE_S if state.holds.is_releasing else HEARTBEAT_S
+        ended.wait(pause_s)
+
+
+def main(arguments: list[str]) -> int:
+    """Serves until SIGTERM, then drains, deregisters and ends."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    for name in ("id", "ip", "control", "service", "zone"):
+        parser.add_argument(f"--{name}", required=True)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--slots", type=int, default=4)
+    parser.add_argument("--records", type=pathlib.Path, required=True)
+    state = State(options=parser.parse_args(arguments))
+    ended = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: state.is_draining.set())
+    with _Server(state=state) as server:
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        beats = threading.Thread(target=send_heartbeats, args=(state, ended))
+        beats.start()
+        state.is_draining.wait()
+        time.sleep(DRAIN_S)
+        ended.set()
+        beats.join()
+        options = state.options
+        call_control(options.control, options.id, "deregister", {})
+        server.shutdown()
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- /dev/null
+++ b/tools/standins/keyed_holds.py
@@ -0,0 +1,125 @@
+"""What one keyed server holds, by the answers to its heartbeats.
+
+Time is handed in, in milliseconds of a clock that all processes share.
+"""
+
+import dataclasses
+from typing import Any
+
+SLOWNESS = 1.02
+"""A hold's clock may run this much too slow (the platform's pages)."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Held:
+    """Keys from `first` to `last`, held until a moment."""
+
+    first: int
+    last: int
+    fence: int
+    until_ms: float
+
+
+class Holds:
+    """The keys of one life of a server."""
+
+    __slots__ = ("_fences", "_releasing", "_held", "_token_count", "_working")
+
+    def __init__(self) -> None:
+        self._held: list[Held] = []
+        self._releasing: list[tuple[Held, str]] = []
+        self._fences: dict[int, int] = {}
+        self._working: dict[str, int] = {}
+        self._token_count = 0
+
+    def is_held(self, key: int, now_ms: float) -> bool:
+        """Tells whether a key is held."""
+        return any(h.first <= key <= h.last for h in self.list_held(now_ms))
+
+    def list_held(self, now_ms: float) -> list[Held]:
+        """Lists what is held now."""
+        return [item for item in self._held if item.until_ms > now_ms]
+
+    def begin(self, request_id: str, key: int) -> None:
+        """Takes note that a request for a key runs."""
+        self._working[request_id] = key
+
+    def end(self, request_id: str) -> None:
+        """Takes note that it has ended."""
+        self._working.pop(request_id, None)
+
+    def take(
+        self, rows: list[list[Any]], hold_ms: float, sent_at_ms: float
+    ) -> None:
+        """Takes the answer to a heartbeat.
+
+        Args:
+            rows: First key, last key, fence and token, of all it is to hold.
+            hold_ms: How long, counted from the heartbeat.
+            sent_at_ms: When the heartbeat was sent.
+        """
+        until_ms = sent_at_ms + hold_ms * SLOWNESS
+        kept = [
+            Held(first=row[0], last=row[1], fence=row[2], until_ms=until_ms)
+            for row in rows
+            if self._is_acceptable(row)
+        ]
+        for item in kept:
+            self._fences[item.first] = item.fence
+            self._fences[item.last] = item.fence
+        for old in self.list_held(sent_at_ms):
+            for first, last in subtract(old, kept):
+                self._token_count += 1
+                part = dataclasses.replace(old, first=first, last=last)
+                self._releasing.append((part, f"t{self._token_count}"))
+        self._held = kept
+
+    def list_told(self, now_ms: float) -> list[Held]:
+        """Lists what a heartbeat names: what is held, or still worked on."""
+        return [*self.list_held(now_ms), *(part for part, _ in self._releasing)]
+
+    def take_released(self) -> list[tuple[Held, str]]:
+        """Takes what was released, once nobody works on it any more."""
+        ready = [item for item in self._releasing if self._is_idle(item[0])]
+        self._releasing = [i for i in self._releasing if i not in ready]
+        return ready
+
+    def put_back(self, released: list[tuple[Held, str]]) -> None:
+        """Keeps what a heartbeat without an answer has named."""
+        self._releasing = [*released, *self._releasing]
+
+    @property
+    def is_releasing(self) -> bool:
+        """Whether something was released and not told yet."""
+        return bool(self._releasing)
+
+    def _is_idle(self, part: Held) -> bool:
+        keys = self._working.values()
+        return not any(part.first <= key <= part.last for key in keys)
+
+    def _is_acceptable(self, row: list[Any]) -> bool:
+        first, last, fence = row[:3]
+        return all(
+            fence >= known
+            for key, known in self._fences.items()
+            if first <= key <= last
+        )
+
+
+def subtract(old: Held, kept: list[Held]) -> list[tuple[int, int]]:
+    """Lists the parts of a range that no kept range covers."""
+    parts = []
+    position = old.first
+    for item in sorted(kept, key=_get_first):
+        if item.last < position or item.first > old.last:
+            continue
+        if item.first > position:
+            parts.append((position, item.first - 1))
+        position = max(position, item.last + 1)
+    if position <= old.last:
+        parts.append((position, old.last))
+    return parts
+
+
+def _get_first(item: Held) -> int:
+    return item.first
