--- a/src/rhubarblead/keyspace/assignment.py
+++ b/src/rhubarblead/keyspace/assignment.py
@@ -107,12 +107,17 @@
 
         Returns:
             The new value.
+
+        Raises:
+            ValueError: The ranges overlap.
         """
         fence = self.fence + 1
         pieces: list[KeyRange] = []
         ordered = sorted(gifts, key=_get_first)
         position = 0
         for gift in ordered:
+            if gift.first < position:
+                raise ValueError(f"two changes of key {gift.first}")
             pieces.extend(self._cut(position, gift.first - 1))
             pieces.append(
                 KeyRange(
--- a/src/rhubarblead/node/admin.py
+++ b/src/rhubarblead/node/admin.py
@@ -14,12 +14,12 @@
 from rhubarblead import verdict as verdicts
 from rhubarblead.events import filters
 from rhubarblead.events import log
-from rhubarblead.node import control
 from rhubarblead.node import gauges
-from rhubarblead.node import intake
-from rhubarblead.node import outcome as outcomes
-from rhubarblead.node import probes
 from rhubarblead.node import view as views
+from rhubarblead.node.ownership import items
+from rhubarblead.node.requests import intake
+from rhubarblead.node.requests import outcome as outcomes
+from rhubarblead.node.requests import probes
 from rhubarblead.upstream import monitor
 
 _JSON = (("Content-Type", "application/json"),)
@@ -48,7 +48,7 @@
         board: views.ViewBoard,
         upstream: probes.UpstreamProbe,
         events: log.EventLog,
-        post: Callable[[control.Item], None],
+        post: Callable[[items.Item], None],
         count_in_flight: Callable[[], int],
         is_store_reachable: Callable[[], bool],
     ) -> None:
@@ -105,7 +105,7 @@
 
     def _drain(self, request: intake.CallerRequest) -> outcomes.Outcome:
         del request
-        self._post(control.Drain())
+        self._post(items.Drain())
         return _answer(b"{}", http.HTTPStatus.ACCEPTED)
 
     def _show_status(self, request: intake.CallerRequest) -> outcomes.Outcome:
--- a/src/rhubarblead/node/daemon.py
+++ b/src/rhubarblead/node/daemon.py
@@ -19,27 +19,28 @@
 from rhubarblead.events import catalog
 from rhubarblead.events import log
 from rhubarblead.node import admin
-from rhubarblead.node import agenda
-from rhubarblead.node import choice
-from rhubarblead.node import control
-from rhubarblead.node import copies
-from rhubarblead.node import crashes
 from rhubarblead.node import event_loop
-from rhubarblead.node import execution
-from rhubarblead.node import front
-from rhubarblead.node import gate
 from rhubarblead.node import gauges
 from rhubarblead.node import jobs
-from rhubarblead.node import local
-from rhubarblead.node import observer
-from rhubarblead.node import probes
-from rhubarblead.node import protection
-from rhubarblead.node import replicas
-from rhubarblead.node import routing
-from rhubarblead.node import store_jobs
-from rhubarblead.node import traffic
-from rhubarblead.node import unresolved
 from rhubarblead.node import view
+from rhubarblead.node.ownership import agenda
+from rhubarblead.node.ownership import control
+from rhubarblead.node.ownership import copies
+from rhubarblead.node.ownership import items
+from rhubarblead.node.ownership import observer
+from rhubarblead.node.ownership import replicas
+from rhubarblead.node.ownership import store_jobs
+from rhubarblead.node.requests import choice
+from rhubarblead.node.requests import crashes
+from rhubarblead.node.requests import execution
+from rhubarblead.node.requests import front
+from rhubarblead.node.requests import gate
+from rhubarblead.node.requests import local
+from rhubarblead.node.requests import probes
+from rhubarblead.node.requests import protection
+from rhubarblead.node.requests import routing
+from rhubarblead.node.requests import traffic
+from rhubarblead.node.requests import unresolved
 from rhubarblead.requests import admission
 from rhubarblead.requests import retries
 from rhubarblead.requests import slots
@@ -122,7 +123,7 @@
         self._crashes = crashes.CrashWatch(
             events=self._events,
             spread=lambda suspect: self._control.post(
-                control.SuspectFound(suspect=suspect)
+                items.SuspectFound(suspect=suspect)
             ),
         )
         self._protection = protection.Protection(
@@ -262,7 +263,7 @@
         if upstream is not None:
             self._slots.set_slots(upstream.announcement.slots)
         self._control.post(
-            control.UpstreamChanged(
+            items.UpstreamChanged(
                 is_serving=is_serving,
                 is_silent=upstream is not None and upstream.is_silent,
                 is_fenced=upstream is not None
@@ -306,7 +307,7 @@
         self._control.listen()
         self._run_task(self._exchange.run, self._exchange.stop)
         self._run_task(
-            self._control.run, lambda: self._control.post(control.Stop())
+            self._control.run, lambda: self._control.post(items.Stop())
         )
         self._run_task(self._upstream.run, self._upstream.stop)
         self._run_task(self._flush_metrics, self._stopping.set)
@@ -351,7 +352,7 @@
 
     def _leave(self) -> None:
         self._events.emit(catalog.Event.NODE_STOPPING)
-        self._control.post(control.Drain())
+        self._control.post(items.Drain())
         deadline_ms = clock.read_monotonic_ms() + self._node.limits.drain_ms
         has_left = self._wait(
             lambda: self._board.read().member is None, deadline_ms
--- /dev/null
+++ b/src/rhubarblead/node/ownership/__init__.py
@@ -0,0 +1,1 @@
+"""How a node comes to own shards, keeps them and gives them away."""
--- a/src/rhubarblead/node/agenda.py
+++ b/src/rhubarblead/node/ownership/agenda.py
@@ -8,12 +8,12 @@
 from rhubarblead import settings
 from rhubarblead import tables as tables_lib
 from rhubarblead.assignment import handover
-from rhubarblead.node import gate
-from rhubarblead.node import journal as journals
-from rhubarblead.node import planning
-from rhubarblead.node import proposals
-from rhubarblead.node import tenure as tenures
-from rhubarblead.node import writing
+from rhubarblead.node.ownership import journal as journals
+from rhubarblead.node.ownership import planning
+from rhubarblead.node.ownership import proposals
+from rhubarblead.node.ownership import tenure as tenures
+from rhubarblead.node.ownership import writing
+from rhubarblead.node.requests import gate
 
 _WRITE_ID_BYTES = 12
 _GRANTER_PATIENCE_MS = 3_000
--- a/src/rhubarblead/node/control.py
+++ b/src/rhubarblead/node/ownership/control.py
@@ -2,9 +2,7 @@
 
 from collections.abc import Callable
 import contextlib
-import dataclasses
 import secrets
-from typing import TypeAlias
 
 import msgspec
 import result
@@ -18,22 +16,24 @@
 from rhubarblead.events import catalog
 from rhubarblead.events import log
 from rhubarblead.leases import selection
-from rhubarblead.node import agenda as agendas
-from rhubarblead.node import change as changes
-from rhubarblead.node import dissemination
 from rhubarblead.node import jobs
-from rhubarblead.node import journal as journals
-from rhubarblead.node import observer as observers
-from rhubarblead.node import planning
-from rhubarblead.node import reading
-from rhubarblead.node import store_jobs
-from rhubarblead.node import tenure as tenures
-from rhubarblead.node import traffic
 from rhubarblead.node import view as views
-from rhubarblead.node import writing
+from rhubarblead.node.ownership import agenda as agendas
+from rhubarblead.node.ownership import change as changes
+from rhubarblead.node.ownership import dissemination
+from rhubarblead.node.ownership import items
+from rhubarblead.node.ownership import journal as journals
+from rhubarblead.node.ownership import observer as observers
+from rhubarblead.node.ownership import planning
+from rhubarblead.node.ownership import reading
+from rhubarblead.node.ownership import reports
+from rhubarblead.node.ownership import store_jobs
+from rhubarblead.node.ownership import tenure as tenures
+from rhubarblead.node.ownership import writing
+from rhubarblead.node.requests import traffic
 from rhubarblead.tablestore import ownership_log
 from rhubarblead.tablestore import store
-from rhubarblead.tablestore import table_log
+from rhubarblead.tablestore import table_versions
 from rhubarblead.transport import links
 from rhubarblead.transport import wakeup
 
@@ -41,46 +41,6 @@
 _BEHIND_PATIENCE_MS = 1_000
 _LAPSE_INTERVAL_MS = 100
 _IDENTITY_BYTES = 4
-_LOADS_INTERVAL_MS = 5_000
-_LOADS_MS_PER_MEMBER = 20
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class UpstreamChanged:
-    """The upstream beside the node began or ceased to serve.
-
-    `is_silent` says that it ceased without a word; `is_fenced` that it refuses
-    what it was granted once the grant has ended.
-    """
-
-    is_serving: bool
-    is_silent: bool
-    is_fenced: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class SuspectFound:
-    """The upstream crashed; the other nodes of its pool should know."""
-
-    suspect: messages.Suspect
-
-
-class Drain:
-    """The node is to hand over everything and leave."""
-
-
-class Stop:
-    """The task is to return."""
-
-
-Item: TypeAlias = (
-    store_jobs.StoreResult
-    | planning.Planned
-    | UpstreamChanged
-    | SuspectFound
-    | Drain
-    | Stop
-)
 
 
 class Control:
@@ -100,7 +60,6 @@
         "_lapses_due_ms",
         "_links",
         "_loads",
-        "_loads_due_ms",
         "_news",
         "_news_due_ms",
         "_node",
@@ -109,7 +68,6 @@
         "_reads",
         "_take_suspect",
         "_tick_due_ms",
-        "_traffic",
         "_writes",
     )
 
@@ -134,7 +92,7 @@
         self._agenda = agenda
         self._observer = observer
         self._events = events
-        self._inbox: wakeup.Inbox[Item] = wakeup.Inbox()
+        self._inbox: wakeup.Inbox[items.Item] = wakeup.Inbox()
         self._links = links.Links(
             context=context,
             identity=f"{node.instance}.{secrets.token_hex(_IDENTITY_BYTES)}",
@@ -150,18 +108,16 @@
         self._plans = planning.PlanJobs(
             runner=plan_runner, post=self._inbox.put
         )
-        self._traffic = shard_traffic
         self._take_suspect = take_suspect
-        self._loads = traffic.LoadBook()
+        self._loads = reports.LoadReports(shard_traffic=shard_traffic)
         self._reads = reading.ReadSchedule(platform=node.platform)
         self._writes = writing.WriteState()
         self._tick_due_ms = 0
         self._lapses_due_ms = 0
         self._news_due_ms = 0
         self._behind_since_ms = 0
-        self._loads_due_ms = 0
 
-    def post(self, item: Item) -> None:
+    def post(self, item: items.Item) -> None:
         """Sends the task a message."""
         self._inbox.put(item)
 
@@ -188,7 +144,7 @@
         for _, frames in answers:
             self._take_frames(frames, None)
         for item in self._inbox.take_all():
-            if isinstance(item, Stop):
+            if isinstance(item, items.Stop):
                 return False
             self._take_item(item)
         now_ms = clock.read_monotonic_ms()
@@ -291,14 +247,14 @@
 
     # Messages from tasks of this node.
 
-    def _take_item(self, item: Item) -> None:
+    def _take_item(self, item: items.Item) -> None:
         now_ms = clock.read_monotonic_ms()
         match item:
-            case UpstreamChanged():
+            case items.UpstreamChanged():
                 self._take_upstream(item)
-            case SuspectFound(suspect=suspect):
+            case items.SuspectFound(suspect=suspect):
                 self._spread_suspect(suspect)
-            case Drain():
+            case items.Drain():
                 self._agenda.is_draining = True
                 self._events.emit(catalog.Event.NODE_DRAINING)
             case planning.Planned():
@@ -332,7 +288,7 @@
         if isinstance(outcome, result.Err):
             return
         match outcome.ok_value:
-            case table_log.Reading() as got if got.revision:
+            case table_versions.Reading() as got if got.revision:
                 self._take_tables(got.revision, got.document)
 
     def _take_tables(self, revision: int, document: bytes) -> None:
@@ -381,7 +337,7 @@
                 self._agenda.end(proposal, is_committed=False, now_ms=now_ms)
                 self._reads.want_ownership()
 
-    def _take_upstream(self, change: UpstreamChanged) -> None:
+    def _take_upstream(self, change: items.UpstreamChanged) -> None:
         self._agenda.is_fit = change.is_serving
         tenure = self._agenda.tenure
         if not change.is_silent or tenure is None:
@@ -494,24 +450,14 @@
         return tenure.member_id in pollers
 
     def _report_loads(self, tenure: tenures.Tenure, now_ms: int) -> None:
-        state = self._journal.state
-        record = state.members.get(tenure.member_id)
-        if record is None or record.pool not in state.assignments:
-            return
-        if now_ms < self._loads_due_ms:
-            return
-        pool = state.list_pool(record.pool)
-        self._loads_due_ms = now_ms + max(
-            _LOADS_INTERVAL_MS, _LOADS_MS_PER_MEMBER * len(pool)
-        )
-        owned = state.assignments[record.pool].owners.count(tenure.member_id)
-        report = traffic.make_report(
+        due = self._loads.find_report(
+            state=self._journal.state,
             member_id=tenure.member_id,
-            pool=record.pool,
-            rates=self._traffic.take_rates(now_ms=now_ms),
-            owned_count=owned,
+            now_ms=now_ms,
         )
-        planner = pool[0].member_id
+        if due is None:
+            return
+        planner, report = due
         if planner == tenure.member_id:
             self._loads.take(report, now_ms)
         else:
@@ -526,9 +472,7 @@
             ):
                 continue
             loads = self._loads.find_loads(
-                pool=pool,
-                owners=state.assignments[pool].owners,
-                now_ms=now_ms,
+                pool=pool, state=state, now_ms=now_ms
             )
             self._plans.start(
                 pool=pool,
--- a/src/rhubarblead/node/dissemination.py
+++ b/src/rhubarblead/node/ownership/dissemination.py
@@ -5,9 +5,9 @@
 from rhubarblead import settings
 from rhubarblead.events import log
 from rhubarblead.leases import selection
-from rhubarblead.node import journal as journals
-from rhubarblead.node import spread
 from rhubarblead.node import view as views
+from rhubarblead.node.ownership import journal as journals
+from rhubarblead.node.ownership import spread
 from rhubarblead.transport import links
 
 
--- a/src/rhubarblead/node/observer.py
+++ b/src/rhubarblead/node/ownership/observer.py
@@ -7,11 +7,11 @@
 from rhubarblead.events import catalog
 from rhubarblead.events import log
 from rhubarblead.events import shards
-from rhubarblead.node import change as changes
-from rhubarblead.node import inheritance
-from rhubarblead.node import tenure as tenures
 from rhubarblead.node import view as views
-from rhubarblead.node import writing
+from rhubarblead.node.ownership import change as changes
+from rhubarblead.node.ownership import inheritance
+from rhubarblead.node.ownership import tenure as tenures
+from rhubarblead.node.ownership import writing
 from rhubarblead.transport import links
 
 
--- a/src/rhubarblead/node/planning.py
+++ b/src/rhubarblead/node/ownership/planning.py
@@ -7,7 +7,7 @@
 from rhubarblead import ownership
 from rhubarblead import tables as tables_lib
 from rhubarblead.node import jobs
-from rhubarblead.node import proposals
+from rhubarblead.node.ownership import proposals
 
 _INTERVAL_MS = 250
 _LOADS_INTERVAL_MS = 10_000
--- a/src/rhubarblead/node/replicas.py
+++ b/src/rhubarblead/node/ownership/replicas.py
@@ -8,7 +8,7 @@
 
 from rhubarblead import membership
 from rhubarblead import messages
-from rhubarblead.node import change as changes
+from rhubarblead.node.ownership import change as changes
 from rhubarblead.requests import idempotency
 from rhubarblead.requests import ledger
 
--- a/src/rhubarblead/node/store_jobs.py
+++ b/src/rhubarblead/node/ownership/store_jobs.py
@@ -9,13 +9,14 @@
 from rhubarblead import clock
 from rhubarblead import ownership
 from rhubarblead.node import jobs
-from rhubarblead.node import writing
+from rhubarblead.node.ownership import writing
 from rhubarblead.tablestore import ownership_log
 from rhubarblead.tablestore import store
 from rhubarblead.tablestore import table_log
+from rhubarblead.tablestore import table_versions
 
 TablesOutcome: TypeAlias = result.Result[
-    table_log.Reading | store.NotModified, store.StoreError
+    table_versions.Reading | store.NotModified, store.StoreError
 ]
 
 
@@ -35,7 +36,7 @@
     """The tables row was read, or could not be."""
 
     outcome: result.Result[
-        table_log.Reading | store.NotModified, store.StoreError
+        table_versions.Reading | store.NotModified, store.StoreError
     ]
 
 
--- /dev/null
+++ b/src/rhubarblead/node/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The way of a request through a node, from its caller to the upstream."""
--- a/src/rhubarblead/node/choice.py
+++ b/src/rhubarblead/node/requests/choice.py
@@ -9,8 +9,8 @@
 from rhubarblead import membership
 from rhubarblead import refusal as refusals
 from rhubarblead import tables as tables_lib
-from rhubarblead.node import outcome as outcomes
 from rhubarblead.node import view as views
+from rhubarblead.node.requests import outcome as outcomes
 from rhubarblead.requests import balance
 
 _SHEDDING = frozenset({refusals.Refusal.SHED, refusals.Refusal.OVERLOADED})
--- a/src/rhubarblead/node/crashes.py
+++ b/src/rhubarblead/node/requests/crashes.py
@@ -7,7 +7,7 @@
 from rhubarblead import messages
 from rhubarblead.events import catalog
 from rhubarblead.events import log
-from rhubarblead.node import work as works
+from rhubarblead.node.requests import work as works
 from rhubarblead.requests import poison
 
 
--- a/src/rhubarblead/node/execution.py
+++ b/src/rhubarblead/node/requests/execution.py
@@ -10,9 +10,9 @@
 from rhubarblead import verdict as verdicts
 from rhubarblead.events import catalog
 from rhubarblead.events import log
-from rhubarblead.node import crashes
-from rhubarblead.node import outcome as outcomes
-from rhubarblead.node import work as works
+from rhubarblead.node.requests import crashes
+from rhubarblead.node.requests import outcome as outcomes
+from rhubarblead.node.requests import work as works
 from rhubarblead.requests import admission
 from rhubarblead.requests import poison
 from rhubarblead.requests import slots
--- a/src/rhubarblead/node/front.py
+++ b/src/rhubarblead/node/requests/front.py
@@ -14,8 +14,8 @@
 
 from rhubarblead import refusal as refusals
 from rhubarblead import verdict as verdicts
-from rhubarblead.node import intake
-from rhubarblead.node import outcome as outcomes
+from rhubarblead.node.requests import intake
+from rhubarblead.node.requests import outcome as outcomes
 
 ADMIN_PREFIX = "/-/"
 _MS_PER_S = 1000
--- a/src/rhubarblead/node/local.py
+++ b/src/rhubarblead/node/requests/local.py
@@ -11,15 +11,15 @@
 from rhubarblead import verdict as verdicts
 from rhubarblead.events import catalog
 from rhubarblead.events import log
-from rhubarblead.node import execution
-from rhubarblead.node import gate
-from rhubarblead.node import outcome as outcomes
-from rhubarblead.node import probes
-from rhubarblead.node import protection
-from rhubarblead.node import traffic
-from rhubarblead.node import unresolved
 from rhubarblead.node import view as views
-from rhubarblead.node import work as works
+from rhubarblead.node.requests import execution
+from rhubarblead.node.requests import gate
+from rhubarblead.node.requests import outcome as outcomes
+from rhubarblead.node.requests import probes
+from rhubarblead.node.requests import protection
+from rhubarblead.node.requests import traffic
+from rhubarblead.node.requests import unresolved
+from rhubarblead.node.requests import work as works
 from rhubarblead.upstream import client
 
 _RETRY_AFTER_MS = 200
--- a/src/rhubarblead/node/probes.py
+++ b/src/rhubarblead/node/requests/probes.py
@@ -10,7 +10,7 @@
 from rhubarblead import settings
 from rhubarblead.events import catalog
 from rhubarblead.events import log
-from rhubarblead.node import unresolved
+from rhubarblead.node.requests import unresolved
 from rhubarblead.upstream import client
 from rhubarblead.upstream import monitor
 
--- a/src/rhubarblead/node/protection.py
+++ b/src/rhubarblead/node/requests/protection.py
@@ -17,13 +17,13 @@
 from rhubarblead.events import catalog
 from rhubarblead.events import log
 from rhubarblead.events import shards
-from rhubarblead.node import change as changes
-from rhubarblead.node import copies
-from rhubarblead.node import inheritance
 from rhubarblead.node import jobs
-from rhubarblead.node import outcome as outcomes
 from rhubarblead.node import view as views
-from rhubarblead.node import work as works
+from rhubarblead.node.ownership import change as changes
+from rhubarblead.node.ownership import copies
+from rhubarblead.node.ownership import inheritance
+from rhubarblead.node.requests import outcome as outcomes
+from rhubarblead.node.requests import work as works
 from rhubarblead.requests import ledger
 
 _RETRY_AFTER_MS = 200
--- a/src/rhubarblead/node/routing.py
+++ b/src/rhubarblead/node/requests/routing.py
@@ -14,13 +14,13 @@
 from rhubarblead import verdict as verdicts
 from rhubarblead.events import catalog
 from rhubarblead.events import log
-from rhubarblead.node import choice
-from rhubarblead.node import intake
 from rhubarblead.node import jobs
-from rhubarblead.node import local
-from rhubarblead.node import outcome as outcomes
 from rhubarblead.node import view as views
-from rhubarblead.node import work as works
+from rhubarblead.node.requests import choice
+from rhubarblead.node.requests import intake
+from rhubarblead.node.requests import local
+from rhubarblead.node.requests import outcome as outcomes
+from rhubarblead.node.requests import work as works
 from rhubarblead.requests import retries
 from rhubarblead.transport import exchange
 
--- a/src/rhubarblead/operate/table_calls.py
+++ b/src/rhubarblead/operate/table_calls.py
@@ -18,6 +18,7 @@
 from rhubarblead.tablestore import store
 from rhubarblead.tablestore import table_changes
 from rhubarblead.tablestore import table_log
+from rhubarblead.tablestore import table_versions
 
 INSTANCE = "operator"
 _NODE_TIMEOUT_MS = 1_000
@@ -94,7 +95,7 @@
                 return self._explain(problem)
 
     def _wait(
-        self, applied: table_log.Applied, state: ownership.State
+        self, applied: table_versions.Applied, state: ownership.State
     ) -> table_reports.Report:
         lagging = in_force.wait_in_force(
             list(state.members.values()),
@@ -111,18 +112,20 @@
             lagging=lagging,
         )
 
-    def _explain(self, error: table_log.ApplyError) -> table_reports.Report:
+    def _explain(
+        self, error: table_versions.ApplyError
+    ) -> table_reports.Report:
         match error:
-            case table_log.Refused(faults=found):
+            case table_versions.Refused(faults=found):
                 return _refuse(self._file, found)
-            case table_log.TablesConflict():
+            case table_versions.TablesConflict():
                 return table_reports.Conflicting(
                     revision=error.revision,
                     changed_by=error.changed_by,
                     yours=error.yours,
                     theirs=error.theirs,
                 )
-            case table_log.NotDone(explanation=explanation):
+            case table_versions.NotDone(explanation=explanation):
                 return self._explain_failure(explanation)
             case store.InDoubt(explanation=explanation):
                 return table_reports.InDoubt(
@@ -141,7 +144,7 @@
 def show(calls: store.Store) -> table_reports.Report:
     """Reads the tables in force."""
     match table_log.TableLog(store=calls).read_tables():
-        case result.Ok(table_log.Reading() as reading):
+        case result.Ok(table_versions.Reading() as reading):
             return table_reports.Shown(
                 version=reading.version,
                 tables=msgspec.Raw(reading.document),
@@ -167,7 +170,7 @@
     except faults.CannotAccept as error:
         return make_invalid(error)
     match table_log.TableLog(store=calls).read_tables():
-        case result.Ok(table_log.Reading() as reading):
+        case result.Ok(table_versions.Reading() as reading):
             unsafe = table_changes.check_change(reading.tables, wanted)
             return table_reports.Differing(
                 revision=reading.revision,
@@ -197,7 +200,7 @@
 
 
 def _make_history_line(
-    log: table_log.TableLog, entry: table_log.HistoryEntry
+    log: table_log.TableLog, entry: table_versions.HistoryEntry
 ) -> result.Result[table_reports.HistoryLine, store.StoreError]:
     before = log.read_document(entry.before_digest)
     if isinstance(before, result.Err):
--- a/src/rhubarblead/operate/table_reports.py
+++ b/src/rhubarblead/operate/table_reports.py
@@ -10,7 +10,7 @@
 from rhubarblead.operate import in_force
 from rhubarblead.operate import outcome
 from rhubarblead.tablestore import table_changes
-from rhubarblead.tablestore import table_log
+from rhubarblead.tablestore import table_versions
 
 _MS_PER_S = 1_000
 _INDENT = "  "
@@ -28,7 +28,7 @@
 ):
     """The tables in force."""
 
-    version: table_log.Version
+    version: table_versions.Version
     tables: msgspec.Raw
 
 
@@ -72,7 +72,7 @@
 ):
     """Tables that are stored, and the nodes that don't work by them yet."""
 
-    version: table_log.Version
+    version: table_versions.Version
     is_changed: bool
     is_in_force: bool
     lagging: tuple[in_force.LaggingNode, ...] = ()
@@ -88,7 +88,7 @@
     """A change that came after the change of another operator."""
 
     revision: int
-    changed_by: tuple[table_log.Version, ...]
+    changed_by: tuple[table_versions.Version, ...]
     yours: tuple[table_changes.Difference, ...]
     theirs: tuple[table_changes.Difference, ...]
 
@@ -277,7 +277,7 @@
     ]
 
 
-def _describe_version(version: table_log.Version) -> str:
+def _describe_version(version: table_versions.Version) -> str:
     if not version.revision:
         return "revision 0, no tables were applied yet"
     return (
--- a/src/rhubarblead/router/assigning.py
+++ b/src/rhubarblead/router/assigning.py
@@ -163,10 +163,7 @@
         requests = self._gathering.collect()
         if not requests:
             return False
-        owned = [r for r in requests if _owns_all(value, r)]
-        for request in requests:
-            if request not in owned:
-                request.reply(store.Conflict(rows=()), None)
+        owned = self._sort_owned(value, requests)
         if not owned:
             return True
         gifts = [gift for request in owned for gift in request.gifts]
@@ -196,6 +193,21 @@
                     request.reply(outcome, None)
         return True
 
+    def _sort_owned(
+        self, value: assignment.Assignment, requests: list[gathering.Request]
+    ) -> list[gathering.Request]:
+        """Refuses what is no longer its giver's; leaves one for each node.
+
+        A node that had no answer may have sent the same change once more.
+        """
+        owned: dict[str, gathering.Request] = {}
+        for request in requests:
+            if request.node_id in owned or not _owns_all(value, request):
+                request.reply(store.Conflict(rows=()), None)
+            else:
+                owned[request.node_id] = request
+        return list(owned.values())
+
     def _sort_out(
         self,
         requests: list[gathering.Request],
--- a/src/rhubarblead/tablestore/store.py
+++ b/src/rhubarblead/tablestore/store.py
@@ -1,25 +1,17 @@
 """Client of the platform's table service and object store."""
 
 from collections.abc import Mapping
-import contextlib
 import dataclasses
 import hashlib
 import http
-import http.client
-import threading
-from typing import Any
 from typing import TypeAlias
-import weakref
 
 import msgspec
 import result
 
-from rhubarblead import clock
 from rhubarblead import settings
+from rhubarblead.tablestore import link
 
-_MS_PER_S = 1_000
-_CHUNK_BYTES = 2**18
-_INSTANCE_HEADER = "Rhubarb-Instance"
 _ABSENT_VALUE = b"null"
 
 
@@ -145,32 +137,6 @@
     puts: tuple[_PutBody, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _Request:
-    method: str
-    path: str
-    body: bytes | None = None
-    headers: Mapping[str, str] = dataclasses.field(default_factory=dict)
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class _Reply:
-    status: int
-    body: bytes
-
-    @property
-    def is_busy(self) -> bool:
-        return self.status == http.HTTPStatus.TOO_MANY_REQUESTS
-
-    @property
-    def is_success(self) -> bool:
-        return 200 <= self.status < 300
-
-    @property
-    def is_refusal(self) -> bool:
-        return 400 <= self.status < 500
-
-
 class Store:
     """Calls to both services; any thread may use it.
 
@@ -188,12 +154,12 @@
             platform: Where the services are, and how long calls may take.
             instance: The name under which the calls are made.
         """
-        self._rows = _Link(
+        self._rows = link.Link(
             address=platform.table_service,
             timeout_ms=platform.timeout_ms,
             instance=instance,
         )
-        self._objects = _Link(
+        self._objects = link.Link(
             address=platform.object_store,
             timeout_ms=platform.timeout_ms,
             instance=instance,
@@ -225,7 +191,9 @@
         headers = {}
         if known_revision is not None:
             headers["If-None-Match"] = f'"{known_revision}"'
-        request = _Request(method="GET", path=f"/rows/{name}", headers=headers)
+        request = link.Request(
+            method="GET", path=f"/rows/{name}", headers=headers
+        )
         reply = _deny_doubt(self._rows.call(request))
         if isinstance(reply, result.Err):
             return reply
@@ -252,12 +220,12 @@
             The new revisions; or `Unavailable`, `TooBusy` or `Conflict` when
             it certainly has no effect, and `InDoubt` otherwise.
         """
-        request = _Request(
+        request = link.Request(
             method="POST",
             path="/transactions",
             body=_encode_transaction(transaction),
         )
-        reply = self._rows.call_on_new_connection(request)
+        reply = _keep_doubt(self._rows.call_on_new_connection(request))
         if isinstance(reply, result.Err):
             return reply
         return _read_commit(reply.ok_value)
@@ -272,7 +240,7 @@
             The digest under which they can be read, or an error.
         """
         digest = compute_digest(content)
-        request = _Request(
+        request = link.Request(
             method="PUT", path=f"/objects/{digest}", body=content
         )
         reply = _deny_doubt(self._objects.call(request))
@@ -292,7 +260,7 @@
             The bytes, or an error; `Corrupt` when they are missing or don't
             have the digest.
         """
-        request = _Request(method="GET", path=f"/objects/{digest}")
+        request = link.Request(method="GET", path=f"/objects/{digest}")
         reply = _deny_doubt(self._objects.call(request))
         if isinstance(reply, result.Err):
             return reply
@@ -314,136 +282,35 @@
     return hashlib.sha256(content).hexdigest()
 
 
-class _Link:
-    """Connections to one service, at most one kept per thread."""
-
-    __slots__ = ("_address", "_headers", "_kept", "_local", "_timeout_ms")
-
-    def __init__(
-        self, *, address: settings.Address, timeout_ms: int, instance: str
-    ) -> None:
-        self._address = address
-        self._timeout_ms = timeout_ms
-        self._headers = {_INSTANCE_HEADER: instance}
-        self._local = threading.local()
-        self._kept: weakref.WeakSet[http.client.HTTPConnection] = (
-            weakref.WeakSet()
-        )
-
-    def close(self) -> None:
-        for connection in list(self._kept):
-            connection.close()
-
-    def call(
-        self, request: _Request
-    ) -> result.Result[_Reply, Unavailable | InDoubt]:
-        connection = self._find_kept()
-        is_reused = connection.sock is not None
-        started_at_ms = clock.read_monotonic_ms()
-        reply = self._exchange(connection, request)
-        is_late = clock.read_monotonic_ms() - started_at_ms >= self._timeout_ms
-        if isinstance(reply, result.Ok) or not is_reused or is_late:
-            return reply
-        # The service may close an idle connection just as it is used again.
-        return self._exchange(connection, request)
-
-    def call_on_new_connection(
-        self, request: _Request
-    ) -> result.Result[_Reply, Unavailable | InDoubt]:
-        with contextlib.closing(self._make_connection()) as connection:
-            return self._exchange(connection, request)
-
-    def _find_kept(self) -> http.client.HTTPConnection:
-        kept: Any = getattr(self._local, "connection", None)
-        if kept is None:
-            kept = self._make_connection()
-            self._local.connection = kept
-            self._kept.add(kept)
-        connection: http.client.HTTPConnection = kept
-        return connection
-
-    def _make_connection(self) -> http.client.HTTPConnection:
-        return http.client.HTTPConnection(
-            str(self._address.ip_address), self._address.port
-        )
-
-    def _exchange(
-        self, connection: http.client.HTTPConnection, request: _Request
-    ) -> result.Result[_Reply, Unavailable | InDoubt]:
-        deadline_ms = clock.read_monotonic_ms() + self._timeout_ms
-        try:
-            _connect(connection, deadline_ms)
-        except OSError as error:
-            connection.close()
-            return result.Err(Unavailable(explanation=self._name(error)))
-        try:
-            return result.Ok(self._send(connection, request, deadline_ms))
-        except (OSError, http.client.HTTPException) as error:
-            connection.close()
-            return result.Err(InDoubt(explanation=self._name(error)))
-
-    def _send(
-        self,
-        connection: http.client.HTTPConnection,
-        request: _Request,
-        deadline_ms: int,
-    ) -> _Reply:
-        connection.request(
-            request.method,
-            request.path,
-            body=request.body,
-            headers={**self._headers, **request.headers},
-        )
-        # The response takes the socket over when the service closes it.
-        sock = connection.sock
-        sock.settimeout(_compute_timeout_s(deadline_ms))
-        with connection.getresponse() as response:
-            chunks = []
-            while chunk := response.read(_CHUNK_BYTES):
-                chunks.append(chunk)
-                sock.settimeout(_compute_timeout_s(deadline_ms))
-            return _Reply(status=response.status, body=b"".join(chunks))
-
-    def _name(self, error: Exception) -> str:
-        kind = type(error).__name__
-        return f"{self._address.authority}: {kind}: {error}"
-
-
-def _connect(connection: http.client.HTTPConnection, deadline_ms: int) -> None:
-    if connection.sock is None:
-        connection.timeout = _compute_timeout_s(deadline_ms)
-        connection.connect()
-    connection.sock.settimeout(_compute_timeout_s(deadline_ms))
+def _deny_doubt(
+    reply: result.Result[link.Reply, link.Failure],
+) -> result.Result[link.Reply, StoreError]:
+    # A call that may be repeated freely has no doubtful outcome.
+    return reply.map_err(
+        lambda failure: Unavailable(explanation=failure.explanation)
+    )
 
 
-def _compute_timeout_s(deadline_ms: int) -> float:
-    remaining_ms = deadline_ms - clock.read_monotonic_ms()
-    if remaining_ms <= 0:
-        raise TimeoutError("the call took too long")
-    return remaining_ms / _MS_PER_S
+def _keep_doubt(
+    reply: result.Result[link.Reply, link.Failure],
+) -> result.Result[link.Reply, StoreError]:
+    return reply.map_err(_name_failure)
 
 
-def _deny_doubt(
-    reply: result.Result[_Reply, Unavailable | InDoubt],
-) -> result.Result[_Reply, StoreError]:
-    # A call that may be repeated freely has no doubtful outcome.
-    match reply:
-        case result.Err(InDoubt(explanation=explanation)):
-            return result.Err(Unavailable(explanation=explanation))
-        case result.Err(error):
-            return result.Err(error)
-        case result.Ok(value):
-            return result.Ok(value)
+def _name_failure(failure: link.Failure) -> StoreError:
+    if failure.is_sent:
+        return InDoubt(explanation=failure.explanation)
+    return Unavailable(explanation=failure.explanation)
 
 
-def _explain(reply: _Reply) -> StoreError:
+def _explain(reply: link.Reply) -> StoreError:
     if reply.is_busy:
         return TooBusy(explanation="the budget of the service is used up")
     return Unavailable(explanation=f"answered {reply.status}")
 
 
 def _read_row(
-    name: str, reply: _Reply
+    name: str, reply: link.Reply
 ) -> result.Result[Row | NotModified, StoreError]:
     try:
         row = msgspec.json.decode(reply.body, type=_RowReply)
@@ -454,7 +321,7 @@
     )
 
 
-def _read_commit(reply: _Reply) -> result.Result[Committed, StoreError]:
+def _read_commit(reply: link.Reply) -> result.Result[Committed, StoreError]:
     try:
         if reply.status == http.HTTPStatus.OK:
             committed = msgspec.json.decode(reply.body, type=_CommitReply)
@@ -468,7 +335,7 @@
     return result.Err(InDoubt(explanation=f"answered {reply.status}"))
 
 
-def _read_conflict(reply: _Reply) -> Conflict:
+def _read_conflict(reply: link.Reply) -> Conflict:
     conflict = msgspec.json.decode(reply.body, type=_ConflictReply)
     return Conflict(
         rows=tuple(
--- a/src/rhubarblead/tablestore/table_log.py
+++ b/src/rhubarblead/tablestore/table_log.py
@@ -6,100 +6,23 @@
 
 from collections.abc import Callable
 import dataclasses
-from typing import TypeAlias
 
 import msgspec
 import pydantic
 import result
 
 from rhubarblead import clock
-from rhubarblead import faults
 from rhubarblead import tables
 from rhubarblead.tablestore import store
 from rhubarblead.tablestore import table_changes
+from rhubarblead.tablestore import table_versions
 
 ROW_NAME = "tables"
 _RESOLVE_TRIES = 3
 
 
-class Version(msgspec.Struct, frozen=True, kw_only=True):
-    """Who changed the tables, when and why.
-
-    `tables_digest` names the object with the tables as JSON,
-    `previous_digest` that with the version before, and is empty for the first.
-    """
-
-    revision: int = 0
-    write_id: str = ""
-    author: str = ""
-    written_at_ms: int = 0
-    comment: str = ""
-    tables_digest: str = ""
-    previous_digest: str = ""
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Reading:
-    """The tables in force; `document` is their JSON text."""
-
-    version: Version
-    tables: tables.Tables
-    document: bytes
-
-    @property
-    def revision(self) -> int:
-        """The revision of the row, 0 when there are no tables yet."""
-        return self.version.revision
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class HistoryEntry:
-    """One change; `before_digest` names the tables that it replaced."""
-
-    version: Version
-    before_digest: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Applied:
-    """The tables are in the row; without `is_changed` they were before."""
-
-    version: Version
-    is_changed: bool = True
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Refused:
-    """The tables are invalid, or the change is unsafe."""
-
-    faults: tuple[faults.Fault, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class TablesConflict:
-    """Others changed the tables first; both sides from where they parted.
-
-    `changed_by` lists the versions since, the newest first.
-    """
-
-    revision: int
-    changed_by: tuple[Version, ...]
-    yours: tuple[table_changes.Difference, ...]
-    theirs: tuple[table_changes.Difference, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class NotDone:
-    """The tables were certainly not changed."""
-
-    explanation: str
-
-
-ApplyError: TypeAlias = Refused | TablesConflict | NotDone | store.InDoubt
-
-
 class _Row(msgspec.Struct, frozen=True, kw_only=True):
-    version: Version
+    version: table_versions.Version
     tables: msgspec.Raw
 
 
@@ -138,7 +61,9 @@
 
     def read_tables(
         self, known_revision: int | None = None
-    ) -> result.Result[Reading | store.NotModified, store.StoreError]:
+    ) -> result.Result[
+        table_versions.Reading | store.NotModified, store.StoreError
+    ]:
         """Reads the tables in force.
 
         Args:
@@ -159,7 +84,9 @@
 
     def read_history(
         self, limit: int
-    ) -> result.Result[tuple[HistoryEntry, ...], store.StoreError]:
+    ) -> result.Result[
+        tuple[table_versions.HistoryEntry, ...], store.StoreError
+    ]:
         """Reads the newest changes.
 
         Args:
@@ -176,10 +103,12 @@
         walked = self._walk(newest, max(0, newest.revision - limit - 1))
         if isinstance(walked, result.Err):
             return walked
-        older = [*walked.ok_value[1:], Version()]
+        older = [*walked.ok_value[1:], table_versions.Version()]
         pairs = zip(walked.ok_value, older, strict=True)
         entries = tuple(
-            HistoryEntry(version=version, before_digest=before.tables_digest)
+            table_versions.HistoryEntry(
+                version=version, before_digest=before.tables_digest
+            )
             for version, before in pairs
         )
         return result.Ok(entries[:limit])
@@ -207,7 +136,7 @@
         author: str,
         comment: str,
         write_id: str,
-    ) -> result.Result[Applied, ApplyError]:
+    ) -> result.Result[table_versions.Applied, table_versions.ApplyError]:
         """Replaces the tables, and follows up on a lost answer.
 
         Calling it again with the same id finds out what became of a change
@@ -237,27 +166,35 @@
                     outcome = _keep_doubt(self._attempt(write))
         return outcome
 
-    def _attempt(self, write: _Write) -> result.Result[Applied, ApplyError]:
+    def _attempt(
+        self, write: _Write
+    ) -> result.Result[table_versions.Applied, table_versions.ApplyError]:
         answer = self._read_current()
         if isinstance(answer, result.Err):
             return result.Err(_make_not_done(answer.err_value))
         reading = answer.ok_value
         if reading.revision < write.expected_revision:
             return result.Err(
-                NotDone(explanation=f"the tables are at {reading.revision}")
+                table_versions.NotDone(
+                    explanation=f"the tables are at {reading.revision}"
+                )
             )
         if reading.revision > write.expected_revision:
             return self._settle(reading, write)
         if reading.tables == write.tables:
-            return result.Ok(Applied(version=reading.version, is_changed=False))
+            return result.Ok(
+                table_versions.Applied(
+                    version=reading.version, is_changed=False
+                )
+            )
         found = table_changes.check_change(reading.tables, write.tables)
         if found:
-            return result.Err(Refused(faults=found))
+            return result.Err(table_versions.Refused(faults=found))
         return self._commit(reading, write)
 
     def _commit(
-        self, current: Reading, write: _Write
-    ) -> result.Result[Applied, ApplyError]:
+        self, current: table_versions.Reading, write: _Write
+    ) -> result.Result[table_versions.Applied, table_versions.ApplyError]:
         stored = self._store_version(current, write)
         if isinstance(stored, result.Err):
             return result.Err(_make_not_done(stored.err_value))
@@ -276,7 +213,7 @@
         )
         match answer:
             case result.Ok():
-                return result.Ok(Applied(version=version))
+                return result.Ok(table_versions.Applied(version=version))
             case result.Err(store.Conflict()):
                 return self._attempt_settling(write)
             case result.Err(store.InDoubt() as error):
@@ -285,8 +222,8 @@
                 return result.Err(_make_not_done(error))
 
     def _store_version(
-        self, before: Reading, write: _Write
-    ) -> result.Result[Version, store.StoreError]:
+        self, before: table_versions.Reading, write: _Write
+    ) -> result.Result[table_versions.Version, store.StoreError]:
         """Stores what the row won't hold; returns the new version."""
         document = self._store.put_object(content=encode_tables(write.tables))
         if isinstance(document, result.Err):
@@ -296,7 +233,7 @@
             content = msgspec.json.encode(before.version)
             previous = self._store.put_object(content=content)
         return previous.map(
-            lambda digest: Version(
+            lambda digest: table_versions.Version(
                 revision=write.revision,
                 write_id=write.write_id,
                 author=write.author,
@@ -309,15 +246,15 @@
 
     def _attempt_settling(
         self, write: _Write
-    ) -> result.Result[Applied, ApplyError]:
+    ) -> result.Result[table_versions.Applied, table_versions.ApplyError]:
         answer = self._read_current()
         if isinstance(answer, result.Err):
             return result.Err(_make_in_doubt(answer.err_value))
         return self._settle(answer.ok_value, write)
 
     def _settle(
-        self, current: Reading, write: _Write
-    ) -> result.Result[Applied, ApplyError]:
+        self, current: table_versions.Reading, write: _Write
+    ) -> result.Result[table_versions.Applied, table_versions.ApplyError]:
         """Finds out whose change followed the revision that was expected."""
         newest = current.version
         walked = self._walk(newest, write.expected_revision)
@@ -326,18 +263,21 @@
         versions = walked.ok_value
         following = versions[-1]
         if following.write_id == write.write_id:
-            return result.Ok(Applied(version=following))
+            return result.Ok(table_versions.Applied(version=following))
         return self._describe_conflict(current, write, versions)
 
     def _describe_conflict(
-        self, current: Reading, write: _Write, versions: tuple[Version, ...]
-    ) -> result.Result[Applied, ApplyError]:
+        self,
+        current: table_versions.Reading,
+        write: _Write,
+        versions: tuple[table_versions.Version, ...],
+    ) -> result.Result[table_versions.Applied, table_versions.ApplyError]:
         base = self._read_base(versions[-1])
         if isinstance(base, result.Err):
             return result.Err(_make_not_done(base.err_value))
         parted = base.ok_value
         return result.Err(
-            TablesConflict(
+            table_versions.TablesConflict(
                 revision=current.revision,
                 changed_by=versions,
                 yours=table_changes.find_differences(parted, write.tables),
@@ -346,7 +286,7 @@
         )
 
     def _read_base(
-        self, following: Version
+        self, following: table_versions.Version
     ) -> result.Result[tables.Tables, store.StoreError]:
         if not following.previous_digest:
             return result.Ok(tables.Tables())
@@ -355,8 +295,8 @@
         )
 
     def _walk(
-        self, newest: Version, revision: int
-    ) -> result.Result[tuple[Version, ...], store.StoreError]:
+        self, newest: table_versions.Version, revision: int
+    ) -> result.Result[tuple[table_versions.Version, ...], store.StoreError]:
         """Lists the versions after a revision, the newest first."""
         versions = []
         version = newest
@@ -372,10 +312,12 @@
 
     def _read_version(
         self, digest: str
-    ) -> result.Result[Version, store.StoreError]:
+    ) -> result.Result[table_versions.Version, store.StoreError]:
         return self._store.read_object(digest=digest).and_then(_decode_version)
 
-    def _read_current(self) -> result.Result[Reading, store.StoreError]:
+    def _read_current(
+        self,
+    ) -> result.Result[table_versions.Reading, store.StoreError]:
         match self._store.read_row(name=ROW_NAME):
             case result.Ok(store.Row() as row):
                 return _decode_row(row)
@@ -389,12 +331,16 @@
     return document.model_dump_json().encode()
 
 
-def _decode_row(row: store.Row) -> result.Result[Reading, store.StoreError]:
+def _decode_row(
+    row: store.Row,
+) -> result.Result[table_versions.Reading, store.StoreError]:
     if not row.revision:
         empty = tables.Tables()
         return result.Ok(
-            Reading(
-                version=Version(), tables=empty, document=encode_tables(empty)
+            table_versions.Reading(
+                version=table_versions.Version(),
+                tables=empty,
+                document=encode_tables(empty),
             )
         )
     try:
@@ -407,7 +353,7 @@
         )
     document = bytes(decoded.tables)
     return _decode_tables(document).map(
-        lambda found: Reading(
+        lambda found: table_versions.Reading(
             version=decoded.version, tables=found, document=document
         )
     )
@@ -425,25 +371,27 @@
 
 def _decode_version(
     content: bytes,
-) -> result.Result[Version, store.StoreError]:
+) -> result.Result[table_versions.Version, store.StoreError]:
     try:
-        return result.Ok(msgspec.json.decode(content, type=Version))
+        return result.Ok(
+            msgspec.json.decode(content, type=table_versions.Version)
+        )
     except msgspec.DecodeError as error:
         return result.Err(store.Corrupt(explanation=f"version: {error}"))
 
 
 def _keep_doubt(
-    outcome: result.Result[Applied, ApplyError],
-) -> result.Result[Applied, ApplyError]:
+    outcome: result.Result[table_versions.Applied, table_versions.ApplyError],
+) -> result.Result[table_versions.Applied, table_versions.ApplyError]:
     # That a repetition was not done tells nothing about the first try.
     match outcome:
-        case result.Err(NotDone(explanation=explanation)):
+        case result.Err(table_versions.NotDone(explanation=explanation)):
             return result.Err(store.InDoubt(explanation=explanation))
     return outcome
 
 
-def _make_not_done(error: store.StoreError) -> NotDone:
-    return NotDone(explanation=store.describe_error(error))
+def _make_not_done(error: store.StoreError) -> table_versions.NotDone:
+    return table_versions.NotDone(explanation=store.describe_error(error))
 
 
 def _make_in_doubt(error: store.StoreError) -> store.InDoubt:
--- /dev/null
+++ b/src/rhubarblead/tablestore/table_versions.py
@@ -0,0 +1,87 @@
+"""Versions of the operators' tables, and what became of a change of them."""
+
+import dataclasses
+from typing import TypeAlias
+
+import msgspec
+
+from rhubarblead import faults
+from rhubarblead import tables
+from rhubarblead.tablestore import store
+from rhubarblead.tablestore import table_changes
+
+
+class Version(msgspec.Struct, frozen=True, kw_only=True):
+    """Who changed the tables, when and why.
+
+    `tables_digest` names the object with the tables as JSON,
+    `previous_digest` that with the version before, and is empty for the first.
+    """
+
+    revision: int = 0
+    write_id: str = ""
+    author: str = ""
+    written_at_ms: int = 0
+    comment: str = ""
+    tables_digest: str = ""
+    previous_digest: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reading:
+    """The tables in force; `document` is their JSON text."""
+
+    version: Version
+    tables: tables.Tables
+    document: bytes
+
+    @property
+    def revision(self) -> int:
+        """The revision of the row, 0 when there are no tables yet."""
+        return self.version.revision
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HistoryEntry:
+    """One change; `before_digest` names the tables that it replaced."""
+
+    version: Version
+    before_digest: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Applied:
+    """The tables are in the row; without `is_changed` they were before."""
+
+    version: Version
+    is_changed: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Refused:
+    """The tables are invalid, or the change is unsafe."""
+
+    faults: tuple[faults.Fault, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TablesConflict:
+    """Others changed the tables first; both sides from where they parted.
+
+    `changed_by` lists the versions since, the newest first.
+    """
+
+    revision: int
+    changed_by: tuple[Version, ...]
+    yours: tuple[table_changes.Difference, ...]
+    theirs: tuple[table_changes.Difference, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class NotDone:
+    """The tables were certainly not changed."""
+
+    explanation: str
+
+
+ApplyError: TypeAlias = Refused | TablesConflict | NotDone | store.InDoubt
--- a/tests/rhubarblead/node/copy_faults.py
+++ b/tests/rhubarblead/node/copy_faults.py
@@ -6,11 +6,11 @@
 
 from rhubarblead import membership
 from rhubarblead import messages
-from rhubarblead.node import copies
-from rhubarblead.node import inheritance
-from rhubarblead.node import protection
-from rhubarblead.node import replicas
 from rhubarblead.node import view as views
+from rhubarblead.node.ownership import copies
+from rhubarblead.node.ownership import inheritance
+from rhubarblead.node.ownership import replicas
+from rhubarblead.node.requests import protection
 
 
 def _write_to_one() -> list[Any]:
--- a/tests/rhubarblead/node/copy_world.py
+++ b/tests/rhubarblead/node/copy_world.py
@@ -21,13 +21,13 @@
 from rhubarblead.events import catalog
 from rhubarblead.events import log
 from rhubarblead.events import record
-from rhubarblead.node import change as changes
-from rhubarblead.node import copies
-from rhubarblead.node import outcome as outcomes
-from rhubarblead.node import protection
-from rhubarblead.node import replicas
 from rhubarblead.node import view as views
-from rhubarblead.node import work as works
+from rhubarblead.node.ownership import change as changes
+from rhubarblead.node.ownership import copies
+from rhubarblead.node.ownership import replicas
+from rhubarblead.node.requests import outcome as outcomes
+from rhubarblead.node.requests import protection
+from rhubarblead.node.requests import work as works
 from rhubarblead.requests import idempotency
 from rhubarblead.transport import exchange
 from rhubarblead.transport import links
--- a/tests/rhubarblead/router/ownership.feature
+++ b/tests/rhubarblead/router/ownership.feature
@@ -69,6 +69,20 @@
     And no key had two holders
     And the store refused 4 writes at the most
 
+  Scenario: A change that was sent twice is written once
+    Given a world of 6 nodes that has settled
+    When node n4 sends a change of its own keys twice at once
+    And 300 ms go by in the world
+    Then n4 was told "Applied" and "Conflict"
+    And all nodes know the same assignment, with each key once
+
+  Scenario: A node gives nothing that isn't its own
+    Given a world of 6 nodes that has settled
+    When node n4 sends a change of n3's keys once
+    And 300 ms go by in the world
+    Then n4 was told "Conflict"
+    And all nodes know the same assignment, with each key once
+
   Scenario: Keys are handed over though the node that writes for all is lost
     Given a world of 8 nodes that has settled
     When the servers of 4 nodes drain at once, as node n0 is lost
--- a/tests/steps/node_agenda.py
+++ b/tests/steps/node_agenda.py
@@ -9,13 +9,13 @@
 from rhubarblead import membership
 from rhubarblead import messages
 from rhubarblead import settings
-from rhubarblead.node import agenda
-from rhubarblead.node import gate
-from rhubarblead.node import journal
-from rhubarblead.node import planning
-from rhubarblead.node import proposals
-from rhubarblead.node import tenure
-from rhubarblead.node import writing
+from rhubarblead.node.ownership import agenda
+from rhubarblead.node.ownership import journal
+from rhubarblead.node.ownership import planning
+from rhubarblead.node.ownership import proposals
+from rhubarblead.node.ownership import tenure
+from rhubarblead.node.ownership import writing
+from rhubarblead.node.requests import gate
 from tests.rhubarblead import fixtures
 
 _SHARDS = 4
--- a/tests/steps/node_event_loop.py
+++ b/tests/steps/node_event_loop.py
@@ -12,9 +12,9 @@
 
 from rhubarblead import verdict
 from rhubarblead.node import event_loop
-from rhubarblead.node import front
-from rhubarblead.node import intake
-from rhubarblead.node import outcome
+from rhubarblead.node.requests import front
+from rhubarblead.node.requests import intake
+from rhubarblead.node.requests import outcome
 
 _TIMEOUT_S = 20
 _POLL_S = 0.005
--- a/tests/steps/node_intake.py
+++ b/tests/steps/node_intake.py
@@ -7,7 +7,7 @@
 from behave import runner
 
 from rhubarblead import tables
-from rhubarblead.node import intake
+from rhubarblead.node.requests import intake
 
 _TABLES = {
     "pools": [
--- a/tests/steps/node_jobs.py
+++ b/tests/steps/node_jobs.py
@@ -12,9 +12,9 @@
 from rhubarblead.events import catalog
 from rhubarblead.events import log
 from rhubarblead.node import jobs
-from rhubarblead.node import planning
-from rhubarblead.node import store_jobs
-from rhubarblead.node import writing
+from rhubarblead.node.ownership import planning
+from rhubarblead.node.ownership import store_jobs
+from rhubarblead.node.ownership import writing
 
 _ERRORS: dict[str, type[Exception]] = {
     "CannotApply": ownership.CannotApply,
--- a/tests/steps/node_journal.py
+++ b/tests/steps/node_journal.py
@@ -8,7 +8,7 @@
 from rhubarblead import faults
 from rhubarblead import membership
 from rhubarblead import messages
-from rhubarblead.node import journal
+from rhubarblead.node.ownership import journal
 
 _TABLES = json.dumps({"routes": [], "pools": []}).encode()
 
--- a/tests/steps/node_outcome.py
+++ b/tests/steps/node_outcome.py
@@ -7,7 +7,7 @@
 
 from rhubarblead import refusal
 from rhubarblead import verdict
-from rhubarblead.node import outcome
+from rhubarblead.node.requests import outcome
 from rhubarblead.transport import exchange
 
 
--- a/tests/steps/node_traffic.py
+++ b/tests/steps/node_traffic.py
@@ -4,7 +4,7 @@
 from behave import runner
 
 from rhubarblead import messages
-from rhubarblead.node import traffic
+from rhubarblead.node.requests import traffic
 
 _POOL = "p"
 
--- a/tests/steps/node_unresolved.py
+++ b/tests/steps/node_unresolved.py
@@ -5,7 +5,7 @@
 import behave
 from behave import runner
 
-from rhubarblead.node import unresolved
+from rhubarblead.node.requests import unresolved
 
 _STEP_MS = 100
 
--- a/tests/steps/node_writes.py
+++ b/tests/steps/node_writes.py
@@ -9,9 +9,9 @@
 from rhubarblead import ownership
 from rhubarblead import settings
 from rhubarblead.leases import selection
-from rhubarblead.node import reading
-from rhubarblead.node import spread
-from rhubarblead.node import writing
+from rhubarblead.node.ownership import reading
+from rhubarblead.node.ownership import spread
+from rhubarblead.node.ownership import writing
 from tests.rhubarblead import fixtures
 
 _TICK_MS = 50
--- a/tests/steps/router_ownership.py
+++ b/tests/steps/router_ownership.py
@@ -5,6 +5,8 @@
 import behave
 from behave import runner
 
+from rhubarblead.keyspace import assignment
+from rhubarblead.router import wire
 from tests.rhubarblead.router import world
 
 _SETTLE_MS = 9_000
@@ -141,6 +143,75 @@
     _lose(context.world.nodes[name])
 
 
+@behave.when("node {name:w} sends a change of its own keys twice at once")
+def send_twice(context: runner.Context, name: str) -> None:
+    _send_change(context, name, name, times=2)
+
+
+@behave.when("node {name:w} sends a change of {owner:w}'s keys once")
+def send_foreign(context: runner.Context, name: str, owner: str) -> None:
+    _send_change(context, name, owner, times=1)
+
+
+def _send_change(
+    context: runner.Context, name: str, owner: str, times: int
+) -> None:
+    """Sends a change to the node that writes, past the node's own plans."""
+    here: world.World = context.world
+    giver, writer = here.nodes[name], here.nodes["n0"]
+    value, _ = giver.owner.assignments.get()
+    target = value.list_of_node("n5")[0].owner
+    first = value.list_of_node(owner)[0]
+    context.told = []
+    for number in range(times):
+        writer.owner.gathering.take(
+            wire.Giving(
+                number=number,
+                service=world.SERVICE,
+                row_key=f"m/{name}",
+                row_revision=giver.owner.get_own_revision(),
+                gifts=wire.Gifts(
+                    owners=[target], rows=[(first.first, first.last, 0, "")]
+                ),
+            ),
+            context.told.append,
+        )
+
+
+@behave.then("all nodes know the same assignment, with each key once")
+def check_same(context: runner.Context) -> None:
+    found = {
+        node.owner.assignments.get()[0].encode()
+        for node in context.world.nodes.values()
+    }
+    assert len(found) == 1, len(found)
+    # It refuses ranges that are out of order.
+    value = assignment.decode(found.pop())
+    assert sum(value.count_keys().values()) == world.KEY_COUNT
+
+
+@behave.then('{name:w} was told "{one}" and "{two}"')
+def check_told_both(
+    context: runner.Context, name: str, one: str, two: str
+) -> None:
+    del name
+    assert _list_told(context) == sorted([one, two]), context.told
+
+
+@behave.then('{name:w} was told "{one}"')
+def check_told(context: runner.Context, name: str, one: str) -> None:
+    del name
+    assert _list_told(context) == [one], context.told
+
+
+def _list_told(context: runner.Context) -> list[str]:
+    words = {
+        wire.WriteResult.APPLIED: "Applied",
+        wire.WriteResult.CONFLICT: "Conflict",
+    }
+    return sorted(words[message.result] for message in context.told)
+
+
 @behave.then("the store refused {count:d} writes at the most")
 def check_conflicts(context: runner.Context, count: int) -> None:
     found = context.world.conflict_count
--- a/tests/steps/table_log.py
+++ b/tests/steps/table_log.py
@@ -10,9 +10,12 @@
 from rhubarblead import tables
 from rhubarblead.tablestore import store
 from rhubarblead.tablestore import table_log
+from rhubarblead.tablestore import table_versions
 from tests import platform_calls
 
-_Outcome: TypeAlias = result.Result[table_log.Applied, table_log.ApplyError]
+_Outcome: TypeAlias = result.Result[
+    table_versions.Applied, table_versions.ApplyError
+]
 
 _UP = '{"mode": "up"}'
 _AMPLE_BUDGET = '{"reads_per_s": 10000, "writes_per_s": 10000}'
@@ -199,7 +202,9 @@
     winners = [o for o in context.outcomes if o.is_ok()]
     losers = [o.unwrap_err() for o in context.outcomes if o.is_err()]
     assert len(winners) == 1
-    assert all(isinstance(e, table_log.TablesConflict) for e in losers), losers
+    assert all(
+        isinstance(e, table_versions.TablesConflict) for e in losers
+    ), losers
 
 
 @behave.then('the last {limit:d} changes are "{changes}"')
--- a/tools/contention.py
+++ b/tools/contention.py
@@ -15,8 +15,8 @@
 import pathlib
 import random
 
-from rhubarblead.node import tenure
-from rhubarblead.node import writing
+from rhubarblead.node.ownership import tenure
+from rhubarblead.node.ownership import writing
 
 _CASES = ((13, 3), (1_800, 225))
 _ROUND_TRIP_MS = 20
--- a/tools/front_cost.py
+++ b/tools/front_cost.py
@@ -19,9 +19,9 @@
 
 from rhubarblead import verdict
 from rhubarblead.node import event_loop
-from rhubarblead.node import front
-from rhubarblead.node import intake
-from rhubarblead.node import outcome
+from rhubarblead.node.requests import front
+from rhubarblead.node.requests import intake
+from rhubarblead.node.requests import outcome
 from tools import processes
 
 _MODULE = "tools.front_cost"
--- a/tools/request_cost.py
+++ b/tools/request_cost.py
@@ -15,9 +15,9 @@
 from rhubarblead import verdict
 from rhubarblead.events import catalog
 from rhubarblead.events import log
-from rhubarblead.node import front
-from rhubarblead.node import intake
-from rhubarblead.node import outcome
+from rhubarblead.node.requests import front
+from rhubarblead.node.requests import intake
+from rhubarblead.node.requests import outcome
 from rhubarblead.requests import idempotency
 
 _ROUNDS = 20_000
