Soak: no process is left behind; one copy of a server's holds

Process.start lets one thread in, a process that is retired isn't started again by a timer that is still to fire, and the soak calls processes.raise_on_sigterm as the other tools do.

The world of the ownership tests uses the stand-in's Held and subtract instead of its own copies. The story's actions have their types instead of ignores; a comment without its line goes. No check, bound or expectation changes; src is untouched.

--- a/tests/rhubarblead/router/world.py
+++ b/tests/rhubarblead/router/world.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 import json
 import random
 from typing import Any
@@ -20,6 +19,7 @@
 from rhubarblead.router import ownership
 from rhubarblead.router import promising
 from rhubarblead.router import wire
+from tools.standins import keyed_holds
 
 TICK_MS = 50
 SETTLE_STEPS = 8
@@ -41,14 +41,6 @@
         self.events.append((event.name, fields))
 
 
-@dataclasses.dataclass(slots=True)
-class _Held:
-    first: int
-    last: int
-    fence: int
-    until_ms: float
-
-
 class _WorldLoop(asyncio.SelectorEventLoop):
     """An event loop whose time is the world's."""
 
@@ -274,14 +266,14 @@
         self.born_ms = self._world.now_ms
         self.server_id = f"{self._name}-{self.born_ms}"
         self.sequence = 0
-        self.held: list[_Held] = []
+        self.held: list[keyed_holds.Held] = []
         self.freed: list[tuple[int, int, str]] = []
         self.beat_at_ms = self._world.now_ms + self._world.random.randrange(
             HEARTBEAT_MS
         )
         self.slowness = self._world.random.uniform(1.0, 1.02)
 
-    def list_held(self) -> list[_Held]:
+    def list_held(self) -> list[keyed_holds.Held]:
         """Lists what the server holds now."""
         return [h for h in self.held if h.until_ms > self._world.now_ms]
 
@@ -322,7 +314,7 @@
         for first, last, fence, _token in rows:
             self._note_fence(first, last, fence)
             kept.append(
-                _Held(
+                keyed_holds.Held(
                     first=first,
                     last=last,
                     fence=fence,
@@ -330,7 +322,7 @@
                 )
             )
         for old in self.list_held():
-            for first, last in _subtract(old, kept):
+            for first, last in keyed_holds.subtract(old, kept):
                 self.freed.append((first, last, f"t{world.now_ms}"))
         if self.freed:
             self.beat_at_ms = world.now_ms + RELEASE_HEARTBEAT_MS
@@ -541,19 +533,4 @@
     return wire.decode(wire.encode(state))
 
 
-def _subtract(old: _Held, kept: list[_Held]) -> list[tuple[int, int]]:
-    """Lists the parts of a range that no kept range covers."""
-    parts = []
-    position = old.first
-    for item in sorted(kept, key=lambda held: held.first):
-        if item.last < position or item.first > old.last:
-            continue
-        if item.first > position:
-            parts.append((position, item.first - 1))
-        position = max(position, item.last + 1)
-    if position <= old.last:
-        parts.append((position, old.last))
-    return parts
-
-
 KEY_COUNT = assignment.KEY_COUNT
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -12,6 +12,7 @@
 import socket
 import subprocess
 import sys
+import threading
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 LOOPBACK = "127.0.0.1"
@@ -53,6 +54,8 @@
         "_child",
         "_environment",
         "_is_ending",
+        "_is_retired",
+        "_starting",
         "log_path",
         "name",
         "role",
@@ -83,6 +86,8 @@
         self._arguments = arguments
         self._child: subprocess.Popen[bytes] | None = None
         self._is_ending = False
+        self._is_retired = False
+        self._starting = threading.Lock()
 
     @property
     def pid(self) -> int:
@@ -91,11 +96,15 @@
 
     def start(self) -> None:
         """Starts the process; a run that is still going is left alone."""
-        if self.is_running():
-            return
-        self._is_ending = False
+        # Two threads that start it at once would leave one run to nobody.
+        with self._starting:
+            if not self.is_running() and not self._is_retired:
+                self._is_ending = False
+                self._child = self._run()
+
+    def _run(self) -> subprocess.Popen[bytes]:
         with self.log_path.open("ab") as log:
-            self._child = subprocess.Popen(
+            return subprocess.Popen(
                 [sys.executable, "-m", *self._arguments],
                 cwd=_ROOT,
                 env={**make_environment(), **self._environment},
@@ -127,6 +136,12 @@
         self.send_signal(signal.SIGKILL)
         self.wait(_STOP_TIMEOUT_S)
 
+    def retire(self) -> None:
+        """Kills the process for good; a later start does nothing."""
+        with self._starting:
+            self._is_retired = True
+        self.kill()
+
     def freeze(self) -> None:
         """Halts the process until `thaw`."""
         self.send_signal(signal.SIGSTOP)
--- a/tools/soak/__main__.py
+++ b/tools/soak/__main__.py
@@ -12,6 +12,7 @@
 
 import fire
 
+from tools import processes
 from tools.soak import story_run
 
 
@@ -26,6 +27,7 @@
         nodes: Instances, each with a router and a server.
         folder: Where files go; a temporary one by default.
     """
+    processes.raise_on_sigterm()
     first, _, last = seeds.partition(":")
     root = pathlib.Path(folder or tempfile.mkdtemp(prefix="soak-"))
     broken = 0
--- a/tools/soak/cluster.py
+++ b/tools/soak/cluster.py
@@ -1,9 +1,11 @@
 """Routers, keyed servers and the platform's store, as processes on loopback."""
 
+from collections.abc import Callable
 import contextlib
 import http.client
 import json
 import pathlib
+import threading
 import time
 from typing import Any
 
@@ -54,8 +56,9 @@
         self.ports = ports
         self._folder = folder
         self._life_number = 0
+        self._closing = threading.Lock()
+        self._is_closed = False
         self.records: list[pathlib.Path] = []
-        # When each life of the server began and ended, for the audit.
         self.store_proxy = proxy.Proxy(
             ip=ip,
             port=ports["store"],
@@ -75,14 +78,19 @@
 
     def start_server(self) -> None:
         """Starts a new life of the server, under a new name."""
-        self.server = self._make_server()
-        self.server.start()
+        with self._closing:
+            if self._is_closed:
+                return
+            self.server = self._make_server()
+            self.server.start()
 
     def close(self) -> None:
         """Ends all that belongs to the instance."""
-        for process in (self.router, self.server):
-            process.thaw()
-            process.kill()
+        # A fault's timer may still be about to start one of them.
+        with self._closing:
+            self._is_closed = True
+            self.router.retire()
+            self.server.retire()
         self.store_proxy.close()
 
     def is_ready(self) -> bool:
@@ -234,7 +242,7 @@
     def _is_ready(self) -> bool:
         return all(node.is_ready() for node in self.nodes)
 
-    def _wait(self, what: str, is_done: Any) -> None:  # noqa: ANN401
+    def _wait(self, what: str, is_done: Callable[[], bool]) -> None:
         ends_s = time.monotonic() + _READY_S
         while not is_done():
             if time.monotonic() > ends_s:
--- a/tools/soak/story.py
+++ b/tools/soak/story.py
@@ -1,5 +1,6 @@
 """Faults in series, drawn from a seed, that overlap as they come."""
 
+from collections.abc import Callable
 import dataclasses
 import random
 import signal
@@ -149,23 +150,20 @@
         self.ended_ms.setdefault(server.name, keyed.read_ms())
         self._revive(node)
 
-    def _start(self, action: object, *arguments: object) -> None:
-        thread = threading.Thread(
-            target=action,  # type: ignore[arg-type]
-            args=arguments,
-            daemon=True,
-        )
+    def _start(
+        self, action: Callable[[cluster.Node], None], node: cluster.Node
+    ) -> None:
+        thread = threading.Thread(target=action, args=(node,), daemon=True)
         self._threads.append(thread)
         thread.start()
 
     def _later(
-        self, delay_s: float, action: object, *arguments: object
+        self,
+        delay_s: float,
+        action: Callable[..., None],
+        *arguments: object,
     ) -> None:
-        timer = threading.Timer(
-            delay_s,
-            action,  # type: ignore[arg-type]
-            args=arguments,
-        )
+        timer = threading.Timer(delay_s, action, args=arguments)
         self._threads.append(timer)
         timer.start()
 
