Log and measure where a request's time goes between two nodes

Callers saw 504 for nested calls that no server had refused, and 503 after 800 ms. The logs did not tell whether such a call waited at its destination, ran there, or was on its way.

An outcome carries how long its request waited and ran; responses are logged with queued_ms, ran_ms and transit_ms, and the metrics have their quantiles. SEND_CANCELLED says in which stage a cancelled request was, REQUEST_NOT_ADMITTED what a refusal was based on. New fields stand at the end of their messages, so nodes of both versions understand each other. No decision depends on them.

--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -605,14 +605,16 @@
     ANSWER_RETURNED = _define(
         3500,
         _INFO,
-        "request_id route status node_id sent_count took_ms config_version",
+        "request_id route status node_id sent_count took_ms queued_ms ran_ms"
+        " transit_ms config_version",
         "A server's response was returned to its caller.",
     )
     ANSWER_OWN = _define(
         3501,
         _WARNING,
-        "request_id route status cause node_id sent_count took_ms"
-        " retry_after_ms config_version assignment_revision",
+        "request_id route status cause node_id sent_count took_ms queued_ms"
+        " ran_ms transit_ms retry_after_ms config_version"
+        " assignment_revision",
         "The router itself responded to a request, without a response from a"
         " server.",
         "See `cause` for the reason, and docs/OPERATIONS.md for what to do"
@@ -650,6 +652,25 @@
         "The connection to the server was lost while it ran requests.",
         "Look for a request that was running in several crashes.",
     )
+    SEND_CANCELLED = _define(
+        3507,
+        _INFO,
+        "request_id stage queued_ms ran_ms",
+        "The node that sent a request cancelled it; `stage` is `waiting`,"
+        " `running`, `answered` if the outcome was on its way back, or"
+        " `unknown` if the request has not arrived.",
+    )
+    REQUEST_NOT_ADMITTED = _define(
+        3508,
+        _INFO,
+        "request_id route reason is_call expected_wait_ms queued_ms"
+        " running_count call_count reserved_count waiting_count",
+        "The local server's queue refused a request. `expected_wait_ms` is the"
+        " wait that was estimated on its arrival, `queued_ms` how long it"
+        " waited, `call_count` how many of the running requests are calls of"
+        " other servers, `reserved_count` how many slots are reserved for"
+        " those.",
+    )
     INTERNAL_ERROR = _define(
         9000,
         _ERROR,
--- a/src/rhubarblead/requests/waiting.py
+++ b/src/rhubarblead/requests/waiting.py
@@ -56,7 +56,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Queued:
-    """The request waits for a slot."""
+    """The request waits for a slot or, without an expected wait, for a key."""
+
+    wait_ms: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -68,9 +70,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Refuse:
-    """The request can't be served before its deadline."""
+    """The request can't be served before its deadline.
+
+    `wait_ms` is the expected wait for a slot; None for a request that was to
+    wait for a key.
+    """
 
     retry_after_ms: int
+    wait_ms: int | None = None
 
 
 Offer: TypeAlias = Start | Queued | Busy | Refuse
@@ -130,6 +137,15 @@
         """Number of running requests."""
         return len(self._running)
 
+    @property
+    def call_count(self) -> int:
+        """Number of running requests that are calls from other servers."""
+        return len(self._calls)
+
+    def count_reserved(self, now_ms: int) -> int:
+        """Counts the slots that are reserved for calls from other servers."""
+        return self._slot_count - self._count_unreserved(now_ms)
+
     @property
     def waiting_count(self) -> int:
         """Number of waiting requests."""
@@ -195,7 +211,7 @@
         if self._is_infeasible(ticket, now_ms + wait_ms):
             return self.refuse(wait_ms)
         self._tickets[ticket.number] = ticket
-        return Queued()
+        return Queued(wait_ms=int(wait_ms))
 
     def take_next(self, now_ms: int) -> tuple[Ticket | None, list[Ticket]]:
         """Starts the next request if a slot is free.
@@ -255,12 +271,12 @@
     def refuse(self, wait_ms: float) -> Refuse:
         """Refuses a request; the retry time is `wait_ms` within limits."""
         after_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms))
-        return Refuse(retry_after_ms=int(after_ms))
+        return Refuse(retry_after_ms=int(after_ms), wait_ms=int(wait_ms))
 
     def _park(self, ticket: Ticket) -> Offer:
         """Queues a request apart until the server holds its key."""
         if len(self._parked) >= MAX_PARKED_PER_SLOT * self._slot_count:
-            return self.refuse(PARKED_RETRY_MS)
+            return Refuse(retry_after_ms=PARKED_RETRY_MS)
         self._parked[ticket.number] = ticket
         return Queued()
 
--- a/src/rhubarblead/router/dispatcher.py
+++ b/src/rhubarblead/router/dispatcher.py
@@ -319,6 +319,8 @@
         work = self._make_work(request, number, state, may_wait)
         request.number = number
         request.node_id = node_id
+        request.sent_at_ms = self._now_ms()
+        request.queued_ms = request.ran_ms = request.transit_ms = None
         self._outstanding[number] = request
         if node_id == self._own_id:
             request.job = self._upstream.submit(
@@ -380,6 +382,8 @@
         request.number = 0
         request.job = None
         request.sent_count += outcome.has_arrived
+        if outcome.reason != wire.Reason.LINK_LOST:
+            request.record_times(outcome, self._now_ms())
         match outcome.verdict:
             case wire.Verdict.RAN:
                 self._responder.forward(request, outcome)
@@ -537,6 +541,7 @@
                 wire.Cancel(
                     origin=self._directory.own_state.incarnation,
                     number=request.number,
+                    request_id=request.head.request_id,
                 ),
             )
         request.number = 0
--- a/src/rhubarblead/router/metrics_exporter.py
+++ b/src/rhubarblead/router/metrics_exporter.py
@@ -18,6 +18,8 @@
     """Current values; each name ends in its unit."""
 
     RUNNING = "running_requests"
+    RUNNING_CALLS = "running_calls"
+    RESERVED_SLOTS = "reserved_slots"
     WAITING = "waiting_requests"
     PENDING = "pending_requests"
     SLOTS = "slots"
@@ -29,6 +31,8 @@
 
 GAUGE_DESCRIPTIONS = {
     Gauge.RUNNING: "requests that the local server is running",
+    Gauge.RUNNING_CALLS: "running requests that are calls from other servers",
+    Gauge.RESERVED_SLOTS: "slots that are reserved for such calls",
     Gauge.WAITING: "requests that wait for a slot or a key at the local server",
     Gauge.PENDING: "requests received from callers and not answered yet",
     Gauge.SLOTS: "requests that the local server can run concurrently",
@@ -43,6 +47,13 @@
         "time from a complete request to its answer, 1 ms to 60 s, 2 digits"
     ),
     'latency_ms_count{route="NAME"}': "answers included in the quantiles",
+    'queued_ms{route="NAME",quantile="SHARE"}': (
+        "time that requests of this node's callers waited for a slot or a key"
+    ),
+    'transit_ms{route="NAME",quantile="SHARE"}': (
+        "time from sending a request to another node to receiving its outcome,"
+        " without the time that it waited or ran there"
+    ),
     'events_total{event="NAME"}': "events, including those not logged",
 }
 """Series that accumulate from the start of the process."""
@@ -60,7 +71,7 @@
     Events are counted by the event log.
     """
 
-    __slots__ = ("_events", "_gauges", "_latencies", "_statuses")
+    __slots__ = ("_events", "_gauges", "_histograms", "_statuses")
 
     def __init__(
         self,
@@ -76,18 +87,34 @@
         """
         self._events = events
         self._gauges = gauges
-        self._latencies: dict[str, Any] = {}
+        self._histograms: dict[tuple[str, str], Any] = {}
         self._statuses: dict[tuple[str, int], int] = {}
 
     def observe(self, route: str, status: int, took_ms: int) -> None:
         """Records an answered request and its latency in milliseconds."""
         key = (route, status)
         self._statuses[key] = self._statuses.get(key, 0) + 1
-        latencies = self._latencies.get(route)
-        if latencies is None:
-            latencies = histogram.HdrHistogram(_LOWEST_MS, _HIGHEST_MS, _DIGITS)
-            self._latencies[route] = latencies
-        latencies.record_value(min(_HIGHEST_MS, max(_LOWEST_MS, took_ms)))
+        self._record("latency_ms", route, took_ms)
+
+    def observe_delays(
+        self, route: str, queued_ms: int, transit_ms: int
+    ) -> None:
+        """Records the delays of a request, in milliseconds.
+
+        Args:
+            route: Name of the route.
+            queued_ms: How long the request waited at the node of its server.
+            transit_ms: How long the request and its outcome were on their way.
+        """
+        self._record("queued_ms", route, queued_ms)
+        self._record("transit_ms", route, transit_ms)
+
+    def _record(self, name: str, route: str, value_ms: int) -> None:
+        found = self._histograms.get((name, route))
+        if found is None:
+            found = histogram.HdrHistogram(_LOWEST_MS, _HIGHEST_MS, _DIGITS)
+            self._histograms[name, route] = found
+        found.record_value(min(_HIGHEST_MS, max(_LOWEST_MS, value_ms)))
 
     def handle(self, exchange: http_server.Exchange) -> None:
         """Handles an HTTP request for the metrics."""
@@ -111,8 +138,10 @@
             f" {count}"
             for (route, status), count in sorted(self._statuses.items())
         ]
-        for route, latencies in sorted(self._latencies.items()):
-            lines.extend(_render_latencies(route, latencies))
+        for name, route in sorted(self._histograms):
+            lines.extend(
+                _render_quantiles(name, route, self._histograms[name, route])
+            )
         lines.extend(
             f'{PREFIX}events_total{{event="{name}"}} {count}'
             for name, count in sorted(self._events.counts.items())
@@ -124,12 +153,17 @@
         return "\n".join(lines) + "\n"
 
 
-def _render_latencies(route: str, latencies: Any) -> list[str]:  # noqa: ANN401
-    name = f"{PREFIX}latency_ms"
+def _render_quantiles(
+    name: str,
+    route: str,
+    values: Any,  # noqa: ANN401
+) -> list[str]:
     lines = [
-        f'{name}{{route="{route}",quantile="{percentile / 100:g}"}}'
-        f" {latencies.get_value_at_percentile(percentile)}"
+        f'{PREFIX}{name}{{route="{route}",quantile="{percentile / 100:g}"}}'
+        f" {values.get_value_at_percentile(percentile)}"
         for percentile in _PERCENTILES
     ]
-    lines.append(f'{name}_count{{route="{route}"}} {latencies.total_count}')
+    lines.append(
+        f'{PREFIX}{name}_count{{route="{route}"}} {values.total_count}'
+    )
     return lines
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -144,7 +144,9 @@
             on_peer_state=self._dispatcher.retry_parked,
         )
         self._remote_jobs = remote_jobs.RemoteJobs(
-            state=self._state, local_upstream=self._upstream
+            state=self._state,
+            local_upstream=self._upstream,
+            events=self._events,
         )
         self._heartbeat_handler = heartbeat_handler.HeartbeatHandler(
             key_ownership=self._ownership,
@@ -157,6 +159,7 @@
             events=self._events, gauges=self._read_gauges
         )
         self._dispatcher.responder.observe = self._metrics.observe
+        self._dispatcher.responder.observe_delays = self._metrics.observe_delays
         self._servers = {
             "metrics": self._make_server(self._metrics.handle),
             "callers": self._make_server(self._dispatcher.handle),
@@ -428,6 +431,10 @@
         wait_queue = self._upstream.wait_queue
         return {
             metrics_exporter.Gauge.RUNNING: wait_queue.running_count,
+            metrics_exporter.Gauge.RUNNING_CALLS: wait_queue.call_count,
+            metrics_exporter.Gauge.RESERVED_SLOTS: (
+                wait_queue.count_reserved(read_now_ms())
+            ),
             metrics_exporter.Gauge.WAITING: wait_queue.waiting_count,
             metrics_exporter.Gauge.PENDING: self._dispatcher.count_pending(),
             metrics_exporter.Gauge.SLOTS: wait_queue.slot_count,
--- a/src/rhubarblead/router/pending_request.py
+++ b/src/rhubarblead/router/pending_request.py
@@ -7,6 +7,7 @@
 from rhubarblead.platform import headers
 from rhubarblead.router import http_server
 from rhubarblead.router import upstream
+from rhubarblead.router import wire
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
@@ -14,11 +15,13 @@
     """One caller's request until it has its response.
 
     `number` identifies the outstanding send, and is 0 while there is none.
-    `sent_count` counts the sends that reached a server. `reroute_count` counts
-    the nodes that were chosen for a request without a key, and the changes of
-    owner that were followed for one with a key. `refused_waits` holds the wait
-    in milliseconds that each busy node reported. `excluded` holds the nodes
-    that are not chosen again.
+    `sent_count` counts the sends that reached a server. `sent_at_ms` is the
+    time of the last send; `queued_ms`, `ran_ms` and `transit_ms` say where the
+    time until its outcome went, and are None while there is no outcome.
+    `reroute_count` counts the nodes that were chosen for a request without a
+    key, and the changes of owner that were followed for one with a key.
+    `refused_waits` holds the wait in milliseconds that each busy node reported.
+    `excluded` holds the nodes that are not chosen again.
     """
 
     exchange: http_server.Exchange
@@ -34,6 +37,10 @@
     job: upstream.Job | None = None
     timer: asyncio.TimerHandle | None = None
     sent_count: int = 0
+    sent_at_ms: int = 0
+    queued_ms: int | None = None
+    ran_ms: int | None = None
+    transit_ms: int | None = None
     reroute_count: int = 0
     parked_at_ms: int | None = None
     retry_at_ms: int = 0
@@ -42,6 +49,14 @@
     refused_waits: dict[str, int] = dataclasses.field(default_factory=dict)
     excluded: set[str] = dataclasses.field(default_factory=set)
 
+    def record_times(self, outcome: wire.Outcome, now_ms: int) -> None:
+        """Records where the time from the last send to its outcome went."""
+        self.queued_ms = outcome.queued_ms
+        self.ran_ms = outcome.ran_ms
+        self.transit_ms = (
+            now_ms - self.sent_at_ms - outcome.queued_ms - outcome.ran_ms
+        )
+
     def end(self) -> None:
         """Marks the request as ended and cancels its timer."""
         self.is_ended = True
--- a/src/rhubarblead/router/remote_jobs.py
+++ b/src/rhubarblead/router/remote_jobs.py
@@ -1,25 +1,40 @@
 """Runs requests of other nodes at the local server."""
 
+import collections
 from collections.abc import Callable
 
+from rhubarblead.events import catalog
+from rhubarblead.router import event_log
 from rhubarblead.router import upstream
 from rhubarblead.router import wire
 
+MAX_ANSWERED_COUNT = 256
+"""Answered requests that are remembered to explain a late cancellation."""
+
 
 class RemoteJobs:
     """Waiting and running requests of other nodes, which may cancel them."""
 
-    __slots__ = ("_jobs", "_state", "_upstream")
+    __slots__ = ("_answered", "_events", "_jobs", "_state", "_upstream")
 
     def __init__(
-        self, *, state: wire.State, local_upstream: upstream.Upstream
+        self,
+        *,
+        state: wire.State,
+        local_upstream: upstream.Upstream,
+        events: event_log.EventLog,
     ) -> None:
         """Creates a tracker without jobs.
 
         Args:
             state: The state that this node publishes.
             local_upstream: The local server.
+            events: The event log.
         """
+        self._events = events
+        self._answered: collections.OrderedDict[
+            tuple[str, int], tuple[int, int]
+        ] = collections.OrderedDict()
         self._state = state
         self._upstream = local_upstream
         self._jobs: dict[tuple[str, int], upstream.Job] = {}
@@ -42,6 +57,7 @@
 
         def finish(outcome: wire.Outcome) -> None:
             self._jobs.pop(job_id, None)
+            self._record_answered(job_id, outcome)
             reply(outcome)
 
         job = self._upstream.submit(work, finish)
@@ -50,6 +66,24 @@
 
     def cancel(self, message: wire.Cancel) -> None:
         """Cancels a request whose caller no longer waits."""
-        job = self._jobs.pop((message.origin, message.number), None)
+        job_id = (message.origin, message.number)
+        job = self._jobs.pop(job_id, None)
         if job is not None:
             self._upstream.cancel(job)
+            return
+        answered = self._answered.get(job_id)
+        queued_ms, ran_ms = answered or (None, None)
+        self._events.emit(
+            catalog.Event.SEND_CANCELLED,
+            request_id=message.request_id,
+            stage="unknown" if answered is None else "answered",
+            queued_ms=queued_ms,
+            ran_ms=ran_ms,
+        )
+
+    def _record_answered(
+        self, job_id: tuple[str, int], outcome: wire.Outcome
+    ) -> None:
+        self._answered[job_id] = (outcome.queued_ms, outcome.ran_ms)
+        if len(self._answered) > MAX_ANSWERED_COUNT:
+            self._answered.popitem(last=False)
--- a/src/rhubarblead/router/responder.py
+++ b/src/rhubarblead/router/responder.py
@@ -20,7 +20,13 @@
 class Responder:
     """Ends each request: writes the response, logs it and counts it."""
 
-    __slots__ = ("_directory", "_events", "_now_ms", "observe")
+    __slots__ = (
+        "_directory",
+        "_events",
+        "_now_ms",
+        "observe",
+        "observe_delays",
+    )
 
     def __init__(
         self,
@@ -42,6 +48,8 @@
         self._now_ms = now_ms
         # Called for each response with route, status and duration in ms.
         self.observe: Callable[[str, int, int], None] | None = None
+        # Called with route, wait and transit in ms if the outcome has arrived.
+        self.observe_delays: Callable[[str, int, int], None] | None = None
 
     def forward(
         self, request: pending_request.PendingRequest, outcome: wire.Outcome
@@ -65,6 +73,9 @@
             node_id=request.node_id,
             sent_count=request.sent_count,
             took_ms=took_ms,
+            queued_ms=request.queued_ms,
+            ran_ms=request.ran_ms,
+            transit_ms=request.transit_ms,
             config_version=self._get_version(),
         )
         self._count(request, outcome.status, took_ms)
@@ -154,6 +165,9 @@
             node_id=request.node_id,
             sent_count=request.sent_count,
             took_ms=took_ms,
+            queued_ms=request.queued_ms,
+            ran_ms=request.ran_ms,
+            transit_ms=request.transit_ms,
             retry_after_ms=retry_after_ms,
             config_version=self._get_version(),
             assignment_revision=revision,
@@ -165,6 +179,14 @@
     ) -> None:
         if self.observe is not None:
             self.observe(request.route.name, status, took_ms)
+        queued_ms, transit_ms = request.queued_ms, request.transit_ms
+        if (
+            self.observe_delays is None
+            or queued_ms is None
+            or transit_ms is None
+        ):
+            return
+        self.observe_delays(request.route.name, queued_ms, transit_ms)
 
     def _get_version(self) -> int:
         table = self._directory.table
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -57,6 +57,18 @@
     timer: asyncio.TimerHandle | None = None
     is_ended: bool = False
     is_sent: bool = False
+    submitted_at_ms: int = 0
+    expected_wait_ms: int | None = None
+    started_at_ms: int | None = None
+
+    def find_queued_ms(self, now_ms: int) -> int:
+        """Returns how long the request has waited for a slot or a key."""
+        until_ms = now_ms if self.started_at_ms is None else self.started_at_ms
+        return until_ms - self.submitted_at_ms
+
+    def find_ran_ms(self, now_ms: int) -> int:
+        """Returns how long the request has held a slot."""
+        return 0 if self.started_at_ms is None else now_ms - self.started_at_ms
 
 
 class Upstream:
@@ -188,18 +200,21 @@
             may_wait=work.may_wait,
             key=None if work.key == wire.NO_KEY else work.key,
         )
-        job = Job(work=work, reply=reply, ticket=ticket)
+        job = Job(work=work, reply=reply, ticket=ticket, submitted_at_ms=now_ms)
         match self._wait_queue.offer(ticket, now_ms):
             case waiting.Start():
                 self._jobs[ticket.number] = job
                 self._run(job)
-            case waiting.Queued():
+            case waiting.Queued(wait_ms=wait_ms):
+                job.expected_wait_ms = wait_ms
                 self._jobs[ticket.number] = job
                 self._schedule_check()
             case waiting.Busy(wait_ms=wait_ms):
                 reply(self._refuse(work, wire.Reason.BUSY, wait_ms))
                 return None
-            case waiting.Refuse(retry_after_ms=after_ms):
+            case waiting.Refuse(retry_after_ms=after_ms, wait_ms=wait_ms):
+                job.expected_wait_ms = wait_ms
+                self._log_not_admitted(job, wire.Reason.OVERLOADED)
                 reply(self._refuse(work, wire.Reason.OVERLOADED, after_ms))
                 return None
         return job
@@ -209,6 +224,14 @@
         if job.is_ended:
             return
         job.is_ended = True
+        now_ms = self._now_ms()
+        self._events.emit(
+            catalog.Event.SEND_CANCELLED,
+            request_id=job.work.request_id,
+            stage="waiting" if job.started_at_ms is None else "running",
+            queued_ms=job.find_queued_ms(now_ms),
+            ran_ms=job.find_ran_ms(now_ms),
+        )
         if self._wait_queue.withdraw(job.ticket.number) is None:
             self._stop_running(job)
         self._jobs.pop(job.ticket.number, None)
@@ -300,9 +323,34 @@
         if job is None or job.is_ended:
             return
         job.is_ended = True
-        job.reply(self._refuse(job.work, reason, EXPIRED_RETRY_MS))
+        self._log_not_admitted(job, reason)
+        self._reply(job, self._refuse(job.work, reason, EXPIRED_RETRY_MS))
+
+    def _log_not_admitted(self, job: Job, reason: wire.Reason) -> None:
+        now_ms = self._now_ms()
+        queue = self._wait_queue
+        self._events.emit(
+            catalog.Event.REQUEST_NOT_ADMITTED,
+            request_id=job.work.request_id,
+            route=job.work.route,
+            reason=reason.name.lower(),
+            is_call=job.work.is_call,
+            expected_wait_ms=job.expected_wait_ms,
+            queued_ms=job.find_queued_ms(now_ms),
+            running_count=queue.running_count,
+            call_count=queue.call_count,
+            reserved_count=queue.count_reserved(now_ms),
+            waiting_count=queue.waiting_count,
+        )
+
+    def _reply(self, job: Job, outcome: wire.Outcome) -> None:
+        now_ms = self._now_ms()
+        outcome.queued_ms = job.find_queued_ms(now_ms)
+        outcome.ran_ms = job.find_ran_ms(now_ms)
+        job.reply(outcome)
 
     def _run(self, job: Job) -> None:
+        job.started_at_ms = self._now_ms()
         max_idle_s = MAX_IDLE_ONCE_S if job.work.is_once else None
         connection = self._pool.acquire(max_idle_s)
         if connection is not None:
@@ -474,7 +522,7 @@
         self._wait_queue.finish(
             job.ticket.number, self._now_ms(), is_complete=is_complete
         )
-        job.reply(outcome)
+        self._reply(job, outcome)
         self.start_waiting()
 
 
--- a/src/rhubarblead/router/wire.py
+++ b/src/rhubarblead/router/wire.py
@@ -70,6 +70,8 @@
 
     `has_arrived` is set if the request reached the server. `wait_ms` is the
     expected wait if the reason is `BUSY`. `phrase` is the HTTP reason phrase.
+    `queued_ms` is the time that the request waited there for a slot or a key,
+    `ran_ms` the time that it held a slot.
     """
 
     number: int
@@ -81,6 +83,8 @@
     phrase: bytes = b""
     head: bytes = b""
     body: bytes = b""
+    queued_ms: int = 0
+    ran_ms: int = 0
 
 
 class Cancel(msgspec.Struct, tag=3, array_like=True, kw_only=True):
@@ -88,6 +92,7 @@
 
     origin: str
     number: int
+    request_id: str = ""
 
 
 class ServerLoad(msgspec.Struct, array_like=True, kw_only=True):
--- a/tests/steps/router_dispatcher.py
+++ b/tests/steps/router_dispatcher.py
@@ -279,4 +279,6 @@
 def check_cancelled(context: runner.Context, node: str) -> None:
     del node
     work = context.links.list_work()[-1]
-    assert context.links.sent[-1] == wire.Cancel(origin="i", number=work.number)
+    assert context.links.sent[-1] == wire.Cancel(
+        origin="i", number=work.number, request_id="r1"
+    )
--- a/tests/steps/router_metrics_exporter.py
+++ b/tests/steps/router_metrics_exporter.py
@@ -30,6 +30,16 @@
         context.exporter.observe(route, int(status), int(latency_ms))
 
 
+@behave.when(
+    'a request on route "{route}" waited {queued:d} ms and was {transit:d} ms'
+    " on its way"
+)
+def observe_delays(
+    context: runner.Context, route: str, queued: int, transit: int
+) -> None:
+    context.exporter.observe_delays(route, queued, transit)
+
+
 @behave.when("an event was emitted twice")
 def emit_twice(context: runner.Context) -> None:
     for _ in range(2):
