Failing test: callers on an instance are taken for calls of its server

In REQUEST_NOT_ADMITTED of every refused request had is_call set; in a trial with the callers' addresses in the log, all of 863 requests, of callers and of servers, came from the instance's own address, as the platform's pages say.

--- a/tests/rhubarblead/router/dispatcher.feature
+++ b/tests/rhubarblead/router/dispatcher.feature
@@ -65,3 +65,17 @@
     Given a dispatcher with a route that is split 90 to 10
     When 200 requests arrive on that route
     Then 180 of them were sent to the first service
+
+  # SHORT: every request was taken for a call, so that none was refused in time.
+  Scenario Outline: Callers on the instance are told apart from the server's own calls
+    Given a dispatcher whose keys are owned by node n2
+    And a local server whose longest run has <left> ms left
+    When a request with a deadline of <deadline> ms arrives from the instance's own address
+    Then it is sent as <kind>
+
+    Examples: a call expires at its parent's deadline; 0 ms are left if nothing runs
+      | left | deadline | kind      |
+      | 0    | 900      | no call   |
+      | 1200 | 2200     | no call   |
+      | 1200 | 900      | a call    |
+      | 1200 | 1200     | a call    |
--- a/tests/steps/router_dispatcher.py
+++ b/tests/steps/router_dispatcher.py
@@ -18,6 +18,7 @@
 from rhubarblead.router import wire
 
 _HOST = b"one.example"
+_OWN_IP = "127.0.0.8"
 _KINDS = {
     "repeatable": routing_table.RouteKind.REPEATABLE,
     "once": routing_table.RouteKind.ONCE,
@@ -51,7 +52,8 @@
 class _Connection:
     """A caller's connection that writes no responses."""
 
-    peer_ip = "127.0.0.9"
+    def __init__(self, *, peer_ip: str) -> None:
+        self.peer_ip = peer_ip
 
     def flush(self) -> None:
         """Does nothing."""
@@ -61,6 +63,7 @@
     """A local server that gets no requests."""
 
     def __init__(self) -> None:
+        self.left_ms = 0
         self.wait_queue = waiting.WaitQueue(slot_count=1)
 
 
@@ -138,6 +141,7 @@
 async def _open(context: runner.Context) -> None:
     links: Any = context.links
     local_upstream: Any = _Upstream()
+    context.local_upstream = local_upstream
     silent_event_log: Any = _SilentEventLog()
     context.dispatcher = dispatcher.RequestDispatcher(
         cluster_directory=context.directory,
@@ -148,7 +152,7 @@
         ),
         events=silent_event_log,
         now_ms=lambda: 0,
-        own_ip="127.0.0.8",
+        own_ip=_OWN_IP,
         random_source=random.Random(1),
     )
 
@@ -161,15 +165,19 @@
 
 
 async def _receive(
-    context: runner.Context, target: str, *omitted: bytes
+    context: runner.Context,
+    target: str,
+    *omitted: bytes,
+    deadline_ms: int = 30_000,
+    peer_ip: str = "127.0.0.9",
 ) -> http_server.Exchange:
     fields = [
         (b"host", _HOST),
         (headers.REQUEST_ID, b"r1"),
-        (headers.DEADLINE, b"30000"),
+        (headers.DEADLINE, b"%d" % deadline_ms),
         (headers.KEY, b"7"),
     ]
-    connection: Any = _Connection()
+    connection: Any = _Connection(peer_ip=peer_ip)
     exchange = http_server.Exchange(
         connection=connection,
         method=b"GET",
@@ -282,3 +290,25 @@
     assert context.links.sent[-1] == wire.Cancel(
         origin="i", number=work.number, request_id="r1"
     )
+
+
+@behave.given("a local server whose longest run has {left:d} ms left")
+def set_left(context: runner.Context, left: int) -> None:
+    context.local_upstream.left_ms = left
+
+
+@behave.when(
+    "a request with a deadline of {deadline:d} ms arrives from the instance's"
+    " own address"
+)
+def send_locally(context: runner.Context, deadline: int) -> None:
+    context.loop.run_until_complete(
+        _receive(
+            context, "/repeatable/x", deadline_ms=deadline, peer_ip=_OWN_IP
+        )
+    )
+
+
+@behave.then("it is sent as {kind}")
+def check_kind(context: runner.Context, kind: str) -> None:
+    assert context.links.list_work()[-1].is_call == (kind == "a call")
