Tell callers on an instance apart from the calls of its server

Callers saw 503 after 0.8 s of waiting (median of 'too_late'), and requests of callers took the slots that are reserved for calls.

Cause: a request counted as a call if it came from the instance's own address. Callers on the instance have the same address, so that every request was a call: no request was refused for being late, no slot was reserved, and the wait for calls was used for all. Class: identity by an attribute that isn't unique; the tests gave callers an address of their own.

Change: a call expires with the request that made it, so a request that may wait longer than every run of the local server isn't a call, nor one that arrives while none runs (calls.may_be_call). Where runs are long, a caller's request may look like a call; a server therefore treats a route as called only if nine in ten of its requests, from all nodes, may be calls (calls.CalledRoutes).

--- a/src/rhubarblead/router/dispatcher.py
+++ b/src/rhubarblead/router/dispatcher.py
@@ -8,6 +8,7 @@
 from rhubarblead import routing_table
 from rhubarblead.keyspace import promises
 from rhubarblead.platform import headers
+from rhubarblead.requests import calls
 from rhubarblead.requests import cluster_retry_budget
 from rhubarblead.requests import placement
 from rhubarblead.router import directory
@@ -136,6 +137,7 @@
             route=route,
             service=service,
             is_keyed=table.is_keyed(service),
+            may_be_call=self._may_be_call(exchange, head.deadline_ms),
             started_at_ms=now_ms,
             deadline_at_ms=now_ms
             + min(head.deadline_ms - RESPONSE_MARGIN_MS, route.timeout_ms),
@@ -248,9 +250,13 @@
         credit[chosen] -= total
         return chosen
 
-    def _is_server_call(self, request: pending_request.PendingRequest) -> bool:
-        """Returns whether the local server has sent a request."""
-        return request.exchange.peer_ip == self._own_ip
+    def _may_be_call(
+        self, exchange: http_server.Exchange, deadline_ms: int
+    ) -> bool:
+        """Returns whether the local server may have sent a request."""
+        return exchange.peer_ip == self._own_ip and calls.may_be_call(
+            deadline_ms, self._upstream.find_left_ms()
+        )
 
     def _dispatch(self, request: pending_request.PendingRequest) -> None:
         if request.is_keyed:
@@ -283,7 +289,7 @@
                     request.service,
                     request.route.name,
                     now_ms,
-                    is_call=self._is_server_call(request),
+                    is_call=request.may_be_call,
                 ),
                 refused_waits=request.refused_waits,
                 excluded=request.excluded,
@@ -354,7 +360,7 @@
             service=request.service,
             route=request.route.name,
             priority=request.route.priority,
-            is_call=self._is_server_call(request),
+            is_call=request.may_be_call,
             is_once=not request.route.kind.is_repeatable,
             key=wire.NO_KEY if key is None else key,
             target_ms=target_at_ms - now_ms,
--- a/src/rhubarblead/router/pending_request.py
+++ b/src/rhubarblead/router/pending_request.py
@@ -14,6 +14,7 @@
 class PendingRequest:
     """One caller's request until it has its response.
 
+    `may_be_call` is set if the local server may have sent it.
     `number` identifies the outstanding send, and is 0 while there is none.
     `sent_count` counts the sends that reached a server. `sent_at_ms` is the
     time of the last send; `queued_ms`, `ran_ms` and `transit_ms` say where the
@@ -29,6 +30,7 @@
     route: routing_table.Route
     service: str
     is_keyed: bool
+    may_be_call: bool
     started_at_ms: int
     deadline_at_ms: int
     forwarded: bytes
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -8,6 +8,7 @@
 from rhubarblead.keyspace import traffic
 from rhubarblead.platform import headers
 from rhubarblead.platform import settings
+from rhubarblead.requests import calls
 from rhubarblead.requests import link_load
 from rhubarblead.requests import waiting
 from rhubarblead.router import crashes
@@ -77,6 +78,7 @@
 
     __slots__ = (
         "_last_response_at_ms",
+        "_called_routes",
         "_closed_reason",
         "_traffic",
         "_is_held",
@@ -131,6 +133,7 @@
             slot_count=1, is_ready=self._is_ready
         )
         self._link_load = link
+        self._called_routes = calls.CalledRoutes()
         self._traffic = traffic.KeyTraffic()
         self._jobs: dict[int, Job] = {}
         self._next_number = 0
@@ -175,6 +178,16 @@
         self.server_id = server_id
         self._wait_queue.slot_count = slot_count
 
+    def find_left_ms(self) -> int:
+        """Returns how long the last running request may still run."""
+        now_ms = self._now_ms()
+        deadlines = [
+            job.ticket.deadline_at_ms
+            for job in self._jobs.values()
+            if job.is_sent
+        ]
+        return max(0, max(deadlines, default=now_ms) - now_ms)
+
     def submit(
         self, work: wire.Work, reply: Callable[[wire.Outcome], None]
     ) -> Job | None:
@@ -204,7 +217,7 @@
             number=self._next_number,
             route=work.route,
             priority=work.priority,
-            is_call=work.is_call,
+            is_call=self._called_routes.record(work.route, work.is_call),
             target_at_ms=now_ms + work.target_ms,
             deadline_at_ms=now_ms + work.deadline_ms,
             may_wait=work.may_wait,
@@ -347,7 +360,7 @@
             request_id=job.work.request_id,
             route=job.work.route,
             reason=reason.name.lower(),
-            is_call=job.work.is_call,
+            is_call=job.ticket.is_call,
             expected_wait_ms=job.expected_wait_ms,
             queued_ms=job.find_queued_ms(now_ms),
             running_count=queue.running_count,
--- a/tests/rhubarblead/requests/waiting.feature
+++ b/tests/rhubarblead/requests/waiting.feature
@@ -95,3 +95,13 @@
     Given 18 slots and a service time of 220 ms
     When 160 requests per second arrive for 3 s with a target of 600 ms
     Then at least 85 per cent of the slot capacity completes in time
+
+  Scenario Outline: A route is called by servers only if nearly all its requests may be calls
+    When <calls> of 100 requests for a route may be calls
+    Then a request for it that may be one is treated as <kind>
+
+    Examples: callers' requests look like calls where long runs are usual
+      | calls | kind    |
+      | 100   | a call  |
+      | 40    | no call |
+      | 0     | no call |
--- a/tests/steps/requests_waiting.py
+++ b/tests/steps/requests_waiting.py
@@ -7,6 +7,7 @@
 import behave
 from behave import runner
 
+from rhubarblead.requests import calls
 from rhubarblead.requests import waiting
 
 _TARGET_MS = 2_000
@@ -334,3 +335,17 @@
     offer = context.offers[name]
     assert isinstance(offer, waiting.Busy), offer
     assert low <= offer.wait_ms <= high, offer
+
+
+@behave.when("{count:d} of 100 requests for a route may be calls")
+def record_calls(context: runner.Context, count: int) -> None:
+    context.called_routes = calls.CalledRoutes()
+    for number in range(100):
+        # Spread evenly over the requests.
+        is_possible = (number + 1) * count // 100 > number * count // 100
+        context.called_routes.record("r", is_possible)
+
+
+@behave.then("a request for it that may be one is treated as {kind}")
+def check_route(context: runner.Context, kind: str) -> None:
+    assert context.called_routes.record("r", True) == (kind == "a call")
--- a/tests/steps/router_dispatcher.py
+++ b/tests/steps/router_dispatcher.py
@@ -66,6 +66,10 @@
         self.left_ms = 0
         self.wait_queue = waiting.WaitQueue(slot_count=1)
 
+    def find_left_ms(self) -> int:
+        """Returns what the test has set."""
+        return self.left_ms
+
 
 def _make_state(node_id: str, service: str) -> wire.State:
     return wire.State(
