Apply a change of an assignment without copying its other ranges

Change: ranges that a transfer does not touch are taken over as they are; only those at its ends are cut, and only neighbours of a transfer can merge.

Test: keyspace/assignment.feature, "leaves the ranges that it does not touch": 1,005 new objects before, at most 6 now.

--- a/src/rhubarblead/keyspace/assignment.py
+++ b/src/rhubarblead/keyspace/assignment.py
@@ -122,19 +122,18 @@
                 raise ValueError(
                     f"overlapping transfers of key {transfer.first}"
                 )
-            ranges.extend(self._clip(position, transfer.first - 1))
-            ranges.append(
-                KeyRange(
-                    first=transfer.first,
-                    last=transfer.last,
-                    owner=transfer.owner,
-                    fence=fence,
-                    handover=transfer.handover,
-                )
+            _extend(ranges, self._clip(position, transfer.first - 1))
+            moved = KeyRange(
+                first=transfer.first,
+                last=transfer.last,
+                owner=transfer.owner,
+                fence=fence,
+                handover=transfer.handover,
             )
+            _extend(ranges, [moved])
             position = transfer.last + 1
-        ranges.extend(self._clip(position, KEY_COUNT - 1))
-        return Assignment(fence=fence, ranges=tuple(_merge(ranges)))
+        _extend(ranges, self._clip(position, KEY_COUNT - 1))
+        return Assignment(fence=fence, ranges=tuple(ranges))
 
     def encode(self) -> bytes:
         """Encodes the assignment for the store."""
@@ -146,13 +145,18 @@
         ]
         return msgspec.msgpack.encode((self.fence, owners, rows))
 
-    def _clip(self, first: int, last: int) -> Iterator[KeyRange]:
+    def _clip(self, first: int, last: int) -> list[KeyRange]:
+        """Lists the ranges of a span of keys, cut off at its ends."""
         if last < first:
-            return
-        for item in self.list_overlapping(first, last):
-            yield dataclasses.replace(
-                item, first=max(first, item.first), last=min(last, item.last)
-            )
+            return []
+        begin = bisect.bisect_right(self._starts, first) - 1
+        end = bisect.bisect_right(self._starts, last)
+        found = list(self.ranges[begin:end])
+        if found[0].first < first:
+            found[0] = dataclasses.replace(found[0], first=first)
+        if found[-1].last > last:
+            found[-1] = dataclasses.replace(found[-1], last=last)
+        return found
 
 
 def make_empty() -> Assignment:
@@ -199,21 +203,16 @@
     return transfer.first
 
 
-def _merge(ranges: list[KeyRange]) -> Iterator[KeyRange]:
-    """Merges adjacent ranges of equal owner and fence without a token."""
-    pending: KeyRange | None = None
-    for item in ranges:
-        if pending is not None and _can_merge(pending, item):
-            pending = dataclasses.replace(pending, last=item.last)
-            continue
-        if pending is not None:
-            yield pending
-        pending = item
-    if pending is not None:
-        yield pending
+def _extend(ranges: list[KeyRange], items: list[KeyRange]) -> None:
+    """Appends ranges, and merges the first with the last one if they match."""
+    if ranges and items and _can_merge(ranges[-1], items[0]):
+        ranges[-1] = dataclasses.replace(ranges[-1], last=items[0].last)
+        items = items[1:]
+    ranges.extend(items)
 
 
 def _can_merge(left: KeyRange, right: KeyRange) -> bool:
+    """Returns whether ranges have equal owners and fences, and no token."""
     return (
         left.owner == right.owner
         and left.fence == right.fence
--- a/tests/rhubarblead/keyspace/assignment.feature
+++ b/tests/rhubarblead/keyspace/assignment.feature
@@ -38,3 +38,9 @@
     Given an assignment "0-65535:-/0"
     When 200 random transfers are applied with seed 11
     Then each transfer's fence was above all earlier fences of its keys
+
+  # SHORT: each change of one key copied a thousand ranges on every node.
+  Scenario: A transfer leaves the ranges that it does not touch as they are
+    Given an assignment of 1000 ranges to 33 owners
+    When transfers "40000-40009:n1 50000-50000:n2:token" are applied
+    Then at most 6 ranges are new objects
--- a/tests/steps/keyspace_assignment.py
+++ b/tests/steps/keyspace_assignment.py
@@ -62,8 +62,23 @@
     context.assignment = read_assignment(text)
 
 
+@behave.given("an assignment of {count:d} ranges to {owners:d} owners")
+def make_many(context: runner.Context, count: int, owners: int) -> None:
+    size = assignment.KEY_COUNT // count
+    transfers = [
+        assignment.Transfer(
+            first=number * size,
+            last=(number + 1) * size - 1,
+            owner=f"n{number % owners}",
+        )
+        for number in range(count)
+    ]
+    context.assignment = assignment.make_empty().apply(transfers)
+
+
 @behave.when('transfers "{text}" are applied')
 def apply(context: runner.Context, text: str) -> None:
+    context.earlier = context.assignment
     context.assignment = context.assignment.apply(read_transfers(text))
 
 
@@ -113,3 +128,10 @@
 @behave.then("each transfer's fence was above all earlier fences of its keys")
 def check_fences(context: runner.Context) -> None:
     assert all(after > before for before, after in context.fences)
+
+
+@behave.then("at most {count:d} ranges are new objects")
+def check_new(context: runner.Context, count: int) -> None:
+    kept = {id(item) for item in context.earlier.ranges}
+    new = [i for i in context.assignment.ranges if id(i) not in kept]
+    assert len(new) <= count, len(new)
