--- a/tests/rhubarblead/requests/waiting.feature
+++ b/tests/rhubarblead/requests/waiting.feature
@@ -105,3 +105,17 @@
       | 100   | a call  |
       | 40    | no call |
       | 0     | no call |
+
+  # SHORT: requests waited for a slot that more urgent ones took, until it was
+  # too late for a refusal to help their callers.
+  Scenario Outline: Under overload, what can't be served is mostly refused on arrival
+    Given a server with 5 slots for runs of <service> ms
+    When <urgent> urgent and <normal> other requests per second arrive for 60 s, with a target of 990 ms and a deadline of 1200 ms
+    Then at most <late> per cent of the other requests are refused after more than 124 ms
+    And at least <busy> per cent of the slot capacity is used
+
+    Examples: 124 ms are an eighth of the target
+      | service | urgent | normal | late | busy |
+      | 300     | 0      | 25     | 5    | 95   |
+      | 300     | 5      | 20     | 5    | 95   |
+      | 300     | 9      | 20     | 5    | 95   |
