Count those who will overtake in the wait of a request

Cause: the expected wait counted the requests that were ahead on arrival. More urgent ones that arrive later overtake, and a request that became late meanwhile loses its place to all that are not, so that it was never served. Class: an estimate that takes the queue as closed.

Change: the slots in use are averaged by class of rank (requests/slot_use.py). A wait is stretched by the inverse of the share that more urgent classes leave, and a request is queued only if the wait that nine in ten don't exceed is short enough for it. Retry-After stays the wait of the queue as it is. Whether a slot is open is computed once for all waiting requests, not once for each.

--- a/src/rhubarblead/requests/service_times.py
+++ b/src/rhubarblead/requests/service_times.py
@@ -27,7 +27,13 @@
 class ServiceTimes:
     """Moving averages of the service times of each route at one server."""
 
-    __slots__ = ("_deviation_ms", "_mean_ms", "_ran_at_ms", "overall_ms")
+    __slots__ = (
+        "_deviation_ms",
+        "_mean_ms",
+        "_overall_deviation_ms",
+        "_ran_at_ms",
+        "overall_ms",
+    )
 
     def __init__(self) -> None:
         self._mean_ms: dict[str, float] = {}
@@ -35,11 +41,16 @@
         self._ran_at_ms: dict[str, int] = {}
         # Moving average over the runs of all routes.
         self.overall_ms = INITIAL_SERVICE_MS
+        self._overall_deviation_ms = 0.0
 
     def add(self, route: str, taken_ms: float, now_ms: int) -> None:
         """Records a run that has ended; `taken_ms` is its duration."""
         self._ran_at_ms[route] = now_ms
-        self.overall_ms += NEWEST_WEIGHT * (taken_ms - self.overall_ms)
+        overall_error_ms = taken_ms - self.overall_ms
+        self.overall_ms += NEWEST_WEIGHT * overall_error_ms
+        self._overall_deviation_ms += NEWEST_WEIGHT * (
+            abs(overall_error_ms) - self._overall_deviation_ms
+        )
         mean_ms = self._mean_ms.get(route)
         if mean_ms is None:
             self._mean_ms[route] = taken_ms
@@ -121,6 +132,28 @@
             for route in ahead
         )
 
+    def estimate_queue_deviation_ms(
+        self, wait_ms: float, stretch: float, slot_count: int
+    ) -> float:
+        """Estimates the standard deviation of a wait, in milliseconds.
+
+        Args:
+            wait_ms: Expected wait if no other request arrives.
+            stretch: Factor by which requests that overtake prolong it.
+            slot_count: Number of slots of the server.
+        """
+        slot_ms = self.overall_ms / slot_count
+        variation = (
+            NORMAL_DEVIATION * self._overall_deviation_ms / self.overall_ms
+        )
+        # How long the known requests run varies; of those that overtake, the
+        # number varies as well.
+        overtaken_ms = wait_ms * (stretch - 1)
+        variance = slot_ms * (
+            wait_ms * variation**2 + overtaken_ms * (1 + variation**2)
+        )
+        return stretch * math.sqrt(variance)
+
     def _estimate_left_ms(self, route: str, elapsed_ms: int) -> float:
         mean_ms = self.find_ms(route)
         deviation_ms = self._deviation_ms.get(route, 0.0)
--- a/src/rhubarblead/requests/waiting.py
+++ b/src/rhubarblead/requests/waiting.py
@@ -9,12 +9,15 @@
 import dataclasses
 from typing import TypeAlias
 
-from rhubarblead.requests import calls
 from rhubarblead.requests import service_times
+from rhubarblead.requests import slot_use
 
 FINISH_SHARE = 0.8
 """Share of the mean service time that must fit before the deadline."""
 
+DEVIATIONS = 1.3
+"""Standard deviations above the mean; nine in ten waits are shorter."""
+
 MAX_LATE_PER_SLOT = 0.5
 """Limit per slot of waiting requests that will miss their target."""
 
@@ -96,12 +99,13 @@
     """Slots of one server and the requests that wait for them."""
 
     __slots__ = (
-        "_call_load",
         "_calls",
         "_is_ready",
         "_parked",
+        "_rank_classes",
         "_running",
         "_slot_count",
+        "_slot_use",
         "_tickets",
         "_times",
     )
@@ -121,9 +125,10 @@
         self._tickets: dict[int, Ticket] = {}
         self._parked: dict[int, Ticket] = {}
         self._running: dict[int, tuple[str, int]] = {}
+        self._rank_classes: dict[int, slot_use.RankClass] = {}
         self._times = service_times.ServiceTimes()
         self._calls: set[int] = set()
-        self._call_load = calls.CallLoad()
+        self._slot_use = slot_use.SlotUse()
 
     @property
     def slot_count(self) -> int:
@@ -172,7 +177,7 @@
         ]
         running = self._list_blocking(ticket, now_ms)
         first_free_ms = 0.0
-        if not self._has_slot(ticket, now_ms):
+        if not self._has_slot(now_ms, is_call=ticket.is_call):
             first_free_ms = self._times.estimate_first_free_ms(running, now_ms)
         return first_free_ms + self._times.estimate_queue_ms(
             ahead, running, self._slot_count
@@ -206,13 +211,16 @@
             return self._park(ticket)
         slot_wait_ms = self.find_wait_ms(ticket, now_ms)
         wait_ms = max(slot_wait_ms, ticket.transfer_wait_ms)
-        may_start = slot_wait_ms <= 0 and self._has_slot(ticket, now_ms)
+        may_start = slot_wait_ms <= 0 and self._has_slot(
+            now_ms, is_call=ticket.is_call
+        )
         if may_start and wait_ms <= 0:
             self._start(ticket, now_ms)
             return Start()
         if not ticket.may_wait:
             return Busy(wait_ms=int(wait_ms) + 1)
-        if self._is_infeasible(ticket, now_ms + wait_ms):
+        longest_ms = self._find_longest_wait_ms(ticket, slot_wait_ms, now_ms)
+        if self._is_infeasible(ticket, now_ms + max(wait_ms, longest_ms)):
             return self.refuse(wait_ms)
         if may_start:
             self._start(ticket, now_ms)
@@ -237,11 +245,16 @@
         ]
         for ticket in expired:
             self.withdraw(ticket.number)
+        open_to = {
+            is_call
+            for is_call in (True, False)
+            if self._has_slot(now_ms, is_call=is_call)
+        }
         # A request stays queued if its key has left the server meanwhile.
         ready = [
             ticket
             for ticket in self._tickets.values()
-            if self._has_slot(ticket, now_ms) and self._is_ready(ticket)
+            if ticket.is_call in open_to and self._is_ready(ticket)
         ]
         if not ready:
             return None, expired
@@ -264,13 +277,12 @@
             is_complete: Whether it ran to completion, so that its time counts.
         """
         found = self._running.pop(number, None)
-        is_call = number in self._calls
         self._calls.discard(number)
         if found is None:
             return
         route, started_ms = found
-        if is_call:
-            self._call_load.add(now_ms - started_ms, now_ms)
+        rank_class = self._rank_classes.pop(number)
+        self._slot_use.add(rank_class, now_ms - started_ms, now_ms)
         if not is_complete:
             return
         self._times.add(route, float(now_ms - started_ms), now_ms)
@@ -296,21 +308,22 @@
 
     def _start(self, ticket: Ticket, now_ms: int) -> None:
         self._running[ticket.number] = (ticket.route, now_ms)
+        self._rank_classes[ticket.number] = self._rank(ticket, now_ms)[:3]
         if ticket.is_call:
             self._calls.add(ticket.number)
 
     def _count_unreserved(self, now_ms: int) -> int:
         """Counts the slots that are not reserved for calls."""
         reserved = min(
-            self._call_load.find_slots(now_ms), self._slot_count // 2
+            self._slot_use.count_calls(now_ms), self._slot_count // 2
         )
         return self._slot_count - reserved
 
-    def _has_slot(self, ticket: Ticket, now_ms: int) -> bool:
-        """Returns whether a free slot is open to a request."""
+    def _has_slot(self, now_ms: int, *, is_call: bool) -> bool:
+        """Returns whether a free slot is open to calls, or to others."""
         if len(self._running) >= self._slot_count:
             return False
-        if ticket.is_call:
+        if is_call:
             return True
         others_count = len(self._running) - len(self._calls)
         return others_count < self._count_unreserved(now_ms)
@@ -338,6 +351,25 @@
             ticket.target_at_ms,
         )
 
+    def _find_longest_wait_ms(
+        self, ticket: Ticket, wait_ms: float, now_ms: int
+    ) -> float:
+        """Estimates the wait of a request that is unlikely to be exceeded.
+
+        Args:
+            ticket: The request.
+            wait_ms: Expected wait if no other request arrives.
+            now_ms: Current time in milliseconds.
+        """
+        rank_class = self._rank(ticket, now_ms)[:3]
+        stretch = self._slot_use.find_stretch(
+            rank_class, self._slot_count, now_ms
+        )
+        deviation_ms = self._times.estimate_queue_deviation_ms(
+            wait_ms, stretch, self._slot_count
+        )
+        return wait_ms * stretch + DEVIATIONS * deviation_ms
+
     def _is_infeasible(self, ticket: Ticket, start_ms: float) -> bool:
         service_ms = self._times.find_ms(ticket.route)
         if start_ms + service_ms * FINISH_SHARE > ticket.deadline_at_ms:
