Start without a limit of the link in the settings

Found on reading the change: settings whose limits named no rate as a number, or 0, would have kept the process from starting. Both now mean that the link is not limited. Only a negative rate or a text is a fault.

Test: platform/adapter.feature, "The rate of the link is optional"; 0 and null were refused before.

--- a/src/rhubarblead/platform/settings.py
+++ b/src/rhubarblead/platform/settings.py
@@ -13,6 +13,9 @@
 
 BYTES_PER_MBIT = 125_000
 
+UNLIMITED_LINK_MBPS = 1_000.0
+"""Taken for a link without a limit; no response occupies it for long."""
+
 DEFAULT_PATH = "/etc/rhubarblead/settings.json"
 
 
@@ -78,8 +81,8 @@
 
 
 class _Limits(msgspec.Struct, rename="camel"):
-    # In units of 10^6 bits per second.
-    link_mbps: float = 1_000.0
+    # In units of 10^6 bits per second; 0 or none if there is no limit.
+    link_mbps: float | None = None
 
 
 class _File(msgspec.Struct, rename="camel"):
@@ -172,7 +175,7 @@
         metrics=Address(ip=found.ip_address, port=METRICS_PORT),
         heartbeat_ms=found.heartbeat_interval_ms,
         bounds=_read_bounds(found.bounds),
-        link_bytes_per_ms=found.limits.link_mbps * BYTES_PER_MBIT / 1_000,
+        link_bytes_per_ms=_read_link_rate(found.limits),
     )
 
 
@@ -221,8 +224,14 @@
             read_address(value)
         case list():
             _read_bounds(value)
-        case _Limits() if value.link_mbps <= 0:
-            raise ValueError(f"linkMbps={value.link_mbps} is not positive")
+        case _Limits(link_mbps=float() as rate) if rate < 0:
+            raise ValueError(f"linkMbps={rate} is negative")
+
+
+def _read_link_rate(limits: _Limits) -> float:
+    """Returns the rate of the instance's link in bytes per millisecond."""
+    link_mbps = limits.link_mbps or UNLIMITED_LINK_MBPS
+    return link_mbps * BYTES_PER_MBIT / 1_000
 
 
 def _read_bounds(texts: list[str]) -> Bounds:
--- a/tests/rhubarblead/platform/adapter.feature
+++ b/tests/rhubarblead/platform/adapter.feature
@@ -25,6 +25,20 @@
       | platform          | {}             | address         |
       | internalPortRange | [7380]         | internalPort    |
       | bounds            | ["graceS=x"]   | x               |
+      | limits            | {"linkMbps": -1} | linkMbps      |
+      | limits            | {"linkMbps": "x"} | linkMbps     |
+
+  Scenario Outline: The rate of the link is optional
+    When the settings are decoded with the limits <limits>
+    Then the link's rate is <rate> bytes per ms
+
+    Examples:
+      | limits             | rate    |
+      | {"linkMbps": 10.0} | 1250    |
+      | {"linkMbps": 9}    | 1125    |
+      | {"linkMbps": 0}    | 125000  |
+      | {"linkMbps": null} | 125000  |
+      | {}                 | 125000  |
 
   Scenario: All faults of the settings are reported together
     When the settings are decoded with these fields changed
--- a/tests/steps/platform_adapter.py
+++ b/tests/steps/platform_adapter.py
@@ -118,6 +118,17 @@
         context.error = str(error)
 
 
+@behave.when("the settings are decoded with the limits {limits}")
+def decode_limits(context: runner.Context, limits: str) -> None:
+    changed = {**_SETTINGS, "limits": json.loads(limits)}
+    context.deployment = settings.decode(json.dumps(changed).encode())
+
+
+@behave.then("the link's rate is {rate:d} bytes per ms")
+def check_link_rate(context: runner.Context, rate: int) -> None:
+    assert context.deployment.link_bytes_per_ms == rate
+
+
 @behave.then('the settings are refused with "{words}"')
 def check_refused_settings(context: runner.Context, words: str) -> None:
     assert words in context.error, context.error
