--- a/src/rhubarblead/requests/slot_use.py
+++ b/src/rhubarblead/requests/slot_use.py
@@ -11,7 +11,7 @@
 """Time constant of the averages; bursts last about as long."""
 
 MAX_SHARE = 0.95
-"""Limit of the share of the slots that is taken to be used by others."""
+"""Upper limit of the share of the slots that more urgent requests use."""
 
 RankClass: TypeAlias = tuple[bool, bool, int]
 """Start of a request's rank: not a call, late, priority; least goes first."""
--- a/src/rhubarblead/requests/transfers.py
+++ b/src/rhubarblead/requests/transfers.py
@@ -1,9 +1,8 @@
 """Paces large messages over the link of one instance.
 
 A response of 540 KB occupies a link of 10 Mbit/s for 432 ms, and everything
-sent meanwhile waits behind it. So large messages are sent in chunks, and only
-as many bytes of them are on their way as the link sends in `WINDOW_MS`; other
-messages wait no longer than that.
+sent meanwhile waits behind it. So large messages are sent in chunks, and no
+more of them is in flight than the link sends in `WINDOW_MS`.
 """
 
 import collections
@@ -13,7 +12,7 @@
 """Time for which one chunk occupies the link."""
 
 WINDOW_MS = 25.0
-"""Chunks on their way; covers a round trip and the chunks of the other end."""
+"""Link time of the chunks in flight; covers a round trip between nodes."""
 
 MIN_CHUNK_BYTES = 4_096
 """Smaller chunks would cost more in messages than they save in waiting."""
--- a/src/rhubarblead/router/wire.py
+++ b/src/rhubarblead/router/wire.py
@@ -41,10 +41,11 @@
     """A request forwarded to the node beside a server.
 
     `origin` is the incarnation of the sending process. Times are the remaining
-    milliseconds when the message is sent. `key` is `NO_KEY` if any server of
-    the service may run the request. `is_once` is set if it must not run twice.
-    `head` holds the forwarded header fields. `accepts_chunks` is set if the
-    sender assembles outcomes that arrive as `Chunk` messages.
+    milliseconds when the message is sent. `is_call` is set if the server
+    beside the sender may have made the request. `key` is `NO_KEY` if any
+    server of the service may run the request. `is_once` is set if it must not
+    run twice. `head` holds the forwarded header fields. `accepts_chunks` is
+    set if the sender assembles outcomes that arrive as `Chunk` messages.
     """
 
     origin: str
