Failing test: a request that has become late waits until it expires

In the first of two cases 2.5 per cent of the requests are refused after 1.8 s (median), with a target of 660 ms.

--- a/tests/rhubarblead/requests/waiting.feature
+++ b/tests/rhubarblead/requests/waiting.feature
@@ -119,3 +119,14 @@
       | 300     | 0      | 25     | 5    | 95   |
       | 300     | 5      | 20     | 5    | 95   |
       | 300     | 9      | 20     | 5    | 95   |
+
+  # SHORT: requests that had become late kept waiting behind all that were not.
+  Scenario Outline: What becomes hopeless while it waits is refused by its target
+    Given a server with 5 slots for runs of <service> ms
+    When <urgent> urgent and <normal> other requests per second arrive for 60 s, with a target of 660 ms and a deadline of 2000 ms
+    Then at most 1 per cent of the other requests are refused after more than 660 ms
+
+    Examples: under overload, slots go to requests that can still meet their target
+      | service | urgent | normal |
+      | 250     | 0      | 30     |
+      | 250     | 9      | 25     |
