--- a/tests/steps/router_dispatcher.py
+++ b/tests/steps/router_dispatcher.py
@@ -16,6 +16,7 @@
 from rhubarblead.router import dispatcher
 from rhubarblead.router import http_server
 from rhubarblead.router import wire
+from tests import router_doubles
 
 _HOST = b"one.example"
 _OWN_IP = "127.0.0.8"
@@ -25,13 +26,6 @@
 }
 
 
-class _SilentEventLog:
-    """An event log that discards all events."""
-
-    def emit(self, event: Any, **fields: Any) -> None:  # noqa: ANN401
-        """Discards an event."""
-
-
 class _Links:
     """Links that record the messages to other nodes."""
 
@@ -71,22 +65,6 @@
         return self.left_ms
 
 
-def _make_state(node_id: str, service: str) -> wire.State:
-    return wire.State(
-        node_id=node_id,
-        incarnation="i",
-        address="127.0.0.1:1",
-        failure_domain="d",
-        service=service,
-        born_ms=1,
-        is_serving=True,
-        is_stopping=False,
-        slot_count=9,
-        assignments={},
-        load=wire.ServerLoad(),
-    )
-
-
 def _make_route(
     name: str, kind: routing_table.RouteKind, *shares: tuple[str, float]
 ) -> routing_table.Route:
@@ -130,10 +108,12 @@
     context.add_cleanup(context.loop.close)
     context.links = _Links()
     cluster_directory = directory.Directory(
-        own_state=_make_state("n1", "other")
+        own_state=router_doubles.make_state("n1", "other")
     )
     for number, service in enumerate(("keyed", "p1", "p2"), start=2):
-        cluster_directory.update_state(_make_state(f"n{number}", service), 0)
+        cluster_directory.update_state(
+            router_doubles.make_state(f"n{number}", service), 0
+        )
     all_keys = assignment.Transfer(first=0, last=65_535, owner="n2/1")
     cluster_directory.set_assignment(
         "keyed", assignment.make_empty().apply([all_keys]), 1
@@ -146,7 +126,7 @@
     links: Any = context.links
     local_upstream: Any = _Upstream()
     context.local_upstream = local_upstream
-    silent_event_log: Any = _SilentEventLog()
+    silent_event_log: Any = router_doubles.SilentEventLog()
     context.dispatcher = dispatcher.RequestDispatcher(
         cluster_directory=context.directory,
         links=links,
--- a/tests/steps/router_remote_jobs.py
+++ b/tests/steps/router_remote_jobs.py
@@ -14,6 +14,7 @@
 from rhubarblead.router import response_sender
 from rhubarblead.router import upstream
 from rhubarblead.router import wire
+from tests import router_doubles
 
 _BITS_PER_BYTE = 8
 _ONE_WAY_MS = 1.0
@@ -23,13 +24,6 @@
 _SERVICE = "s"
 
 
-class _SilentEventLog:
-    """An event log that discards all events."""
-
-    def emit(self, event: Any, **fields: Any) -> None:  # noqa: ANN401
-        """Discards an event."""
-
-
 class _Upstream:
     """A local server whose requests end when the test says so."""
 
@@ -138,21 +132,9 @@
     bytes_per_ms = rate * 1_000 / _BITS_PER_BYTE
     context.link = _Link(bytes_per_ms=bytes_per_ms)
     context.local = _Upstream()
-    state = wire.State(
-        node_id="n1",
-        incarnation=_INCARNATION,
-        address="127.0.0.1:1",
-        failure_domain="d",
-        service=_SERVICE,
-        born_ms=1,
-        is_serving=True,
-        is_stopping=False,
-        slot_count=9,
-        assignments={},
-        load=wire.ServerLoad(),
-    )
+    state = router_doubles.make_state("n1", _SERVICE, incarnation=_INCARNATION)
     local: Any = context.local
-    silent_event_log: Any = _SilentEventLog()
+    silent_event_log: Any = router_doubles.SilentEventLog()
     sender = response_sender.ResponseSender(
         queue=transfers.TransferQueue(link_bytes_per_ms=bytes_per_ms),
         events=silent_event_log,
--- a/tests/steps/router_state_sync.py
+++ b/tests/steps/router_state_sync.py
@@ -9,6 +9,7 @@
 from rhubarblead.router import directory
 from rhubarblead.router import state_sync
 from rhubarblead.router import wire
+from tests import router_doubles
 
 
 class _Links:
@@ -40,19 +41,7 @@
 
 
 def _make_state(node_id: str) -> wire.State:
-    return wire.State(
-        node_id=node_id,
-        incarnation=f"{node_id}-b",
-        address="127.0.0.1:1",
-        failure_domain="d",
-        service="s",
-        born_ms=1,
-        is_serving=True,
-        is_stopping=False,
-        slot_count=9,
-        assignments={},
-        load=wire.ServerLoad(),
-    )
+    return router_doubles.make_state(node_id, "s", incarnation=f"{node_id}-b")
 
 
 @behave.given("a node that receives states of other nodes")
--- a/tests/steps/router_upstream.py
+++ b/tests/steps/router_upstream.py
@@ -10,19 +10,13 @@
 from rhubarblead.requests import link_load
 from rhubarblead.router import upstream
 from rhubarblead.router import wire
+from tests import router_doubles
 
 # Nothing listens on the discard port here.
 _UNUSED_ADDRESS = settings.Address(ip="127.0.0.1", port=9)
 _DEADLINE_MS = 2_000
 
 
-class SilentEventLog:
-    """An event log that discards all events."""
-
-    def emit(self, event: Any, **fields: Any) -> None:  # noqa: ANN401
-        """Discards an event."""
-
-
 @behave.given(
     "a node whose server is assigned keys 0-{last:d} and holds 0-{held:d}"
 )
@@ -42,7 +36,7 @@
         context.lookup_count += 1
         return key <= context.held
 
-    event_log: Any = SilentEventLog()
+    event_log: Any = router_doubles.SilentEventLog()
     context.upstream = upstream.Upstream(
         address=_UNUSED_ADDRESS,
         events=event_log,
