Soak: bodies that routers send in chunks

Two of sixteen bodies have 38,400 bytes, and the instances a link of 10 Mbit/s, so that responses between routers are sent in chunks while processes are killed, paused and restarted; the callers compare each body.

--- a/tools/soak/cluster.py
+++ b/tools/soak/cluster.py
@@ -16,6 +16,9 @@
 HOST = "one.example"
 HEARTBEAT_MS = 500
 SLOT_COUNT = 4
+LINK_MBPS = 10.0
+"""Routers send larger bodies than 6,250 bytes in chunks."""
+
 _FAILURE_DOMAINS = ("a", "b", "c")
 _READY_TIMEOUT_S = 60.0
 _POLL_S = 0.05
@@ -141,6 +144,7 @@
             "application": f"{self.ip}:{ports['server']}",
             "service": SERVICE,
             "platform": {"address": f"{self.ip}:{ports['store']}"},
+            "limits": {"linkMbps": LINK_MBPS},
         }
 
 
--- a/tools/standins/keyed.py
+++ b/tools/standins/keyed.py
@@ -37,6 +37,12 @@
 MAX_RUN_MS = 60
 NOT_EXECUTED = "X-Rhubarblead-Not-Executed"
 REQUEST_ID = "X-Rhubarblead-Request-Id"
+LARGE_BODIES_OF_16 = 2
+"""How many of 16 bodies are large."""
+
+LARGE_BODY_DIGESTS = 600
+"""Length of a large body in digests of 64 bytes."""
+
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
 
@@ -46,8 +52,13 @@
 
 
 def make_body(request_id: str) -> bytes:
-    """Makes the body of an answer, which is specific to the request."""
-    return hashlib.sha256(request_id.encode()).hexdigest().encode()
+    """Makes the body of an answer, which is specific to the request.
+
+    Some bodies are so large that routers send them in chunks.
+    """
+    digest = hashlib.sha256(request_id.encode()).hexdigest()
+    is_large = int(digest[0], 16) < LARGE_BODIES_OF_16
+    return (digest * (LARGE_BODY_DIGESTS if is_large else 1)).encode()
 
 
 class RecordWriter:
