Log what the router's crash detector knows and decides

The logs named only the id of a crash and how many requests ran. They couldn't tell whether a request was cleared, had another fingerprint, was missing in a set, or whether a report had arrived. Now: each suspect of a crash (REQUEST_SUSPECTED), each clearing (REQUEST_CLEARED), each refusal (REQUEST_CONDEMNED), each report of another node with the crashes on record (CRASH_REPORT_RECEIVED), and resets that weren't taken for a crash (CONNECTIONS_RESET). events_total counts them. No decision changes.

--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -463,16 +463,23 @@
     REQUEST_CONDEMNED = _define(
         2401,
         _ERROR,
-        "fingerprint crash_count pool route",
+        "fingerprint crash_count pool route request_id",
         "A request crashed several upstreams; it is refused from now on.",
         "Find the caller in the time line and fix the upstream.",
     )
     REQUEST_CLEARED = _define(
         2402,
         _INFO,
-        "fingerprint reason",
+        "fingerprint reason request_id",
         "A suspected request completed without a crash.",
     )
+    CRASH_REPORT_RECEIVED = _define(
+        2403,
+        _INFO,
+        "crash_id suspect_count crash_count",
+        "Another node reported a crash of its server. `crash_count` is the"
+        " number of crashes on record here.",
+    )
     ROUTER_STARTED = _define(
         3000,
         _INFO,
@@ -649,7 +656,8 @@
         3506,
         _WARNING,
         "crash_id running_count",
-        "The connection to the server was lost while it ran requests.",
+        "The server crashed while it ran requests; REQUEST_SUSPECTED lists"
+        " them.",
         "Look for a request that was running in several crashes.",
     )
     SEND_CANCELLED = _define(
@@ -679,6 +687,14 @@
         " its parts; the response is dropped.",
         "Look for LINK_DOWN at that node.",
     )
+    CONNECTIONS_RESET = _define(
+        3510,
+        _WARNING,
+        "reset_count",
+        "Connections to the server were closed while it ran requests, but it"
+        " still accepts connections.",
+        "Nothing; SERVER_SEEN follows if the server crashed.",
+    )
     INTERNAL_ERROR = _define(
         9000,
         _ERROR,
--- a/src/rhubarblead/requests/poison.py
+++ b/src/rhubarblead/requests/poison.py
@@ -123,10 +123,20 @@
         """Returns whether a crash is recorded and has not expired."""
         return crash_id in self._crashes
 
-    def record_response(self, fingerprint: int) -> None:
-        """Clears a request of suspicion after its response."""
-        for crash in self._crashes.values():
-            crash.suspects.discard(fingerprint)
+    def record_response(self, fingerprint: int) -> bool:
+        """Clears a request of suspicion after its response.
+
+        Returns:
+            Whether it was a suspect.
+        """
+        crashes = self._list_crashes(fingerprint)
+        for crash in crashes:
+            crash.suspects.remove(fingerprint)
+        return bool(crashes)
+
+    def count_crashes(self) -> int:
+        """Counts the recorded crashes."""
+        return len(self._crashes)
 
     def classify(self, fingerprint: int, now_ms: int) -> RunMode:
         """Returns how a request may run now."""
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -73,7 +73,6 @@
         "UPSTREAM_ANNOUNCED",
         "UPSTREAM_COLD",
         "UPSTREAM_UNFENCED",
-        "REQUEST_CLEARED",
     ]
 )
 _Schema = dict[str, Any]
