Failing tests: one request crashes server after server

Four nodes with a server each, on sockets; a request crashes each server that runs it, beside three others.

--- /dev/null
+++ b/tests/steps/router_crashes.py
@@ -0,0 +1,431 @@
+"""Steps for requests that crash servers, on several nodes with sockets."""
+
+import asyncio
+from collections.abc import Callable
+import time
+from typing import Any
+
+import behave
+from behave import runner
+
+from rhubarblead.platform import headers
+from rhubarblead.platform import settings
+from rhubarblead.requests import link_load
+from rhubarblead.router import upstream
+from rhubarblead.router import wire
+from tests import router_doubles
+
+_IP = "127.0.0.1"
+_SLOT_COUNT = 6
+_RUN_S = 0.03
+_CRASH_DELAY_S = 0.01
+_PAUSE_S = 0.2
+"""Longer than a node needs to detect a crash."""
+
+_COMPANION_COUNT = 3
+_CRASHING = "crashing"
+_SLOW = "slow"
+_SLOW_RUN_S = 0.4
+
+
+def _read_now_ms() -> int:
+    return time.monotonic_ns() // 1_000_000
+
+
+class _Server:
+    """A server that crashes while it runs a request with a certain id."""
+
+    def __init__(self) -> None:
+        self._listener: asyncio.Server | None = None
+        self._writers: list[asyncio.StreamWriter] = []
+        self._is_silent = False
+        self.falls_silent = False
+        self.port = 0
+        self.crash_count = 0
+        self.life_count = 0
+
+    async def start(self) -> None:
+        """Starts a new incarnation at the same address."""
+        self.close()
+        self._is_silent = False
+        self.life_count += 1
+        self._listener = await asyncio.start_server(self._serve, _IP, self.port)
+        self.port = self._listener.sockets[0].getsockname()[1]
+
+    def crash(self) -> None:
+        """Ends all connections, or stops answering."""
+        self.crash_count += 1
+        if self.falls_silent:
+            self._is_silent = True
+        else:
+            self.close()
+
+    def close(self) -> None:
+        """Closes all sockets."""
+        if self._listener is not None:
+            self._listener.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        self._writers.clear()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._writers.append(writer)
+        life = self.life_count
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                await self._run(head, writer, life)
+        except (
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+            ConnectionError,
+        ):
+            writer.close()
+
+    async def _run(
+        self, head: bytes, writer: asyncio.StreamWriter, life: int
+    ) -> None:
+        name = headers.REQUEST_ID
+        request_id = head.partition(name + b": ")[2].partition(b"\r\n")[0]
+        is_crashing = request_id.startswith(_CRASHING.encode())
+        is_slow = request_id.startswith(_SLOW.encode())
+        run_s = _SLOW_RUN_S if is_slow else _RUN_S
+        await asyncio.sleep(_CRASH_DELAY_S if is_crashing else run_s)
+        if self._is_silent or life != self.life_count:
+            return
+        if is_crashing:
+            self.crash()
+            return
+        writer.write(
+            b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n%b: %b\r\n%b: s\r\n\r\nok"
+            % (name, request_id, headers.SIGNATURE)
+        )
+
+
+class _Node:
+    """A node's server with its queue; messages to others go to the cluster."""
+
+    def __init__(self, *, name: str, cluster: "_Cluster") -> None:
+        self.name = name
+        self._cluster = cluster
+        self.server = _Server()
+        self.upstream: Any = None
+        self.is_cut_off = False
+        self.missed: list[wire.Message] = []
+
+    async def start(self) -> None:
+        """Starts the server, and the process beside it."""
+        await self.server.start()
+        self.restart_process()
+
+    def restart_process(self) -> None:
+        """Replaces the process by one that knows nothing."""
+        if self.upstream is not None:
+            self.upstream.close()
+        event_log: Any = router_doubles.SilentEventLog()
+        self.upstream = upstream.Upstream(
+            address=settings.Address(ip=_IP, port=self.server.port),
+            events=event_log,
+            now_ms=_read_now_ms,
+            is_held=lambda key: True,
+            is_owned=lambda key: True,
+            link=link_load.LinkLoad(
+                bytes_per_ms=1_250, min_bytes=8_000, find_queued_bytes=int
+            ),
+            broadcast=lambda message: self._cluster.broadcast(self, message),
+        )
+        self.see_server()
+
+    def see_server(self) -> None:
+        """Handles the first heartbeat of a new incarnation of the server."""
+        self.upstream.set_server(
+            f"{self.name}-{self.server.life_count}", _SLOT_COUNT
+        )
+        self.upstream.is_serving = True
+
+    async def restart_server(self) -> None:
+        """Starts the server again."""
+        await self.server.start()
+        self.see_server()
+
+
+class _Cluster:
+    """Nodes that report crashes to one another."""
+
+    def __init__(self) -> None:
+        self.nodes = [_Node(name=f"n{i}", cluster=self) for i in range(4)]
+        self.outcomes: dict[str, wire.Outcome] = {}
+        self._number = 0
+
+    def broadcast(self, sender: _Node, message: wire.Message) -> None:
+        """Delivers a message to all nodes in touch."""
+        content = wire.encode(message)
+        for node in self.nodes:
+            if node is sender or node.is_cut_off or sender.is_cut_off:
+                continue
+            received = wire.decode(content)
+            assert isinstance(received, wire.CrashSuspects)
+            node.upstream.crashes.record_remote_crash(received)
+
+    def submit(
+        self, node: _Node, request_id: str, target: str, *, key: int = 1
+    ) -> Any:  # noqa: ANN401
+        """Submits a request, and keeps its outcome."""
+        self._number += 1
+        work = wire.Work(
+            origin="o",
+            number=self._number,
+            target_incarnation="i",
+            request_id=request_id,
+            service="s",
+            route="r",
+            priority=1,
+            is_call=False,
+            is_once=False,
+            key=key,
+            target_ms=60_000,
+            deadline_ms=2_000,
+            may_wait=True,
+            method=b"GET",
+            target=target.encode(),
+            head=b"%b: %b\r\n" % (headers.REQUEST_ID, request_id.encode()),
+            body=b"",
+        )
+
+        def finish(outcome: wire.Outcome) -> None:
+            self.outcomes[request_id] = outcome
+
+        return node.upstream.submit(work, finish)
+
+    def submit_companions(self, node: _Node, label: str) -> None:
+        """Submits requests that run beside another one."""
+        for number in range(_COMPANION_COUNT):
+            self.submit(node, f"{label}-{number}", f"/other/{label}/{number}")
+
+    async def close(self) -> None:
+        """Closes all sockets, and ends all tasks."""
+        for node in self.nodes:
+            node.upstream.close()
+            node.server.close()
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def count_crashes(self) -> int:
+        """Counts the servers that crashed."""
+        return sum(node.server.crash_count for node in self.nodes)
+
+    def list_refused(self) -> list[str]:
+        """Lists the ids of the requests that were refused as poison."""
+        return [
+            request_id
+            for request_id, outcome in self.outcomes.items()
+            if outcome.reason == wire.Reason.POISON
+        ]
+
+
+@behave.given(
+    "4 nodes with a server each, and a request that crashes the servers that"
+    " run it"
+)
+def open_cluster(context: runner.Context) -> None:
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.loop.run_until_complete(_open(context))
+    context.add_cleanup(
+        lambda: context.loop.run_until_complete(context.cluster.close())
+    )
+
+
+async def _open(context: runner.Context) -> None:
+    context.cluster = _Cluster()
+    for node in context.cluster.nodes:
+        await node.start()
+
+
+async def _send(
+    cluster: _Cluster, number: int, node: _Node, target: str = "/report/7"
+) -> Any:  # noqa: ANN401
+    cluster.submit_companions(node, f"s{number}")
+    job = cluster.submit(node, f"{_CRASHING}-{number}", target)
+    await asyncio.sleep(_PAUSE_S)
+    return job
+
+
+async def _recover(node: _Node) -> None:
+    """Starts a crashed server again, and the requests that wait for it."""
+    if node.server.crash_count >= node.server.life_count:
+        await node.restart_server()
+        await asyncio.sleep(2 * _RUN_S)
+
+
+async def _send_plain(cluster: _Cluster, number: int, node: _Node) -> None:
+    await _send(cluster, number, node)
+
+
+async def _send_with_twins(cluster: _Cluster, number: int, node: _Node) -> None:
+    await _send(cluster, number, node)
+    for other in cluster.nodes:
+        if other is not node:
+            cluster.submit(other, f"twin-{number}-{other.name}", "/report/7")
+    await asyncio.sleep(2 * _RUN_S)
+
+
+async def _send_with_query(cluster: _Cluster, number: int, node: _Node) -> None:
+    await _send(cluster, number, node, f"/report/7?page={number}")
+
+
+async def _send_after_restart(
+    cluster: _Cluster, number: int, node: _Node
+) -> None:
+    node.restart_process()
+    await asyncio.sleep(2 * _RUN_S)
+    await _send(cluster, number, node)
+
+
+async def _send_after_cut(cluster: _Cluster, number: int, node: _Node) -> None:
+    for other in cluster.nodes:
+        other.is_cut_off = other is not node
+    await _send(cluster, number, node)
+    for other in cluster.nodes:
+        other.is_cut_off = False
+
+
+async def _send_to_silent(cluster: _Cluster, number: int, node: _Node) -> None:
+    node.server.falls_silent = True
+    crash_count = node.server.crash_count
+    await _send(cluster, number, node)
+    if node.server.crash_count > crash_count:
+        node.upstream.stop_serving(wire.Reason.SERVER_GONE)
+
+
+async def _send_to_quick(cluster: _Cluster, number: int, node: _Node) -> None:
+    cluster.submit_companions(node, f"s{number}")
+    cluster.submit(node, f"{_CRASHING}-{number}", "/report/7")
+    await asyncio.sleep(_CRASH_DELAY_S + 0.005)
+    if node.server.crash_count >= node.server.life_count:
+        await node.server.start()
+    await asyncio.sleep(_PAUSE_S)
+    node.see_server()
+
+
+async def _send_and_leave(cluster: _Cluster, number: int, node: _Node) -> None:
+    cluster.submit_companions(node, f"s{number}")
+    job = cluster.submit(node, f"{_CRASHING}-{number}", "/report/7")
+    await asyncio.sleep(_CRASH_DELAY_S / 2)
+    if job is not None:
+        node.upstream.cancel(job)
+    await asyncio.sleep(_PAUSE_S)
+
+
+async def _send_to_queue(cluster: _Cluster, number: int, node: _Node) -> None:
+    last = cluster.nodes[-1]
+    if number == _COUNT_BEFORE_QUEUE:
+        last.upstream.set_server(f"{last.name}-1", 1)
+        cluster.submit(last, _SLOW, "/slow")
+    if number >= _COUNT_BEFORE_QUEUE:
+        cluster.submit(last, f"{_CRASHING}-{number}", "/report/7")
+    if number == _COUNT_BEFORE_QUEUE:
+        await _send(cluster, 9, node)
+        await asyncio.sleep(_SLOW_RUN_S)
+    if number < _COUNT_BEFORE_QUEUE:
+        await _send(cluster, number, node)
+
+
+_COUNT_BEFORE_QUEUE = 2
+_WAYS: dict[str, Callable[[_Cluster, int, _Node], Any]] = {
+    "": _send_plain,
+    ", with answers to equal requests between": _send_with_twins,
+    ", with another query each time": _send_with_query,
+    ", while each node is restarted before it gets it": _send_after_restart,
+    ", while each node was cut off when the others crash": _send_after_cut,
+    ", and the servers fall silent and start again": _send_to_silent,
+    ", and the servers start again before their node looks": _send_to_quick,
+    ", and its caller leaves before the server closes connections": (
+        _send_and_leave
+    ),
+    ", and waits while the third crash is reported": _send_to_queue,
+}
+
+
+@behave.when("it is sent {count:d} times beside other requests")
+def send(context: runner.Context, count: int) -> None:
+    send_in_way(context, count, "")
+
+
+@behave.when("it is sent {count:d} times beside other requests{way}")
+def send_in_way(context: runner.Context, count: int, way: str) -> None:
+    context.loop.run_until_complete(_send_all(context, count, _WAYS[way]))
+
+
+async def _send_all(
+    context: runner.Context,
+    count: int,
+    way: Callable[[_Cluster, int, _Node], Any],
+) -> None:
+    cluster = context.cluster
+    for number in range(count):
+        node = cluster.nodes[number % len(cluster.nodes)]
+        await way(cluster, number, node)
+        await _recover(node)
+
+
+@behave.when(
+    "servers crash {count:d} times beside a popular request, {together}"
+)
+def crash_servers(context: runner.Context, count: int, together: str) -> None:
+    context.loop.run_until_complete(
+        _crash_servers(context, count, is_at_once=together == "all at once")
+    )
+
+
+async def _crash_servers(
+    context: runner.Context, count: int, *, is_at_once: bool
+) -> None:
+    cluster = context.cluster
+    for number in range(count):
+        if is_at_once and number:
+            break
+        await _serve_popular(cluster, f"a{number}", rounds=10)
+        for node in cluster.nodes:
+            cluster.submit_companions(node, f"b{number}-{node.name}")
+            cluster.submit(node, f"c{number}-{node.name}", "/popular", key=-1)
+        await asyncio.sleep(_CRASH_DELAY_S)
+        crashing = cluster.nodes[:count] if is_at_once else cluster.nodes[:1]
+        for node in crashing:
+            node.server.crash()
+        await asyncio.sleep(_PAUSE_S)
+        for node in crashing:
+            await node.restart_server()
+    await _serve_popular(cluster, "end", rounds=2)
+
+
+async def _serve_popular(cluster: _Cluster, label: str, *, rounds: int) -> None:
+    """Has all nodes answer a popular request again and again."""
+    for number in range(rounds):
+        for node in cluster.nodes:
+            cluster.submit(
+                node, f"{label}-{number}-{node.name}", "/popular", key=-1
+            )
+        await asyncio.sleep(_RUN_S + 0.005)
+
+
+@behave.then("it has crashed at most {count:d} servers")
+def check_crashes(context: runner.Context, count: int) -> None:
+    assert (
+        context.cluster.count_crashes() <= count
+    ), context.cluster.count_crashes()
+
+
+@behave.then("no other request was refused as poison")
+def check_refused(context: runner.Context) -> None:
+    refused = context.cluster.list_refused()
+    others = [
+        request_id
+        for request_id in refused
+        if not request_id.startswith((_CRASHING, "twin"))
+    ]
+    assert not others, others
