Weigh crashes by how popular a request is, and never clear it by responses

Callers saw one request end server after server. A response to an equal request (another caller's, or the repetition of a harmless one) took its fingerprint out of every recorded crash. And what had run at three crashes was refused, however popular: a request that three servers were running when they crashed at once.

Responses only end the isolation (product's own nodes). A block lasts 60 s and doubles, as other callers' equal requests are refused with it. Crashes of a known cause are no evidence against others.

--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -456,8 +456,10 @@
     REQUEST_SUSPECTED = _define(
         2400,
         _WARNING,
-        "fingerprint crash_id is_alone server request_id",
-        "This request was running when an upstream crashed.",
+        "fingerprint crash_id is_alone server request_id commonness",
+        "This request was running when an upstream crashed. `commonness` is"
+        " the estimated probability that such a request was running then by"
+        " chance.",
         "Nothing; REQUEST_CONDEMNED follows if it happens again.",
     )
     REQUEST_CONDEMNED = _define(
--- a/src/rhubarblead/messages.py
+++ b/src/rhubarblead/messages.py
@@ -11,6 +11,7 @@
 
 from rhubarblead import membership
 from rhubarblead import verdict
+from rhubarblead.requests import crash_reports
 
 
 class Forward(msgspec.Struct, frozen=True, kw_only=True, tag="fwd"):
@@ -236,15 +237,8 @@
     rest_rps: float
 
 
-class SuspectReport(msgspec.Struct, frozen=True, kw_only=True, tag="sus"):
-    """The requests that were running when an upstream crashed.
-
-    `is_alone` means that no other request was running.
-    """
-
-    crash_id: str
-    fingerprints: tuple[int, ...]
-    is_alone: bool
+class SuspectReport(crash_reports.CrashReport, frozen=True, tag="sus"):
+    """The requests that were running when an upstream crashed."""
 
 
 Message: TypeAlias = (
--- a/src/rhubarblead/node/requests/crashes.py
+++ b/src/rhubarblead/node/requests/crashes.py
@@ -1,6 +1,7 @@
 """Crashes of the upstream, and the requests suspected of causing them."""
 
 from collections.abc import Callable
+import dataclasses
 import threading
 
 from rhubarblead import clock
@@ -8,7 +9,15 @@
 from rhubarblead.events import catalog
 from rhubarblead.events import log
 from rhubarblead.node.requests import work as works
+from rhubarblead.requests import crash_reports
 from rhubarblead.requests import poison
+from rhubarblead.requests import run_shares
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Run:
+    fingerprint: int
+    started_at_ms: int
 
 
 class CrashDetector:
@@ -21,6 +30,7 @@
         "_events",
         "_poison_detector",
         "_lock",
+        "_run_shares",
         "_running",
         "_broadcast",
     )
@@ -35,7 +45,8 @@
         self._broadcast = broadcast
         self._poison_detector = poison.PoisonDetector()
         self._lock = threading.Lock()
-        self._running: dict[str, works.Work] = {}
+        self._run_shares = run_shares.RunShares()
+        self._running: dict[str, _Run] = {}
 
     def classify(self, work: works.Work) -> poison.RunMode:
         """Classifies whether a request may run now.
@@ -61,15 +72,24 @@
 
     def begin(self, work: works.Work) -> None:
         """Records that a request is being sent to the upstream."""
+        run = _Run(
+            fingerprint=compute_fingerprint(work),
+            started_at_ms=clock.read_monotonic_ms(),
+        )
         with self._lock:
-            self._running[work.forward.call_id] = work
+            self._running[work.forward.call_id] = run
 
     def end(self, work: works.Work, *, is_answered: bool) -> None:
         """Records that a request has ended at the upstream."""
+        now_ms = clock.read_monotonic_ms()
         with self._lock:
-            self._running.pop(work.forward.call_id, None)
-            if is_answered and self._poison_detector.has_suspects():
-                self._poison_detector.record_response(compute_fingerprint(work))
+            run = self._running.pop(work.forward.call_id, None)
+            if run is None or not is_answered:
+                return
+            self._run_shares.record(
+                run.fingerprint, now_ms - run.started_at_ms, now_ms
+            )
+            self._poison_detector.record_response(run.fingerprint)
 
     def count_running(self) -> int:
         """Counts the requests in progress at the upstream."""
@@ -85,12 +105,9 @@
         with self._lock:
             if self._poison_detector.is_known(crash_id):
                 return
-            fingerprints = [
-                compute_fingerprint(w) for w in self._running.values()
-            ]
-            report = self._poison_detector.record_crash(
-                crash_id=crash_id, fingerprints=fingerprints, now_ms=now_ms
-            )
+            crash = self._make_crash(crash_id, now_ms)
+            self._poison_detector.record_crash(crash, now_ms)
+        report = messages.SuspectReport(**crash_reports.encode(crash, now_ms))
         self._events.emit(
             catalog.Event.REQUEST_SUSPECTED,
             crash_id=crash_id,
@@ -100,17 +117,36 @@
         self._events.emit(
             catalog.Event.UPSTREAM_CRASHED,
             crash_id=crash_id,
-            in_flight_count=len(fingerprints),
+            in_flight_count=len(self._running),
         )
         self._broadcast(report)
 
     def record_remote_crash(self, report: messages.SuspectReport) -> None:
         """Records the suspects of a crash that another node reports."""
+        now_ms = clock.read_monotonic_ms()
         with self._lock:
-            self._poison_detector.record_report(
-                report, clock.read_monotonic_ms()
+            self._poison_detector.record_crash(
+                crash_reports.decode(report, now_ms), now_ms
             )
 
+    def _make_crash(self, crash_id: str, now_ms: int) -> poison.Crash:
+        runs = {run.fingerprint: run for run in self._running.values()}
+        return poison.Crash(
+            crash_id=crash_id,
+            happened_at_ms=now_ms,
+            suspects=tuple(
+                poison.Suspect(
+                    fingerprint=run.fingerprint,
+                    started_at_ms=run.started_at_ms,
+                    commonness=self._run_shares.estimate(
+                        run.fingerprint, now_ms
+                    ),
+                )
+                for run in runs.values()
+            ),
+            is_alone=len(self._running) == 1,
+        )
+
 
 def compute_fingerprint(work: works.Work) -> int:
     """Computes a fingerprint that repetitions of a request share."""
--- a/src/rhubarblead/requests/poison.py
+++ b/src/rhubarblead/requests/poison.py
@@ -1,23 +1,49 @@
 """Detects poison requests, which crash each upstream that runs them.
 
-All requests that are running at a crash become suspects, which then run in
-isolation. A request is blocked if it is the only common suspect of several
-crashes: `block_after` of them if it ran alone in one, otherwise one more, as a
-frequent request may be in flight at several crashes that it did not cause. A
-response clears a suspect, so that a harmless request in flight at a crash runs
-normally after its next response.
+Requests that are equal as far as callers' fields show share a fingerprint. The
+evidence against a fingerprint is a series of crashes, each with a run that
+started after the crash before it. It is the stronger, the less probable it is
+that such a request was running by chance at so many of the crashes meanwhile:
+popular requests are running at most crashes. Responses don't refute it, as
+other callers may send harmless requests with the same fingerprint.
+
+A response only ends the isolation of a request that was running at a crash.
 """
 
-import collections
 from collections.abc import Iterable
+from collections.abc import Sequence
+import dataclasses
 import enum
+import math
 
 import xxhash
 
-from rhubarblead import messages
-
 TTL_MS = 600_000
-BLOCK_AFTER_CRASHES = 2
+"""How long a crash counts, and the longest block."""
+
+FIRST_BLOCK_MS = 60_000
+"""Duration of the first block; it doubles with each further crash."""
+
+MIN_CRASHES = 3
+MIN_CRASHES_IF_ALONE = 2
+"""If one of them happened while no other request was running."""
+
+MIN_EVIDENCE_BITS = 8.0
+"""One in 256 requests that are running by chance has so much evidence."""
+
+MIN_COMMONNESS = 1 / 64
+"""Lower limit, as the commonness of rare requests is hardly known."""
+
+MAX_EVIDENCE_GAP_BITS = 5.0
+"""Fingerprints with less evidence than the strongest are blocked, too.
+
+A rare request that ran beside a popular one at each crash by chance has more
+evidence; beyond this, the popular one is less probable to be the cause.
+"""
+
+ORDER_TOLERANCE_MS = 10
+"""The times of a report are shifted by its transit between nodes."""
+
 MAX_CRASHES = 256
 
 
@@ -29,17 +55,48 @@
     BLOCKED = "condemned"
 
 
-class _Crash:
-    """One crash and its remaining suspects."""
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Suspect:
+    """A request that was running at a crash.
 
-    __slots__ = ("happened_at_ms", "is_alone", "suspects")
+    `commonness` is the estimated probability that a request with its
+    fingerprint is running at a crash that it doesn't cause.
+    """
 
-    def __init__(
-        self, *, happened_at_ms: int, suspects: set[int], is_alone: bool
-    ) -> None:
-        self.happened_at_ms = happened_at_ms
-        self.is_alone = is_alone
-        self.suspects = suspects
+    fingerprint: int
+    started_at_ms: int
+    commonness: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Crash:
+    """A crash of a server; `crash_id` identifies it on all nodes.
+
+    `is_alone` is set if a single request was running.
+    """
+
+    crash_id: str
+    happened_at_ms: int
+    suspects: tuple[Suspect, ...]
+    is_alone: bool
+
+
+class _Record:
+    """A crash, its suspects without a response since, and its cause."""
+
+    __slots__ = ("causes", "crash", "suspects", "unanswered")
+
+    def __init__(self, *, crash: Crash) -> None:
+        self.crash = crash
+        self.suspects = {s.fingerprint: s for s in crash.suspects}
+        self.unanswered = set(self.suspects)
+        self.causes: set[int] = set()
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Block:
+    until_ms: int
+    duration_ms: int
 
 
 class PoisonDetector:
@@ -48,136 +105,166 @@
     Not thread-safe.
     """
 
+    __slots__ = ("_blocks", "_max_crashes", "_records", "_ttl_ms")
+
     def __init__(
-        self,
-        *,
-        ttl_ms: int = TTL_MS,
-        block_after: int = BLOCK_AFTER_CRASHES,
-        max_crashes: int = MAX_CRASHES,
+        self, *, ttl_ms: int = TTL_MS, max_crashes: int = MAX_CRASHES
     ) -> None:
         """Creates a detector without suspects.
 
         Args:
-            ttl_ms: How long crashes and blocks last, in milliseconds.
-            block_after: Number of crashes after which their only common
-                suspect is blocked, if it ran alone in one.
+            ttl_ms: How long crashes count, in milliseconds.
             max_crashes: Maximum number of crashes, and of blocked requests.
         """
         self._ttl_ms = ttl_ms
-        self._block_after = block_after
         self._max_crashes = max_crashes
-        self._crashes: collections.OrderedDict[str, _Crash] = (
-            collections.OrderedDict()
-        )
-        self._blocked: collections.OrderedDict[int, int] = (
-            collections.OrderedDict()
-        )
-
-    def record_crash(
-        self, *, crash_id: str, fingerprints: Iterable[int], now_ms: int
-    ) -> messages.SuspectReport:
-        """Records a crash of the upstream of this node.
+        self._records: dict[str, _Record] = {}
+        self._blocks: dict[int, _Block] = {}
 
-        Args:
-            crash_id: Identifies the crash on all nodes.
-            fingerprints: Fingerprints of the requests that were running.
-            now_ms: Current time in milliseconds.
+    def record_crash(self, crash: Crash, now_ms: int) -> tuple[int, ...]:
+        """Records a crash at this or another node, once.
 
         Returns:
-            The message to send to the other nodes of the pool.
-        """
-        running = tuple(fingerprints)
-        report = messages.SuspectReport(
-            crash_id=crash_id,
-            fingerprints=tuple(sorted(set(running))),
-            is_alone=len(running) == 1,
-        )
-        self.record_report(report, now_ms)
-        return report
-
-    def record_report(
-        self, report: messages.SuspectReport, now_ms: int
-    ) -> None:
-        """Records a crash that this or another node reports.
-
-        A crash that is already known is ignored.
+            The fingerprints that are blocked because of it.
         """
         self._expire(now_ms)
-        if report.crash_id in self._crashes or not report.fingerprints:
-            return
-        self._crashes[report.crash_id] = _Crash(
-            happened_at_ms=now_ms,
-            suspects=set(report.fingerprints),
-            is_alone=report.is_alone,
-        )
-        for fingerprint in report.fingerprints:
-            if self._is_proven(fingerprint):
-                self._blocked[fingerprint] = now_ms
+        is_expired = crash.happened_at_ms < now_ms - self._ttl_ms
+        if crash.crash_id in self._records or is_expired or not crash.suspects:
+            return ()
+        record = _Record(crash=crash)
+        self._records[crash.crash_id] = record
+        causes = self._find_causes(record)
+        for fingerprint in causes:
+            self._block(fingerprint, causes)
         self._expire(now_ms)
+        return causes
+
+    def list_crashes(self) -> list[Crash]:
+        """Lists the recorded crashes."""
+        return [record.crash for record in self._records.values()]
 
     def has_suspects(self) -> bool:
         """Returns whether any request might be suspected or blocked."""
-        return bool(self._crashes or self._blocked)
+        return bool(self._records or self._blocks)
 
     def is_known(self, crash_id: str) -> bool:
         """Returns whether a crash is recorded and has not expired."""
-        return crash_id in self._crashes
+        return crash_id in self._records
+
+    def count_crashes(self, fingerprint: int) -> int:
+        """Counts the crashes that are evidence against a fingerprint."""
+        return len(self._list_series(fingerprint))
 
     def record_response(self, fingerprint: int) -> bool:
-        """Clears a request of suspicion after its response.
+        """Ends the isolation of a request after its response.
 
         Returns:
-            Whether it was a suspect.
+            Whether it was isolated.
         """
-        crashes = self._list_crashes(fingerprint)
-        for crash in crashes:
-            crash.suspects.remove(fingerprint)
-        return bool(crashes)
-
-    def count_crashes(self) -> int:
-        """Counts the recorded crashes."""
-        return len(self._crashes)
+        records = self._list_unanswered(fingerprint)
+        for record in records:
+            record.unanswered.remove(fingerprint)
+        return bool(records)
 
     def classify(self, fingerprint: int, now_ms: int) -> RunMode:
         """Returns how a request may run now."""
         if not self.has_suspects():
             return RunMode.NORMAL
         self._expire(now_ms)
-        if fingerprint in self._blocked:
+        block = self._blocks.get(fingerprint)
+        if block is not None and now_ms < block.until_ms:
             return RunMode.BLOCKED
-        if self._list_crashes(fingerprint):
+        if self._list_unanswered(fingerprint):
             return RunMode.ISOLATED
         return RunMode.NORMAL
 
-    def _list_crashes(self, fingerprint: int) -> list[_Crash]:
+    def _list_unanswered(self, fingerprint: int) -> list[_Record]:
         return [
-            crash
-            for crash in self._crashes.values()
-            if fingerprint in crash.suspects
+            record
+            for record in self._records.values()
+            if fingerprint in record.unanswered
+        ]
+
+    def _list_series(self, fingerprint: int) -> list[_Record]:
+        """Lists crashes that the fingerprint may have caused one by one.
+
+        Runs at several servers at the time of one crash are those of different
+        requests, and crashes of known causes are no evidence against others.
+        """
+        found = [
+            record
+            for record in self._records.values()
+            if fingerprint in record.suspects
+            and (not record.causes or fingerprint in record.causes)
         ]
+        found.sort(key=_get_time)
+        series: list[_Record] = []
+        for record in found:
+            started_at_ms = record.suspects[fingerprint].started_at_ms
+            if series and started_at_ms < _get_time(series[-1]) - (
+                ORDER_TOLERANCE_MS
+            ):
+                continue
+            series.append(record)
+        return series
+
+    def _find_causes(self, record: _Record) -> tuple[int, ...]:
+        """Finds the fingerprints that explain a crash best, if any does."""
+        evidence = {}
+        for fingerprint in record.suspects:
+            series = self._list_series(fingerprint)
+            bits = self._weigh(fingerprint, series)
+            if _is_sufficient(series, bits):
+                evidence[fingerprint] = bits
+        strongest = max(evidence.values(), default=0.0) - MAX_EVIDENCE_GAP_BITS
+        return tuple(f for f, bits in evidence.items() if bits >= strongest)
+
+    def _weigh(self, fingerprint: int, series: Sequence[_Record]) -> float:
+        """Returns the evidence of a series of crashes, in bits."""
+        commonness = max(r.suspects[fingerprint].commonness for r in series)
+        crash_count = sum(
+            _get_time(series[0]) <= _get_time(record) <= _get_time(series[-1])
+            for record in self._records.values()
+            if not record.causes or fingerprint in record.causes
+        )
+        return -math.log2(
+            _find_tail_probability(
+                crash_count, len(series), max(MIN_COMMONNESS, commonness)
+            )
+        )
 
-    def _is_proven(self, fingerprint: int) -> bool:
-        crashes = self._list_crashes(fingerprint)
-        was_alone = any(crash.is_alone for crash in crashes)
-        if len(crashes) < self._block_after + (not was_alone):
-            return False
-        common = set.intersection(*(crash.suspects for crash in crashes))
-        return common == {fingerprint}
+    def _block(self, fingerprint: int, causes: Iterable[int]) -> None:
+        series = self._list_series(fingerprint)
+        for record in series:
+            record.causes.update(causes)
+        crashed_at_ms = _get_time(series[-1])
+        earlier = self._blocks.pop(fingerprint, None)
+        duration_ms = FIRST_BLOCK_MS
+        if earlier is not None:
+            is_new = crashed_at_ms >= earlier.until_ms
+            duration_ms = earlier.duration_ms * (2 if is_new else 1)
+        self._blocks[fingerprint] = _Block(
+            until_ms=crashed_at_ms + min(duration_ms, self._ttl_ms),
+            duration_ms=duration_ms,
+        )
 
     def _expire(self, now_ms: int) -> None:
         oldest_ms = now_ms - self._ttl_ms
-        while self._crashes:
-            first = next(iter(self._crashes.values()))
-            is_over = len(self._crashes) > self._max_crashes
-            if first.happened_at_ms >= oldest_ms and not is_over:
-                break
-            self._crashes.popitem(last=False)
-        while self._blocked:
-            blocked_at_ms = next(iter(self._blocked.values()))
-            is_over = len(self._blocked) > self._max_crashes
-            if blocked_at_ms >= oldest_ms and not is_over:
-                break
-            self._blocked.popitem(last=False)
+        expired = [
+            crash_id
+            for crash_id, record in self._records.items()
+            if record.crash.happened_at_ms < oldest_ms
+        ]
+        for crash_id in expired:
+            del self._records[crash_id]
+        # The duration of an ended block is kept for the next one.
+        ended = [f for f, b in self._blocks.items() if b.until_ms < oldest_ms]
+        for fingerprint in ended:
+            del self._blocks[fingerprint]
+        while len(self._records) > self._max_crashes:
+            del self._records[next(iter(self._records))]
+        while len(self._blocks) > self._max_crashes:
+            del self._blocks[next(iter(self._blocks))]
 
 
 def compute_fingerprint(method: str, target: str, body: bytes) -> int:
@@ -189,3 +276,25 @@
     digest = xxhash.xxh3_64(f"{method} {target}\n".encode())
     digest.update(body)
     return int(digest.intdigest())
+
+
+def _get_time(record: _Record) -> int:
+    return record.crash.happened_at_ms
+
+
+def _find_tail_probability(
+    trial_count: int, hit_count: int, probability: float
+) -> float:
+    """Returns the probability of so many hits or more in independent trials."""
+    return sum(
+        math.comb(trial_count, count)
+        * probability**count
+        * (1 - probability) ** (trial_count - count)
+        for count in range(hit_count, trial_count + 1)
+    )
+
+
+def _is_sufficient(series: Sequence[_Record], bits: float) -> bool:
+    was_alone = any(record.crash.is_alone for record in series)
+    min_count = MIN_CRASHES_IF_ALONE if was_alone else MIN_CRASHES
+    return len(series) >= min_count and bits >= MIN_EVIDENCE_BITS
--- a/src/rhubarblead/router/crashes.py
+++ b/src/rhubarblead/router/crashes.py
@@ -7,11 +7,14 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
 import secrets
 
-from rhubarblead import messages
 from rhubarblead.events import catalog
+from rhubarblead.requests import crash_reports
 from rhubarblead.requests import poison
+from rhubarblead.requests import run_shares
 from rhubarblead.router import event_log
 from rhubarblead.router import http_client
 from rhubarblead.router import tasks
@@ -21,16 +24,29 @@
 """All connections of a crashed server are reset within this time."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Run:
+    """A request that the local server is running."""
+
+    request_id: str
+    fingerprint: int
+    is_keyed: bool
+    started_at_ms: int
+
+
 class CrashDetector:
     """Tracks crashes at all nodes and the requests suspected of them."""
 
     __slots__ = (
         "_broadcast",
+        "_count_servers",
         "_poison_detector",
         "_events",
         "_now_ms",
         "_pool",
-        "_reset_requests",
+        "_reset_runs",
+        "_run_shares",
+        "_runs",
     )
 
     def __init__(
@@ -39,6 +55,7 @@
         pool: http_client.Pool,
         events: event_log.EventLog,
         now_ms: Callable[[], int],
+        count_servers: Callable[[], int],
         broadcast: Callable[[wire.Message], None],
     ) -> None:
         """Creates a detector without suspects.
@@ -47,14 +64,18 @@
             pool: Connections to the local server.
             events: The event log.
             now_ms: The clock, in milliseconds.
+            count_servers: Counts the servers of the local server's service.
             broadcast: Sends a message to all nodes.
         """
         self._pool = pool
         self._events = events
         self._now_ms = now_ms
+        self._count_servers = count_servers
         self._broadcast = broadcast
         self._poison_detector = poison.PoisonDetector()
-        self._reset_requests: dict[str, int] = {}
+        self._run_shares = run_shares.RunShares()
+        self._runs: dict[int, _Run] = {}
+        self._reset_runs: list[_Run] = []
 
     def is_blocked(self, work: wire.Work) -> bool:
         """Returns whether a request has crashed several servers."""
@@ -68,89 +89,130 @@
             catalog.Event.REQUEST_CONDEMNED,
             request_id=work.request_id,
             fingerprint=_format(fingerprint),
+            crash_count=self._poison_detector.count_crashes(fingerprint),
             route=work.route,
         )
         return True
 
-    def record_response(self, work: wire.Work) -> None:
-        """Clears a request of suspicion after a response of the server."""
-        if not self._poison_detector.has_suspects():
-            return
-        fingerprint = compute_fingerprint(work)
-        if self._poison_detector.record_response(fingerprint):
+    def begin(self, number: int, work: wire.Work) -> None:
+        """Records that a request is sent to the server.
+
+        Args:
+            number: Identifies the run at this node.
+            work: The request.
+        """
+        self._runs[number] = _Run(
+            request_id=work.request_id,
+            fingerprint=compute_fingerprint(work),
+            is_keyed=work.key != wire.NO_KEY,
+            started_at_ms=self._now_ms(),
+        )
+
+    def record_response(self, number: int) -> None:
+        """Records that the server has answered a request."""
+        run = self._runs.pop(number)
+        now_ms = self._now_ms()
+        self._run_shares.record(
+            run.fingerprint, now_ms - run.started_at_ms, now_ms
+        )
+        if self._poison_detector.record_response(run.fingerprint):
             self._events.emit(
                 catalog.Event.REQUEST_CLEARED,
-                request_id=work.request_id,
-                fingerprint=_format(fingerprint),
+                request_id=run.request_id,
+                fingerprint=_format(run.fingerprint),
                 reason="response",
             )
 
-    def record_reset(self, work: wire.Work) -> None:
+    def record_reset(self, number: int) -> None:
         """Records that the connection of a running request was closed."""
-        if not self._reset_requests:
+        if not self._reset_runs:
             tasks.start(self._check_server(), name="crash", events=self._events)
-        self._reset_requests[work.request_id] = compute_fingerprint(work)
+        self._reset_runs.append(self._runs.pop(number))
+
+    def end(self, number: int) -> None:
+        """Records that a request has ended, however it did."""
+        self._runs.pop(number, None)
 
     def record_remote_crash(self, message: wire.CrashSuspects) -> None:
         """Records a crash that another node has reported."""
-        self._poison_detector.record_report(
-            messages.SuspectReport(
-                crash_id=message.crash_id,
-                fingerprints=tuple(message.fingerprints),
-                is_alone=len(message.fingerprints) == 1,
-            ),
-            self._now_ms(),
+        now_ms = self._now_ms()
+        self._poison_detector.record_crash(
+            crash_reports.decode(message, now_ms), now_ms
         )
         self._events.emit(
             catalog.Event.CRASH_REPORT_RECEIVED,
             crash_id=message.crash_id,
             suspect_count=len(message.fingerprints),
-            crash_count=self._poison_detector.count_crashes(),
+            crash_count=len(self._poison_detector.list_crashes()),
         )
 
     async def _check_server(self) -> None:
         """Reports a crash, unless the server still accepts connections."""
+        happened_at_ms = self._now_ms()
         await asyncio.sleep(RESET_WINDOW_S)
-        requests, self._reset_requests = self._reset_requests, {}
+        runs, self._reset_runs = self._reset_runs, []
         connection = await self._pool.open()
         if connection is not None:
             self._pool.release(connection)
             self._events.emit(
-                catalog.Event.CONNECTIONS_RESET, reset_count=len(requests)
+                catalog.Event.CONNECTIONS_RESET, reset_count=len(runs)
             )
             return
-        self._report_crash(requests)
-
-    def _report_crash(self, requests: dict[str, int]) -> None:
-        """Reports a crash with the running requests and their fingerprints."""
-        crash_id = secrets.token_hex(8)
-        report = self._poison_detector.record_crash(
-            crash_id=crash_id,
-            fingerprints=set(requests.values()),
-            now_ms=self._now_ms(),
+        self._report_crash(runs, happened_at_ms)
+
+    def _report_crash(self, runs: list[_Run], happened_at_ms: int) -> None:
+        """Records a crash, and reports it to the other nodes."""
+        now_ms = self._now_ms()
+        crash = poison.Crash(
+            crash_id=secrets.token_hex(8),
+            happened_at_ms=happened_at_ms,
+            suspects=self._make_suspects(runs, happened_at_ms),
+            is_alone=len(runs) == 1,
+        )
+        self._poison_detector.record_crash(crash, now_ms)
+        self._broadcast(
+            wire.CrashSuspects(**crash_reports.encode(crash, now_ms))
         )
+        self._log_crash(crash, runs)
+
+    def _make_suspects(
+        self, runs: Iterable[_Run], happened_at_ms: int
+    ) -> tuple[poison.Suspect, ...]:
+        latest = {run.fingerprint: run for run in runs}
+        return tuple(
+            poison.Suspect(
+                fingerprint=run.fingerprint,
+                started_at_ms=run.started_at_ms,
+                commonness=self._estimate_commonness(run, happened_at_ms),
+            )
+            for run in latest.values()
+        )
+
+    def _estimate_commonness(self, run: _Run, now_ms: int) -> float:
+        """Estimates how probably such a request runs at a crash by chance.
+
+        A request that is routed by key runs at one server of its service, and
+        another one may crash as well.
+        """
+        share = self._run_shares.estimate(run.fingerprint, now_ms)
+        return share / max(1, self._count_servers()) if run.is_keyed else share
+
+    def _log_crash(self, crash: poison.Crash, runs: list[_Run]) -> None:
         self._events.emit(
             catalog.Event.SERVER_CRASHED,
-            crash_id=crash_id,
-            running_count=len(requests),
+            crash_id=crash.crash_id,
+            running_count=len(runs),
         )
-        for request_id, fingerprint in requests.items():
+        commonness = {s.fingerprint: s.commonness for s in crash.suspects}
+        for run in runs:
             self._events.emit(
                 catalog.Event.REQUEST_SUSPECTED,
-                request_id=request_id,
-                fingerprint=_format(fingerprint),
-                crash_id=crash_id,
-                is_alone=report.is_alone,
-            )
-        self._broadcast(
-            wire.CrashSuspects(
-                crash_id=crash_id, fingerprints=list(report.fingerprints)
+                request_id=run.request_id,
+                fingerprint=_format(run.fingerprint),
+                crash_id=crash.crash_id,
+                is_alone=crash.is_alone,
+                commonness=round(commonness[run.fingerprint], 3),
             )
-        )
-
-
-def _format(fingerprint: int) -> str:
-    return f"{fingerprint:016x}"
 
 
 def compute_fingerprint(work: wire.Work) -> int:
@@ -158,3 +220,7 @@
     return poison.compute_fingerprint(
         work.method.decode("latin-1"), work.target.decode("latin-1"), work.body
     )
+
+
+def _format(fingerprint: int) -> str:
+    return f"{fingerprint:016x}"
--- a/src/rhubarblead/router/directory.py
+++ b/src/rhubarblead/router/directory.py
@@ -83,6 +83,13 @@
         """Counts the reachable nodes, including this one."""
         return len(self._states) + 1
 
+    def count_servers(self, service: str) -> int:
+        """Counts the reachable nodes beside servers of a service."""
+        return sum(
+            state.service == service
+            for state in (self._own_state, *self._states.values())
+        )
+
     def list_servers(
         self, service: str, now_ms: int
     ) -> Iterator[tuple[wire.State, int]]:
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -115,6 +115,9 @@
                 min_bytes=transfer_queue.chunk_bytes,
                 find_queued_bytes=lambda: transfer_queue.queued_bytes,
             ),
+            count_servers=lambda: self._directory.count_servers(
+                deployment.service
+            ),
             broadcast=lambda message: self._links.broadcast(message),
         )
         self._links = peers.Links(
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -106,6 +106,7 @@
         is_held: Callable[[int], bool],
         is_owned: Callable[[int], bool],
         link: link_load.LinkLoad,
+        count_servers: Callable[[], int],
         broadcast: Callable[[wire.Message], None],
     ) -> None:
         """Creates an upstream that serves nothing before its first heartbeat.
@@ -119,6 +120,7 @@
             is_owned: Tells whether a key is assigned to the server, also if it
                 does not hold it yet.
             link: Load of the instance's link by responses.
+            count_servers: Counts the servers of the server's service.
             broadcast: Sends a message to all nodes.
         """
         self._loop = asyncio.get_running_loop()
@@ -146,6 +148,7 @@
             pool=self._pool,
             events=events,
             now_ms=now_ms,
+            count_servers=count_servers,
             broadcast=broadcast,
         )
 
@@ -424,6 +427,7 @@
         )
         job.connection = connection
         job.is_sent = True
+        self.crashes.begin(job.ticket.number, work)
         job.timer = self._loop.call_later(
             (remaining_ms + LATE_RESPONSE_MS) / 1_000, self._expire, job
         )
@@ -457,6 +461,7 @@
         )
 
     def _stop_running(self, job: Job) -> None:
+        self.crashes.end(job.ticket.number)
         if job.timer is not None:
             job.timer.cancel()
         if job.connection is not None:
@@ -483,7 +488,7 @@
                 self._log_unusable(job, failure.value)
                 outcome = self._make_may_have_run(job)
                 if failure is http_client.Failure.CLOSED:
-                    self.crashes.record_reset(job.work)
+                    self.crashes.record_reset(job.ticket.number)
         self._finish(job, outcome)
 
     def _classify(
@@ -505,7 +510,7 @@
             outcome = self._refuse(work, reason)
             outcome.has_arrived = True
             return outcome
-        self.crashes.record_response(work)
+        self.crashes.record_response(job.ticket.number)
         cause = _find_defect(response, head)
         if cause:
             self._log_unusable(job, cause)
@@ -543,6 +548,7 @@
 
     def _finish(self, job: Job, outcome: wire.Outcome) -> None:
         job.is_ended = True
+        self.crashes.end(job.ticket.number)
         if job.timer is not None:
             job.timer.cancel()
         self._jobs.pop(job.ticket.number, None)
--- a/src/rhubarblead/router/wire.py
+++ b/src/rhubarblead/router/wire.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from rhubarblead.requests import crash_reports
+
 NO_KEY = -1
 """Key of a request that isn't routed by key."""
 
@@ -217,11 +219,10 @@
     content: bytes
 
 
-class CrashSuspects(msgspec.Struct, tag=8, array_like=True, kw_only=True):
-    """The fingerprints of the requests that ran when a server crashed."""
-
-    crash_id: str
-    fingerprints: list[int]
+class CrashSuspects(
+    crash_reports.CrashReport, frozen=True, tag=8, array_like=True
+):
+    """The requests that were running when a server crashed."""
 
 
 class LeaseHeartbeat(msgspec.Struct, tag=9, array_like=True, kw_only=True):
--- a/tests/steps/router_crashes.py
+++ b/tests/steps/router_crashes.py
@@ -134,6 +134,7 @@
             link=link_load.LinkLoad(
                 bytes_per_ms=1_250, min_bytes=8_000, find_queued_bytes=int
             ),
+            count_servers=lambda: len(self._cluster.nodes),
             broadcast=lambda message: self._cluster.broadcast(self, message),
         )
         self.see_server()
--- a/tests/steps/router_upstream.py
+++ b/tests/steps/router_upstream.py
@@ -48,6 +48,7 @@
             min_bytes=8_000,
             find_queued_bytes=lambda: 0,
         ),
+        count_servers=lambda: 1,
         broadcast=lambda message: None,
     )
     context.upstream.set_server("i-1", 18)
