Tell requests apart by host, path and body, also without their query

A request that comes again with another query had another fingerprint each time, so that no two crashes had one in common and it was never refused.

A request with a query has two fingerprints now. The one without it is more popular, so that it needs more crashes where many others share the path. The host, or the pool, is part of both: the same path of another host was taken for the same request.

--- a/src/rhubarblead/node/requests/crashes.py
+++ b/src/rhubarblead/node/requests/crashes.py
@@ -16,7 +16,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Run:
-    fingerprint: int
+    fingerprints: tuple[int, ...]
     started_at_ms: int
 
 
@@ -64,7 +64,7 @@
                 run_mode = poison.RunMode.NORMAL
             else:
                 run_mode = self._poison_detector.classify(
-                    compute_fingerprint(work), now_ms
+                    compute_fingerprints(work), now_ms
                 )
         if run_mode is poison.RunMode.NORMAL and work.forward.is_suspect:
             return poison.RunMode.ISOLATED
@@ -73,7 +73,7 @@
     def begin(self, work: works.Work) -> None:
         """Records that a request is being sent to the upstream."""
         run = _Run(
-            fingerprint=compute_fingerprint(work),
+            fingerprints=compute_fingerprints(work),
             started_at_ms=clock.read_monotonic_ms(),
         )
         with self._lock:
@@ -86,10 +86,11 @@
             run = self._running.pop(work.forward.call_id, None)
             if run is None or not is_answered:
                 return
-            self._run_shares.record(
-                run.fingerprint, now_ms - run.started_at_ms, now_ms
-            )
-            self._poison_detector.record_response(run.fingerprint)
+            for fingerprint in run.fingerprints:
+                self._run_shares.record(
+                    fingerprint, now_ms - run.started_at_ms, now_ms
+                )
+                self._poison_detector.record_response(fingerprint)
 
     def count_running(self) -> int:
         """Counts the requests in progress at the upstream."""
@@ -111,7 +112,7 @@
         self._events.emit(
             catalog.Event.REQUEST_SUSPECTED,
             crash_id=crash_id,
-            fingerprint=",".join(f"{f:016x}" for f in report.fingerprints),
+            fingerprint=poison.format_fingerprints(report.fingerprints),
             is_alone=report.is_alone,
         )
         self._events.emit(
@@ -130,25 +131,30 @@
             )
 
     def _make_crash(self, crash_id: str, now_ms: int) -> poison.Crash:
-        runs = {run.fingerprint: run for run in self._running.values()}
+        runs = {
+            f: run for run in self._running.values() for f in run.fingerprints
+        }
         return poison.Crash(
             crash_id=crash_id,
             happened_at_ms=now_ms,
             suspects=tuple(
                 poison.Suspect(
-                    fingerprint=run.fingerprint,
+                    fingerprint=fingerprint,
                     started_at_ms=run.started_at_ms,
-                    commonness=self._run_shares.estimate(
-                        run.fingerprint, now_ms
-                    ),
+                    commonness=self._run_shares.estimate(fingerprint, now_ms),
                 )
-                for run in runs.values()
+                for fingerprint, run in runs.items()
             ),
             is_alone=len(self._running) == 1,
         )
 
 
-def compute_fingerprint(work: works.Work) -> int:
-    """Computes a fingerprint that repetitions of a request share."""
+def compute_fingerprints(work: works.Work) -> tuple[int, ...]:
+    """Computes the fingerprints that repetitions of a request share."""
     forward = work.forward
-    return poison.compute_fingerprint(forward.method, forward.target, work.body)
+    return poison.compute_fingerprints(
+        method=forward.method,
+        scope=forward.pool,
+        target=forward.target,
+        body=work.body,
+    )
--- a/src/rhubarblead/node/requests/execution.py
+++ b/src/rhubarblead/node/requests/execution.py
@@ -130,7 +130,9 @@
     def _refuse_blocked(self, work: works.Work) -> outcomes.Outcome:
         self._events.emit(
             catalog.Event.REQUEST_CONDEMNED,
-            fingerprint=f"{crashes.compute_fingerprint(work):016x}",
+            fingerprint=poison.format_fingerprints(
+                crashes.compute_fingerprints(work)
+            ),
             pool=work.forward.pool,
             route=work.forward.route,
         )
--- a/src/rhubarblead/requests/poison.py
+++ b/src/rhubarblead/requests/poison.py
@@ -166,18 +166,21 @@
             record.unanswered.remove(fingerprint)
         return bool(records)
 
-    def classify(self, fingerprint: int, now_ms: int) -> RunMode:
-        """Returns how a request may run now."""
+    def classify(self, fingerprints: Sequence[int], now_ms: int) -> RunMode:
+        """Returns how a request with these fingerprints may run now."""
         if not self.has_suspects():
             return RunMode.NORMAL
         self._expire(now_ms)
-        block = self._blocks.get(fingerprint)
-        if block is not None and now_ms < block.until_ms:
+        if any(self._is_blocked(f, now_ms) for f in fingerprints):
             return RunMode.BLOCKED
-        if self._list_unanswered(fingerprint):
+        if any(self._list_unanswered(f) for f in fingerprints):
             return RunMode.ISOLATED
         return RunMode.NORMAL
 
+    def _is_blocked(self, fingerprint: int, now_ms: int) -> bool:
+        block = self._blocks.get(fingerprint)
+        return block is not None and now_ms < block.until_ms
+
     def _list_unanswered(self, fingerprint: int) -> list[_Record]:
         return [
             record
@@ -267,14 +270,41 @@
             del self._blocks[next(iter(self._blocks))]
 
 
-def compute_fingerprint(method: str, target: str, body: bytes) -> int:
+def compute_fingerprints(
+    *, method: str, scope: str, target: str, body: bytes
+) -> tuple[int, ...]:
     """Hashes the parts of a request that are the same when it is repeated.
 
-    The idempotency key is left out, as a caller may repeat a request with
-    another key.
+    Repetitions may differ in their query, so that a request with a query has a
+    second fingerprint without it. The idempotency key is left out, as a caller
+    may repeat a request with another key.
+
+    Args:
+        method: The method.
+        scope: What the target is relative to, as the host or the pool.
+        target: The request target.
+        body: The body.
+
+    Returns:
+        The fingerprint and, with a query, that of the request without it.
     """
-    digest = xxhash.xxh3_64(f"{method} {target}\n".encode())
-    digest.update(body)
+    path, _, query = target.partition("?")
+    targets = (target, path) if query else (target,)
+    return tuple(
+        _compute_digest(f"{method} {scope} {part}\n".encode(), body)
+        for part in targets
+    )
+
+
+def format_fingerprints(fingerprints: Iterable[int]) -> str:
+    """Formats fingerprints for the log."""
+    return ",".join(f"{fingerprint:016x}" for fingerprint in fingerprints)
+
+
+def _compute_digest(*parts: bytes) -> int:
+    digest = xxhash.xxh3_64()
+    for part in parts:
+        digest.update(part)
     return int(digest.intdigest())
 
 
--- a/src/rhubarblead/router/crashes.py
+++ b/src/rhubarblead/router/crashes.py
@@ -29,7 +29,7 @@
     """A request that the local server is running."""
 
     request_id: str
-    fingerprint: int
+    fingerprints: tuple[int, ...]
     is_keyed: bool
     started_at_ms: int
 
@@ -81,15 +81,18 @@
         """Returns whether a request has crashed several servers."""
         if not self._poison_detector.has_suspects():
             return False
-        fingerprint = compute_fingerprint(work)
-        run_mode = self._poison_detector.classify(fingerprint, self._now_ms())
+        fingerprints = compute_fingerprints(work)
+        run_mode = self._poison_detector.classify(fingerprints, self._now_ms())
         if run_mode is not poison.RunMode.BLOCKED:
             return False
         self._events.emit(
             catalog.Event.REQUEST_CONDEMNED,
             request_id=work.request_id,
-            fingerprint=_format(fingerprint),
-            crash_count=self._poison_detector.count_crashes(fingerprint),
+            fingerprint=poison.format_fingerprints(fingerprints),
+            crash_count=max(
+                self._poison_detector.count_crashes(fingerprint)
+                for fingerprint in fingerprints
+            ),
             route=work.route,
         )
         return True
@@ -103,7 +106,7 @@
         """
         self._runs[number] = _Run(
             request_id=work.request_id,
-            fingerprint=compute_fingerprint(work),
+            fingerprints=compute_fingerprints(work),
             is_keyed=work.key != wire.NO_KEY,
             started_at_ms=self._now_ms(),
         )
@@ -112,14 +115,17 @@
         """Records that the server has answered a request."""
         run = self._runs.pop(number)
         now_ms = self._now_ms()
-        self._run_shares.record(
-            run.fingerprint, now_ms - run.started_at_ms, now_ms
-        )
-        if self._poison_detector.record_response(run.fingerprint):
+        was_isolated = False
+        for fingerprint in run.fingerprints:
+            self._run_shares.record(
+                fingerprint, now_ms - run.started_at_ms, now_ms
+            )
+            was_isolated |= self._poison_detector.record_response(fingerprint)
+        if was_isolated:
             self._events.emit(
                 catalog.Event.REQUEST_CLEARED,
                 request_id=run.request_id,
-                fingerprint=_format(run.fingerprint),
+                fingerprint=poison.format_fingerprints(run.fingerprints),
                 reason="response",
             )
 
@@ -178,24 +184,28 @@
     def _make_suspects(
         self, runs: Iterable[_Run], happened_at_ms: int
     ) -> tuple[poison.Suspect, ...]:
-        latest = {run.fingerprint: run for run in runs}
+        latest = {f: run for run in runs for f in run.fingerprints}
         return tuple(
             poison.Suspect(
-                fingerprint=run.fingerprint,
+                fingerprint=fingerprint,
                 started_at_ms=run.started_at_ms,
-                commonness=self._estimate_commonness(run, happened_at_ms),
+                commonness=self._estimate_commonness(
+                    fingerprint, happened_at_ms, is_keyed=run.is_keyed
+                ),
             )
-            for run in latest.values()
+            for fingerprint, run in latest.items()
         )
 
-    def _estimate_commonness(self, run: _Run, now_ms: int) -> float:
+    def _estimate_commonness(
+        self, fingerprint: int, now_ms: int, *, is_keyed: bool
+    ) -> float:
         """Estimates how probably such a request runs at a crash by chance.
 
         A request that is routed by key runs at one server of its service, and
         another one may crash as well.
         """
-        share = self._run_shares.estimate(run.fingerprint, now_ms)
-        return share / max(1, self._count_servers()) if run.is_keyed else share
+        share = self._run_shares.estimate(fingerprint, now_ms)
+        return share / max(1, self._count_servers()) if is_keyed else share
 
     def _log_crash(self, crash: poison.Crash, runs: list[_Run]) -> None:
         self._events.emit(
@@ -208,19 +218,18 @@
             self._events.emit(
                 catalog.Event.REQUEST_SUSPECTED,
                 request_id=run.request_id,
-                fingerprint=_format(run.fingerprint),
+                fingerprint=poison.format_fingerprints(run.fingerprints),
                 crash_id=crash.crash_id,
                 is_alone=crash.is_alone,
-                commonness=round(commonness[run.fingerprint], 3),
+                commonness=round(commonness[run.fingerprints[0]], 3),
             )
 
 
-def compute_fingerprint(work: wire.Work) -> int:
-    """Computes a hash that a request shares with its repetitions."""
-    return poison.compute_fingerprint(
-        work.method.decode("latin-1"), work.target.decode("latin-1"), work.body
+def compute_fingerprints(work: wire.Work) -> tuple[int, ...]:
+    """Computes the hashes that a request shares with its repetitions."""
+    return poison.compute_fingerprints(
+        method=work.method.decode("latin-1"),
+        scope=work.host,
+        target=work.target.decode("latin-1"),
+        body=work.body,
     )
-
-
-def _format(fingerprint: int) -> str:
-    return f"{fingerprint:016x}"
--- a/src/rhubarblead/router/dispatcher.py
+++ b/src/rhubarblead/router/dispatcher.py
@@ -371,6 +371,7 @@
             head=request.forwarded,
             body=exchange.body,
             accepts_chunks=True,
+            host=request.head.host,
         )
 
     def _handle_local_outcome(
--- a/src/rhubarblead/router/wire.py
+++ b/src/rhubarblead/router/wire.py
@@ -48,6 +48,7 @@
     server of the service may run the request. `is_once` is set if it must not
     run twice. `head` holds the forwarded header fields. `accepts_chunks` is
     set if the sender assembles outcomes that arrive as `Chunk` messages.
+    `host` is the host that the caller addressed.
     """
 
     origin: str
@@ -68,6 +69,7 @@
     head: bytes
     body: bytes
     accepts_chunks: bool = False
+    host: str = ""
 
 
 class Outcome(msgspec.Struct, tag=2, array_like=True, kw_only=True):
--- a/tests/rhubarblead/requests/poison.feature
+++ b/tests/rhubarblead/requests/poison.feature
@@ -69,5 +69,14 @@
     When the poison detector receives "!p !i !j !j !k !k !k"
     Then the poison detector classifies p as free and i as free
 
-  Scenario: The same request with another idempotency key has the same fingerprint
-    Then fingerprints differ by method, target and body only
+  Scenario Outline: The fingerprints of a request tell what its repetitions share
+    Then a request and one with another <part> have <count> in common
+
+    Examples:
+      | part            | count |
+      | idempotency key | 2     |
+      | query           | 1     |
+      | method          | 0     |
+      | host            | 0     |
+      | path            | 0     |
+      | body            | 0     |
--- a/tests/steps/poison.py
+++ b/tests/steps/poison.py
@@ -98,20 +98,29 @@
 @behave.then("each of {names} is classified as {mode}")
 def check_all_modes(context: runner.Context, names: str, mode: str) -> None:
     found = {
-        name: context.detector.classify(ord(name), context.now_ms).value
+        name: context.detector.classify([ord(name)], context.now_ms).value
         for name in names
     }
     assert set(found.values()) == {mode}, found
 
 
-@behave.then("fingerprints differ by method, target and body only")
-def check_fingerprints(context: runner.Context) -> None:
-    requests = [
-        ("POST", "/a", b"x"),
-        ("PUT", "/a", b"x"),
-        ("POST", "/b", b"x"),
-        ("POST", "/a", b"y"),
+_REQUEST = {"method": "POST", "scope": "h", "target": "/a", "body": b"x"}
+
+
+@behave.then("a request and one with another {part} have {count:d} in common")
+def check_fingerprints(context: runner.Context, part: str, count: int) -> None:
+    first = {**_REQUEST, "target": "/a?page=1"}
+    changes = {
+        "method": {"method": "PUT"},
+        "host": {"scope": "i"},
+        "path": {"target": "/b?page=1"},
+        "query": {"target": "/a?page=2"},
+        "body": {"body": b"y"},
+        "idempotency key": {},
+    }
+    second = {**first, **changes[part]}
+    found = [
+        set(poison.compute_fingerprints(**request))  # type: ignore[arg-type]
+        for request in (first, second)
     ]
-    found = [poison.compute_fingerprint(*request) for request in requests]
-    assert len(set(found)) == len(requests)
-    assert found[0] == poison.compute_fingerprint("POST", "/a", b"x")
+    assert len(found[0] & found[1]) == count, found
--- a/tools/poison_simulation.py
+++ b/tools/poison_simulation.py
@@ -190,7 +190,7 @@
             self._start(self._case.rank, now_ms, "poison crash", CRASH_AFTER_MS)
 
     def _is_blocked(self, fingerprint: int, now_ms: float) -> bool:
-        run_mode = self._detector.classify(fingerprint, int(now_ms))
+        run_mode = self._detector.classify([fingerprint], int(now_ms))
         return run_mode is poison.RunMode.BLOCKED
 
     def _start(
