Catch up on crashes whose reports a node has missed

A report was sent once, to the nodes that were linked just then.

Each node's state, sent on each new link and every 6 s, has a digest of the crashes on record now. A node with another digest asks the sender for its list, once at a time. Earlier versions send no digest and aren't asked.

--- a/src/rhubarblead/requests/poison.py
+++ b/src/rhubarblead/requests/poison.py
@@ -143,6 +143,18 @@
         """Lists the recorded crashes."""
         return [record.crash for record in self._records.values()]
 
+    def compute_digest(self, now_ms: int) -> int:
+        """Computes a number that differs if other crashes are on record.
+
+        Returns:
+            A number of 64 bits, 0 if no crash is on record.
+        """
+        self._expire(now_ms)
+        digest = 0
+        for crash_id in self._records:
+            digest ^= _compute_digest(crash_id.encode())
+        return digest
+
     def has_suspects(self) -> bool:
         """Returns whether any request might be suspected or blocked."""
         return bool(self._records or self._blocks)
--- a/src/rhubarblead/router/crashes.py
+++ b/src/rhubarblead/router/crashes.py
@@ -152,6 +152,18 @@
             crash_count=len(self._poison_detector.list_crashes()),
         )
 
+    def compute_digest(self) -> int:
+        """Computes a number that differs if other crashes are on record."""
+        return self._poison_detector.compute_digest(self._now_ms())
+
+    def list_reports(self) -> list[wire.CrashSuspects]:
+        """Lists the reports of all crashes on record."""
+        now_ms = self._now_ms()
+        return [
+            wire.CrashSuspects(**crash_reports.encode(crash, now_ms))
+            for crash in self._poison_detector.list_crashes()
+        ]
+
     async def _check_server(self) -> None:
         """Reports a crash, unless the server still accepts connections."""
         happened_at_ms = self._now_ms()
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -19,6 +19,7 @@
 from rhubarblead.requests import link_load
 from rhubarblead.requests import transfers
 from rhubarblead.router import config_feed
+from rhubarblead.router import crash_sync
 from rhubarblead.router import directory
 from rhubarblead.router import dispatcher
 from rhubarblead.router import event_log
@@ -58,6 +59,7 @@
 
     __slots__ = (
         "_config",
+        "_crash_sync",
         "_heartbeat_handler",
         "_deployment",
         "_directory",
@@ -125,6 +127,9 @@
             ip=deployment.callers.ip,
             port=deployment.peers_port,
         )
+        self._crash_sync = crash_sync.CrashSync(
+            crash_detector=self._upstream.crashes, links=self._links
+        )
         self._promise_exchange = promise_exchange.PromiseExchange(
             cluster_directory=self._directory,
             links=self._links,
@@ -198,6 +203,7 @@
             stack.callback(self._store.close)
             stack.callback(self._links.close)
             stack.callback(self._upstream.close)
+            stack.callback(self._crash_sync.close)
             stack.callback(self._response_sender.close)
             await self._listen(stack)
             self._loop.set_exception_handler(self._handle_exception)
@@ -238,6 +244,7 @@
                 self._remote_jobs.handle(message, reply)
             case wire.State():
                 self._state_sync.handle_state(message)
+                self._crash_sync.handle_state(message)
             case wire.Load():
                 self._state_sync.handle_load(message)
             case (
@@ -248,6 +255,8 @@
                 self._state_sync.handle(message, reply)
             case wire.CrashSuspects():
                 self._upstream.crashes.record_remote_crash(message)
+            case wire.CrashListRequest():
+                self._crash_sync.handle_request(reply)
             case wire.StoreCall():
                 self._relay.handle_call(message, reply)
             case wire.LeaseHeartbeat() | wire.LeaseLeave():
@@ -278,6 +287,8 @@
                 self._state_sync.send_snapshot_to(node_id, message.service)
             case wire.Snapshot():
                 self._state_sync.apply_snapshot(message)
+            case wire.CrashSuspects():
+                self._upstream.crashes.record_remote_crash(message)
             case _:
                 self.refuse_message(node_id, type(message).__name__)
 
--- a/src/rhubarblead/router/wire.py
+++ b/src/rhubarblead/router/wire.py
@@ -151,6 +151,7 @@
     `is_serving` is set if the node's server accepts requests, `is_stopping` if
     the node itself is shutting down. `born_ms` is the Unix time at which the
     server started, which identifies its incarnation; it is 0 while unknown.
+    `crash_digest` identifies the crashes on record, 0 if there are none.
     """
 
     node_id: str
@@ -164,6 +165,7 @@
     slot_count: int
     assignments: dict[str, int]
     load: ServerLoad
+    crash_digest: int = 0
 
 
 class Load(msgspec.Struct, tag=15, array_like=True, kw_only=True):
@@ -227,6 +229,10 @@
     """The requests that were running when a server crashed."""
 
 
+class CrashListRequest(msgspec.Struct, tag=20, array_like=True):
+    """Requests the reports of all crashes that the receiver has on record."""
+
+
 class LeaseHeartbeat(msgspec.Struct, tag=9, array_like=True, kw_only=True):
     """A node's request to its granter for a promise.
 
@@ -328,6 +334,7 @@
     | SnapshotRequest
     | Snapshot
     | CrashSuspects
+    | CrashListRequest
     | LeaseHeartbeat
     | Promise
     | LeaseLeave
--- a/tests/steps/router_crashes.py
+++ b/tests/steps/router_crashes.py
@@ -11,6 +11,7 @@
 from rhubarblead.platform import headers
 from rhubarblead.platform import settings
 from rhubarblead.requests import link_load
+from rhubarblead.router import crash_sync
 from rhubarblead.router import upstream
 from rhubarblead.router import wire
 from tests import router_doubles
@@ -22,6 +23,7 @@
 _PAUSE_S = 0.2
 """Longer than a node needs to detect a crash."""
 
+_CATCH_UP_S = crash_sync.CATCH_UP_DELAY_S + 0.1
 _COMPANION_COUNT = 3
 _CRASHING = "crashing"
 _SLOW = "slow"
@@ -112,8 +114,8 @@
         self._cluster = cluster
         self.server = _Server()
         self.upstream: Any = None
+        self.crash_sync: Any = None
         self.is_cut_off = False
-        self.missed: list[wire.Message] = []
 
     async def start(self) -> None:
         """Starts the server, and the process beside it."""
@@ -123,7 +125,7 @@
     def restart_process(self) -> None:
         """Replaces the process by one that knows nothing."""
         if self.upstream is not None:
-            self.upstream.close()
+            self.close()
         event_log: Any = router_doubles.SilentEventLog()
         self.upstream = upstream.Upstream(
             address=settings.Address(ip=_IP, port=self.server.port),
@@ -137,8 +139,39 @@
             count_servers=lambda: len(self._cluster.nodes),
             broadcast=lambda message: self._cluster.broadcast(self, message),
         )
+        links: Any = self
+        self.crash_sync = crash_sync.CrashSync(
+            crash_detector=self.upstream.crashes, links=links
+        )
         self.see_server()
 
+    def close(self) -> None:
+        """Stops the process."""
+        self.upstream.close()
+        self.crash_sync.close()
+
+    def send(self, node_id: str, message: wire.Message) -> bool:
+        """Sends a message to a node, as its links do."""
+        return self._cluster.send(self, node_id, message)
+
+    def receive(self, sender: "_Node", message: wire.Message) -> None:
+        """Handles a message as the router does."""
+        match wire.decode(wire.encode(message)):
+            case wire.State() as state:
+                self.crash_sync.handle_state(state)
+            case wire.CrashListRequest():
+                self.crash_sync.handle_request(
+                    lambda report: sender.receive(self, report)
+                )
+            case wire.CrashSuspects() as report:
+                self.upstream.crashes.record_remote_crash(report)
+
+    def make_state(self) -> wire.State:
+        """Makes the state that the node sends."""
+        state = router_doubles.make_state(self.name, "s")
+        state.crash_digest = self.upstream.crashes.compute_digest()
+        return state
+
     def see_server(self) -> None:
         """Handles the first heartbeat of a new incarnation of the server."""
         self.upstream.set_server(
@@ -161,14 +194,24 @@
         self._number = 0
 
     def broadcast(self, sender: _Node, message: wire.Message) -> None:
-        """Delivers a message to all nodes in touch."""
-        content = wire.encode(message)
+        """Sends a message to all nodes in touch."""
+        for node in self.nodes:
+            if node is not sender:
+                self.send(sender, node.name, message)
+
+    def send(self, sender: _Node, node_id: str, message: wire.Message) -> bool:
+        """Sends a message unless one of the nodes is cut off."""
+        (node,) = (node for node in self.nodes if node.name == node_id)
+        if sender.is_cut_off or node.is_cut_off:
+            return False
+        node.receive(sender, message)
+        return True
+
+    async def exchange_states(self) -> None:
+        """Has all nodes send their state, as they do when a link is up."""
         for node in self.nodes:
-            if node is sender or node.is_cut_off or sender.is_cut_off:
-                continue
-            received = wire.decode(content)
-            assert isinstance(received, wire.CrashSuspects)
-            node.upstream.crashes.record_remote_crash(received)
+            self.broadcast(node, node.make_state())
+        await asyncio.sleep(_CATCH_UP_S)
 
     def submit(
         self, node: _Node, request_id: str, target: str, *, key: int = 1
@@ -208,7 +251,7 @@
     async def close(self) -> None:
         """Closes all sockets, and ends all tasks."""
         for node in self.nodes:
-            node.upstream.close()
+            node.close()
             node.server.close()
         tasks = asyncio.all_tasks() - {asyncio.current_task()}
         for task in tasks:
@@ -283,7 +326,7 @@
     cluster: _Cluster, number: int, node: _Node
 ) -> None:
     node.restart_process()
-    await asyncio.sleep(2 * _RUN_S)
+    await cluster.exchange_states()
     await _send(cluster, number, node)
 
 
@@ -293,6 +336,7 @@
     await _send(cluster, number, node)
     for other in cluster.nodes:
         other.is_cut_off = False
+    await cluster.exchange_states()
 
 
 async def _send_to_silent(cluster: _Cluster, number: int, node: _Node) -> None:
