See crashes that connections don't show, and tell other nodes before callers

A crash was known by a refused connection 0.1 s after the first closed one. None was seen if the server fell silent, or was back before its node looked (paused, slowed); a request whose caller had left was not in the set; and its callers were answered 0.1 s before the other nodes were told, so that a repetition could overtake the report. Any failure to connect was taken for a crash, also a time-out.

Now a refused connection 20 ms after the first closed one shows a crash, or the first heartbeat of the next incarnation, unless the server had deregistered. All runs without a response since the last sign of life are suspects. The failed requests are answered once the check has ended and the report is sent, at most 120 ms later. The id of a crash is that of the incarnation, so that both ways report it once.

"know of a crash before" is new; before, requests were answered when their connection closed.

--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -692,9 +692,10 @@
     CONNECTIONS_RESET = _define(
         3510,
         _WARNING,
-        "reset_count",
+        "reset_count probe",
         "Connections to the server were closed while it ran requests, but it"
-        " still accepts connections.",
+        " has not crashed as far as is known; `probe` tells whether it accepts"
+        " connections. A server that has deregistered may exit.",
         "Nothing; SERVER_SEEN follows if the server crashed.",
     )
     INTERNAL_ERROR = _define(
--- a/src/rhubarblead/router/crashes.py
+++ b/src/rhubarblead/router/crashes.py
@@ -3,13 +3,20 @@
 Guards against a request that crashes each server that runs it and is sent again
 after each crash. The nodes share the fingerprints of the requests that were
 running at a crash.
+
+A crash shows in closed connections and a refused new one. If the server falls
+silent, or is back before this node looks, it shows in the first heartbeat of
+the next incarnation. All runs without a response since the last sign of life
+are suspects, also those whose caller has left.
 """
 
 import asyncio
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
-import secrets
+
+import xxhash
 
 from rhubarblead.events import catalog
 from rhubarblead.requests import crash_reports
@@ -20,18 +27,33 @@
 from rhubarblead.router import tasks
 from rhubarblead.router import wire
 
-RESET_WINDOW_S = 0.1
-"""All connections of a crashed server are reset within this time."""
+RESET_WINDOW_S = 0.02
+"""All connections of a crashed server are closed within this time."""
+
+PROBE_TIMEOUT_S = 0.1
+"""The server runs on the same instance; the failed requests wait meanwhile."""
+
+RECENT_MS = 500
+"""A run that was given up so shortly before may still end the server."""
+
+MAX_ENDED_RUNS = 256
+"""Bound on the runs without a response that are remembered."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Run:
-    """A request that the local server is running."""
+    """A request that the local server runs or has run.
+
+    `incarnation` identifies the server process. `ended_at_ms` is None while
+    the request is running.
+    """
 
     request_id: str
     fingerprints: tuple[int, ...]
     is_keyed: bool
     started_at_ms: int
+    incarnation: str
+    ended_at_ms: int | None = None
 
 
 class CrashDetector:
@@ -40,11 +62,15 @@
     __slots__ = (
         "_broadcast",
         "_count_servers",
+        "_ended_runs",
+        "_incarnation",
+        "_is_exit_expected",
+        "_last_response_at_ms",
         "_poison_detector",
         "_events",
         "_now_ms",
+        "_on_checked",
         "_pool",
-        "_reset_runs",
         "_run_shares",
         "_runs",
     )
@@ -75,7 +101,33 @@
         self._poison_detector = poison.PoisonDetector()
         self._run_shares = run_shares.RunShares()
         self._runs: dict[int, _Run] = {}
-        self._reset_runs: list[_Run] = []
+        self._ended_runs: collections.deque[_Run] = collections.deque(
+            maxlen=MAX_ENDED_RUNS
+        )
+        self._incarnation = ""
+        self._is_exit_expected = False
+        self._last_response_at_ms = now_ms()
+        self._on_checked: list[Callable[[], None]] = []
+
+    def set_server(self, incarnation: str) -> None:
+        """Sets the server process that runs requests from now on.
+
+        The one before it has crashed, unless its exit was expected.
+
+        Args:
+            incarnation: Identifies the process on all nodes.
+        """
+        if incarnation == self._incarnation:
+            return
+        if self._incarnation and not self._is_exit_expected:
+            self._report_crash(None)
+        self._incarnation = incarnation
+        self._is_exit_expected = False
+        self._last_response_at_ms = self._now_ms()
+
+    def expect_exit(self) -> None:
+        """Records that the server has deregistered, and will exit."""
+        self._is_exit_expected = True
 
     def is_blocked(self, work: wire.Work) -> bool:
         """Returns whether a request has crashed several servers."""
@@ -109,12 +161,19 @@
             fingerprints=compute_fingerprints(work),
             is_keyed=work.key != wire.NO_KEY,
             started_at_ms=self._now_ms(),
+            incarnation=self._incarnation,
         )
 
+    def record_refusal(self, number: int) -> None:
+        """Records that the server has not run a request."""
+        del self._runs[number]
+        self._last_response_at_ms = self._now_ms()
+
     def record_response(self, number: int) -> None:
         """Records that the server has answered a request."""
         run = self._runs.pop(number)
         now_ms = self._now_ms()
+        self._last_response_at_ms = now_ms
         was_isolated = False
         for fingerprint in run.fingerprints:
             self._run_shares.record(
@@ -129,15 +188,27 @@
                 reason="response",
             )
 
-    def record_reset(self, number: int) -> None:
-        """Records that the connection of a running request was closed."""
-        if not self._reset_runs:
+    def record_reset(self, number: int, on_checked: Callable[[], None]) -> None:
+        """Records that the connection of a running request was closed.
+
+        Args:
+            number: The run.
+            on_checked: Called once it is known whether the server has crashed
+                and the other nodes have been told, so that they know before
+                the request can be sent again.
+        """
+        self.end(number)
+        if not self._on_checked:
             tasks.start(self._check_server(), name="crash", events=self._events)
-        self._reset_runs.append(self._runs.pop(number))
+        self._on_checked.append(on_checked)
 
     def end(self, number: int) -> None:
-        """Records that a request has ended, however it did."""
-        self._runs.pop(number, None)
+        """Records that a request has ended, with or without a response."""
+        run = self._runs.pop(number, None)
+        if run is not None:
+            self._ended_runs.append(
+                dataclasses.replace(run, ended_at_ms=self._now_ms())
+            )
 
     def record_remote_crash(self, message: wire.CrashSuspects) -> None:
         """Records a crash that another node has reported."""
@@ -165,26 +236,49 @@
         ]
 
     async def _check_server(self) -> None:
-        """Reports a crash, unless the server still accepts connections."""
-        happened_at_ms = self._now_ms()
-        await asyncio.sleep(RESET_WINDOW_S)
-        runs, self._reset_runs = self._reset_runs, []
-        connection = await self._pool.open()
-        if connection is not None:
-            self._pool.release(connection)
-            self._events.emit(
-                catalog.Event.CONNECTIONS_RESET, reset_count=len(runs)
-            )
+        """Reports a crash if the server refuses connections."""
+        closed_at_ms = self._now_ms()
+        incarnation = self._incarnation
+        try:
+            await asyncio.sleep(RESET_WINDOW_S)
+            probe = await self._pool.probe(PROBE_TIMEOUT_S)
+            if incarnation == self._incarnation:
+                self._handle_probe(probe, closed_at_ms)
+        finally:
+            on_checked, self._on_checked = self._on_checked, []
+            for callback in on_checked:
+                callback()
+
+    def _handle_probe(
+        self, probe: http_client.Probe, closed_at_ms: int
+    ) -> None:
+        if probe is http_client.Probe.REFUSED and not self._is_exit_expected:
+            self._report_crash(closed_at_ms)
             return
-        self._report_crash(runs, happened_at_ms)
+        self._events.emit(
+            catalog.Event.CONNECTIONS_RESET,
+            reset_count=len(self._on_checked),
+            probe=probe.value,
+        )
+
+    def _report_crash(self, happened_at_ms: int | None) -> None:
+        """Records a crash of the server, and reports it to the other nodes.
 
-    def _report_crash(self, runs: list[_Run], happened_at_ms: int) -> None:
-        """Records a crash, and reports it to the other nodes."""
+        Args:
+            happened_at_ms: Its time; None if only its earliest time is known.
+        """
+        crash_id = xxhash.xxh3_64_hexdigest(self._incarnation.encode())
+        runs = self._list_unanswered()
+        if not runs or self._poison_detector.is_known(crash_id):
+            return
+        if happened_at_ms is None:
+            started_at_ms = min(run.started_at_ms for run in runs)
+            happened_at_ms = max(self._last_response_at_ms, started_at_ms)
         now_ms = self._now_ms()
         crash = poison.Crash(
-            crash_id=secrets.token_hex(8),
+            crash_id=crash_id,
             happened_at_ms=happened_at_ms,
-            suspects=self._make_suspects(runs, happened_at_ms),
+            suspects=self._make_suspects(runs, now_ms),
             is_alone=len(runs) == 1,
         )
         self._poison_detector.record_crash(crash, now_ms)
@@ -193,8 +287,18 @@
         )
         self._log_crash(crash, runs)
 
+    def _list_unanswered(self) -> list[_Run]:
+        """Lists the runs that may have ended the server."""
+        since_ms = self._last_response_at_ms - RECENT_MS
+        return [
+            run
+            for run in (*self._ended_runs, *self._runs.values())
+            if run.incarnation == self._incarnation
+            and (run.ended_at_ms is None or run.ended_at_ms >= since_ms)
+        ]
+
     def _make_suspects(
-        self, runs: Iterable[_Run], happened_at_ms: int
+        self, runs: Iterable[_Run], now_ms: int
     ) -> tuple[poison.Suspect, ...]:
         latest = {f: run for run in runs for f in run.fingerprints}
         return tuple(
@@ -202,7 +306,7 @@
                 fingerprint=fingerprint,
                 started_at_ms=run.started_at_ms,
                 commonness=self._estimate_commonness(
-                    fingerprint, happened_at_ms, is_keyed=run.is_keyed
+                    fingerprint, now_ms, is_keyed=run.is_keyed
                 ),
             )
             for fingerprint, run in latest.items()
--- a/src/rhubarblead/router/heartbeat_handler.py
+++ b/src/rhubarblead/router/heartbeat_handler.py
@@ -86,7 +86,9 @@
         local_upstream = self._upstream
         was_serving = local_upstream.is_serving
         is_new = heartbeat.server_id != local_upstream.server_id
-        local_upstream.set_server(heartbeat.server_id, heartbeat.slots)
+        local_upstream.set_server(
+            heartbeat.server_id, heartbeat.slots, born_ms=heartbeat.born_ms
+        )
         local_upstream.is_serving = (
             not heartbeat.is_draining and not self.is_stopping
         )
@@ -104,6 +106,7 @@
     ) -> None:
         if self._ownership.handle_deregistration(call.server_id):
             self._upstream.is_serving = False
+            self._upstream.crashes.expect_exit()
             self._begin_leaving(call.server_id, has_deregistered=True)
         self._finish(exchange, b"{}")
 
--- a/src/rhubarblead/router/http_client.py
+++ b/src/rhubarblead/router/http_client.py
@@ -30,6 +30,14 @@
     TOO_LARGE = "too_large"
 
 
+class Probe(enum.Enum):
+    """What an attempt to open a connection shows about the server."""
+
+    ACCEPTED = "accepted"
+    REFUSED = "refused"
+    NO_ANSWER = "no_answer"
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Response:
     """A complete response, with field names in lower case."""
@@ -307,14 +315,31 @@
 
     async def open(self) -> Connection | None:
         """Opens a new connection; returns None when that fails."""
-        connection = Connection(pool=self)
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                await self._loop.create_connection(
-                    lambda: connection, self._ip, self._port
-                )
+            return await self._open(CONNECT_TIMEOUT_S)
         except (OSError, TimeoutError):
             return None
+
+    async def probe(self, timeout_s: float) -> Probe:
+        """Tells whether the server accepts connections.
+
+        Args:
+            timeout_s: How long to wait for its answer.
+        """
+        try:
+            self.release(await self._open(timeout_s))
+        except TimeoutError:
+            return Probe.NO_ANSWER
+        except OSError:
+            return Probe.REFUSED
+        return Probe.ACCEPTED
+
+    async def _open(self, timeout_s: float) -> Connection:
+        connection = Connection(pool=self)
+        async with asyncio.timeout(timeout_s):
+            await self._loop.create_connection(
+                lambda: connection, self._ip, self._port
+            )
         self._connections.add(connection)
         return connection
 
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -174,11 +174,20 @@
             / self._wait_queue.times.overall_ms
         )
 
-    def set_server(self, server_id: str, slot_count: int) -> None:
-        """Sets the server's id and slots, as its heartbeat states them."""
+    def set_server(
+        self, server_id: str, slot_count: int, *, born_ms: int
+    ) -> None:
+        """Sets the server's id, slots and start, as its heartbeat states them.
+
+        Args:
+            server_id: The id; a server may start again under the same one.
+            slot_count: Number of requests that it runs concurrently.
+            born_ms: Unix time of its start in milliseconds.
+        """
         if server_id != self.server_id:
             self._pool.close_idle()
         self.server_id = server_id
+        self.crashes.set_server(f"{server_id}@{born_ms}")
         self._wait_queue.slot_count = slot_count
 
     def find_left_ms(self) -> int:
@@ -488,9 +497,18 @@
                 self._log_unusable(job, failure.value)
                 outcome = self._make_may_have_run(job)
                 if failure is http_client.Failure.CLOSED:
-                    self.crashes.record_reset(job.ticket.number)
+                    self.crashes.record_reset(
+                        job.ticket.number,
+                        lambda: self._finish_checked(job, outcome),
+                    )
+                    return
         self._finish(job, outcome)
 
+    def _finish_checked(self, job: Job, outcome: wire.Outcome) -> None:
+        """Ends a request after the check whether the server has crashed."""
+        if not job.is_ended:
+            self._finish(job, outcome)
+
     def _classify(
         self,
         job: Job,
@@ -504,6 +522,7 @@
                 request_id=work.request_id,
                 status=response.status,
             )
+            self.crashes.record_refusal(job.ticket.number)
             reason = wire.Reason.SHED
             if response.status == 421:
                 reason = wire.Reason.NOT_OWNER
--- a/tests/rhubarblead/router/crashes.feature
+++ b/tests/rhubarblead/router/crashes.feature
@@ -40,6 +40,10 @@
       | the servers start again before their node looks       |
       | its caller leaves before the server closes connections |
 
+  Scenario: The other nodes know of a crash before its requests can be sent again
+    When it is sent 2 times beside other requests
+    Then each node knew of each crash when the requests that it ended were answered
+
   Scenario: A request that waits for a slot isn't started once it is known to crash servers
     When it is sent 6 times beside other requests, and waits while the third crash is reported
     Then it has crashed at most 3 servers
--- a/tests/steps/router_crashes.py
+++ b/tests/steps/router_crashes.py
@@ -175,7 +175,7 @@
     def see_server(self) -> None:
         """Handles the first heartbeat of a new incarnation of the server."""
         self.upstream.set_server(
-            f"{self.name}-{self.server.life_count}", _SLOT_COUNT
+            f"{self.name}-{self.server.life_count}", _SLOT_COUNT, born_ms=1
         )
         self.upstream.is_serving = True
 
@@ -191,6 +191,7 @@
     def __init__(self) -> None:
         self.nodes = [_Node(name=f"n{i}", cluster=self) for i in range(4)]
         self.outcomes: dict[str, wire.Outcome] = {}
+        self.known_counts: list[tuple[int, int]] = []
         self._number = 0
 
     def broadcast(self, sender: _Node, message: wire.Message) -> None:
@@ -240,6 +241,12 @@
 
         def finish(outcome: wire.Outcome) -> None:
             self.outcomes[request_id] = outcome
+            if outcome.verdict == wire.Verdict.MAY_HAVE_RUN:
+                known = [
+                    len(other.upstream.crashes.list_reports())
+                    for other in self.nodes
+                ]
+                self.known_counts.append((self.count_crashes(), min(known)))
 
         return node.upstream.submit(work, finish)
 
@@ -369,7 +376,7 @@
 async def _send_to_queue(cluster: _Cluster, number: int, node: _Node) -> None:
     last = cluster.nodes[-1]
     if number == _COUNT_BEFORE_QUEUE:
-        last.upstream.set_server(f"{last.name}-1", 1)
+        last.upstream.set_server(f"{last.name}-1", 1, born_ms=1)
         cluster.submit(last, _SLOW, "/slow")
     if number >= _COUNT_BEFORE_QUEUE:
         cluster.submit(last, f"{_CRASHING}-{number}", "/report/7")
@@ -465,6 +472,15 @@
     ), context.cluster.count_crashes()
 
 
+@behave.then(
+    "each node knew of each crash when the requests that it ended were answered"
+)
+def check_known(context: runner.Context) -> None:
+    found = context.cluster.known_counts
+    assert len(found) == 2 * (_COMPANION_COUNT + 1), found
+    assert all(known == crashed for crashed, known in found), found
+
+
 @behave.then("no other request was refused as poison")
 def check_refused(context: runner.Context) -> None:
     refused = context.cluster.list_refused()
--- a/tests/steps/router_upstream.py
+++ b/tests/steps/router_upstream.py
@@ -51,7 +51,7 @@
         count_servers=lambda: 1,
         broadcast=lambda message: None,
     )
-    context.upstream.set_server("i-1", 18)
+    context.upstream.set_server("i-1", 18, born_ms=1)
     context.upstream.is_serving = True
 
 
