Refuse a known poison request at its caller's node, in the queue and at its start

Only the arrival at the server's node asked whether a request is known to crash servers. A node that had just started didn't know.

Now the node of the caller asks before it sends, the queue is searched when a further request is blocked, and the start asks once more, after a connection was opened.

The dispatcher's scenario is new; before, such a request was sent.

--- a/src/rhubarblead/requests/poison.py
+++ b/src/rhubarblead/requests/poison.py
@@ -159,6 +159,10 @@
         """Returns whether any request might be suspected or blocked."""
         return bool(self._records or self._blocks)
 
+    def has_blocks(self) -> bool:
+        """Returns whether any request might be blocked."""
+        return bool(self._blocks)
+
     def is_known(self, crash_id: str) -> bool:
         """Returns whether a crash is recorded and has not expired."""
         return crash_id in self._records
--- a/src/rhubarblead/router/crashes.py
+++ b/src/rhubarblead/router/crashes.py
@@ -69,6 +69,7 @@
         "_poison_detector",
         "_events",
         "_now_ms",
+        "_on_blocked",
         "_on_checked",
         "_pool",
         "_run_shares",
@@ -83,6 +84,7 @@
         now_ms: Callable[[], int],
         count_servers: Callable[[], int],
         broadcast: Callable[[wire.Message], None],
+        on_blocked: Callable[[], None],
     ) -> None:
         """Creates a detector without suspects.
 
@@ -92,12 +94,14 @@
             now_ms: The clock, in milliseconds.
             count_servers: Counts the servers of the local server's service.
             broadcast: Sends a message to all nodes.
+            on_blocked: Called when further requests are blocked.
         """
         self._pool = pool
         self._events = events
         self._now_ms = now_ms
         self._count_servers = count_servers
         self._broadcast = broadcast
+        self._on_blocked = on_blocked
         self._poison_detector = poison.PoisonDetector()
         self._run_shares = run_shares.RunShares()
         self._runs: dict[int, _Run] = {}
@@ -131,7 +135,7 @@
 
     def is_blocked(self, work: wire.Work) -> bool:
         """Returns whether a request has crashed several servers."""
-        if not self._poison_detector.has_suspects():
+        if not self._poison_detector.has_blocks():
             return False
         fingerprints = compute_fingerprints(work)
         run_mode = self._poison_detector.classify(fingerprints, self._now_ms())
@@ -213,9 +217,7 @@
     def record_remote_crash(self, message: wire.CrashSuspects) -> None:
         """Records a crash that another node has reported."""
         now_ms = self._now_ms()
-        self._poison_detector.record_crash(
-            crash_reports.decode(message, now_ms), now_ms
-        )
+        self._record(crash_reports.decode(message, now_ms), now_ms)
         self._events.emit(
             catalog.Event.CRASH_REPORT_RECEIVED,
             crash_id=message.crash_id,
@@ -281,11 +283,15 @@
             suspects=self._make_suspects(runs, now_ms),
             is_alone=len(runs) == 1,
         )
-        self._poison_detector.record_crash(crash, now_ms)
         self._broadcast(
             wire.CrashSuspects(**crash_reports.encode(crash, now_ms))
         )
         self._log_crash(crash, runs)
+        self._record(crash, now_ms)
+
+    def _record(self, crash: poison.Crash, now_ms: int) -> None:
+        if self._poison_detector.record_crash(crash, now_ms):
+            self._on_blocked()
 
     def _list_unanswered(self) -> list[_Run]:
         """Lists the runs that may have ended the server."""
--- a/src/rhubarblead/router/dispatcher.py
+++ b/src/rhubarblead/router/dispatcher.py
@@ -323,6 +323,11 @@
         if state is None:
             return False
         work = self._make_work(request, number, state, may_wait)
+        # The other node may have started after the crashes.
+        is_remote = node_id != self._own_id
+        if is_remote and self._upstream.crashes.is_blocked(work):
+            self._finish_unserved(request, "poison", POISON_RETRY_MS)
+            return True
         request.number = number
         request.node_id = node_id
         request.sent_at_ms = self._now_ms()
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -150,6 +150,7 @@
             now_ms=now_ms,
             count_servers=count_servers,
             broadcast=broadcast,
+            on_blocked=self._refuse_blocked,
         )
 
     @property
@@ -290,6 +291,12 @@
             wire.Reason.NOT_OWNER, lambda job: not self._is_owned_here(job.work)
         )
 
+    def _refuse_blocked(self) -> None:
+        """Refuses the waiting requests that are known to crash servers."""
+        self._refuse_matching(
+            wire.Reason.POISON, lambda job: self.crashes.is_blocked(job.work)
+        )
+
     def refuse_all(self, reason: wire.Reason) -> None:
         """Accepts no more requests, and refuses those that wait."""
         self.is_serving = False
@@ -421,6 +428,10 @@
             self._pool.release(connection)
             self._finish(job, self._refuse(work, wire.Reason.NOT_OWNER))
             return
+        if self.crashes.is_blocked(work):
+            self._pool.release(connection)
+            self._finish(job, self._refuse(work, wire.Reason.POISON))
+            return
         fields = headers.encode_server_fields(
             deadline_ms=remaining_ms,
             server_id=self.server_id,
--- a/tests/rhubarblead/router/dispatcher.feature
+++ b/tests/rhubarblead/router/dispatcher.feature
@@ -42,6 +42,13 @@
     Then it was sent 0 times
     And the caller receives the status 503
 
+  Scenario: A request that is known to crash servers isn't sent to another node
+    Given a dispatcher whose keys are owned by node n2
+    And requests for /once/x are known to crash servers
+    When a once request arrives and its sends end with ""
+    Then it was sent 0 times
+    And the caller receives the status 503
+
   Scenario: A lost link fails a request that may run only once, as it may have run
     Given a dispatcher whose keys are owned by node n2
     When a once request arrives and its sends end with ""
--- a/tests/steps/router_dispatcher.py
+++ b/tests/steps/router_dispatcher.py
@@ -53,11 +53,23 @@
         """Does nothing."""
 
 
+class _Crashes:
+    """A detector that blocks the requests for some targets."""
+
+    def __init__(self) -> None:
+        self.blocked_targets: set[bytes] = set()
+
+    def is_blocked(self, work: wire.Work) -> bool:
+        """Returns whether the target is blocked."""
+        return work.target in self.blocked_targets
+
+
 class _Upstream:
     """A local server that gets no requests."""
 
     def __init__(self) -> None:
         self.left_ms = 0
+        self.crashes = _Crashes()
         self.wait_queue = waiting.WaitQueue(slot_count=1)
 
     def find_left_ms(self) -> int:
@@ -276,6 +288,11 @@
     )
 
 
+@behave.given("requests for {target} are known to crash servers")
+def block_target(context: runner.Context, target: str) -> None:
+    context.local_upstream.crashes.blocked_targets.add(target.encode())
+
+
 @behave.given("a local server whose longest run has {left:d} ms left")
 def set_left(context: runner.Context, left: int) -> None:
     context.local_upstream.left_ms = left
