Soak: a request that crashes the servers that run it

The audit applies the users' bound: at most three runs later than 3 s after the third crash. Ended servers start again by one way, so that two timers can't start two.

--- a/tests/steps/soak.py
+++ b/tests/steps/soak.py
@@ -69,6 +69,15 @@
     _make_holds_record("b", 1_000.0, 9_000.0, 2),
     _make_holds_record("b", 3_000.0, 9_000.0, 2),
 ]
+
+
+def _make_crashes(*times_ms: float) -> list[dict[str, Any]]:
+    return [_make_run_record("r1")] + [
+        {**_make_run_record("r1"), "kind": "crash", "at_ms": at_ms}
+        for at_ms in times_ms
+    ]
+
+
 # Outcomes, records and server end times, where they differ from a correct run.
 _RUNS: dict[str, dict[str, Any]] = {
     "no violation": {},
@@ -111,6 +120,15 @@
         "ended_ms": {"a": 900.0},
     },
     "a previous holder whose hold had expired": {"records": _EXPIRED_HOLD},
+    "a poison request that ran 3 times late": {
+        "records": _make_crashes(100, 200, 300, 3_400, 4_000, 5_000)
+    },
+    "a poison request that ran 4 times late": {
+        "records": _make_crashes(100, 200, 300, 3_400, 4_000, 5_000, 6_000)
+    },
+    "a poison request that ran 4 times at once": {
+        "records": _make_crashes(100, 200, 300, 300, 300, 300, 300)
+    },
     "a fence that does not rise between servers": {
         "records": _make_overlapping_holds(100.0, fence=1)
     },
--- a/tests/tools/soak.feature
+++ b/tests/tools/soak.feature
@@ -19,6 +19,9 @@
       | a previous holder that was killed          |          |
       | a previous holder whose hold had expired   |          |
       | a fence that does not rise between servers | FENCE    |
+      | a poison request that ran 3 times late     |          |
+      | a poison request that ran 4 times late     | BUDGET   |
+      | a poison request that ran 4 times at once  |          |
 
   Scenario: A keyed server reports held keys, releases them and refuses old fences
     Given a keyed server that is granted 0-99 with fence 3 for 1000 ms
--- a/tools/soak/audit.py
+++ b/tools/soak/audit.py
@@ -2,8 +2,9 @@
 
 Each rule is one guarantee: each key has one owner, fences rise between owners,
 an unsafe request runs at most once, a request refused as not run has not run,
-answers are correct, servers run only requests that were sent, and no server
-gets more requests at once than it has slots.
+answers are correct, servers run only requests that were sent, no server gets
+more requests at once than it has slots, and a request that crashes servers
+reaches few after the third.
 """
 
 import bisect
@@ -24,6 +25,12 @@
 SAMPLE_INTERVAL_MS = 50
 """Interval between the times at which the held keys are compared."""
 
+POISON_CRASH_COUNT = 3
+POISON_SETTLE_MS = 3_000
+MAX_LATE_POISON_RUNS = 3
+"""The platform's rules let a request run so often later than so long after it
+has crashed so many servers."""
+
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -37,6 +44,7 @@
     MIXED = "a caller got a wrong answer"
     UNASKED = "a server ran what nobody sent"
     OVERFULL = "a server got more requests than it has slots"
+    BUDGET = "a request that crashes servers was sent to them again and again"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -94,6 +102,7 @@
             for record in records
             if record["kind"] == "overfull"
         ),
+        *_check_poison(records),
         *_check_fences(records),
         *_check_owners(_list_spans(records, ended_ms)),
     ]
@@ -135,6 +144,20 @@
             yield Finding(rule=Rule.MIXED, explanation=str(item))
 
 
+def _check_poison(records: list[dict[str, Any]]) -> Iterable[Finding]:
+    """Counts the crashes after the third that the routers could prevent."""
+    crashes = [record for record in records if record["kind"] == "crash"]
+    if len(crashes) < POISON_CRASH_COUNT:
+        return
+    settled_ms = crashes[POISON_CRASH_COUNT - 1]["at_ms"] + POISON_SETTLE_MS
+    late_count = sum(record["at_ms"] > settled_ms for record in crashes)
+    if late_count > MAX_LATE_POISON_RUNS:
+        yield Finding(
+            rule=Rule.BUDGET,
+            explanation=f"{late_count} of {len(crashes)} crashes came late",
+        )
+
+
 def _check_fences(records: list[dict[str, Any]]) -> Iterable[Finding]:
     """Compares the fence of each grant with those of other servers."""
     known: dict[int, tuple[int, str]] = {}
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -85,16 +85,51 @@
         rng: random.Random,
     ) -> Outcome:
         """Sends one request, and checks the answer."""
-        request_id = f"r{self._seed}-{next(self._request_numbers)}"
         is_unsafe = rng.random() < 0.5
-        path = f"/{'write' if is_unsafe else 'read'}/{request_id}"
+        request_id = self._make_id()
+        return self._exchange(
+            node,
+            connection,
+            request_id,
+            path=f"/{'write' if is_unsafe else 'read'}/{request_id}",
+            key=key,
+            body=b"x" * rng.randrange(2_000) if is_unsafe else None,
+        )
+
+    def send_read(
+        self,
+        node: cluster.Node,
+        connection: http.client.HTTPConnection,
+        key: int,
+        *,
+        path: str,
+        id_prefix: str,
+    ) -> Outcome:
+        """Sends a request without a body, and checks the answer."""
+        return self._exchange(
+            node, connection, id_prefix + self._make_id(), path=path, key=key
+        )
+
+    def _make_id(self) -> str:
+        return f"r{self._seed}-{next(self._request_numbers)}"
+
+    def _exchange(
+        self,
+        node: cluster.Node,
+        connection: http.client.HTTPConnection,
+        request_id: str,
+        *,
+        path: str,
+        key: int,
+        body: bytes | None = None,
+    ) -> Outcome:
         sent_ms = keyed.read_clock_ms()
         status, is_correct = 0, True
         try:
             connection.request(
-                "POST" if is_unsafe else "GET",
+                "GET" if body is None else "POST",
                 path,
-                b"x" * rng.randrange(2_000) if is_unsafe else None,
+                body,
                 {
                     "Host": cluster.HOST,
                     keyed.REQUEST_ID: request_id,
@@ -103,10 +138,10 @@
                 },
             )
             response = connection.getresponse()
-            body = response.read()
+            content = response.read()
             status = response.status
             is_correct = status != http.HTTPStatus.OK or (
-                body == keyed.make_body(request_id)
+                content == keyed.make_body(request_id)
                 and bool(response.headers.get("X-Rhubarblead-Server-Seal"))
             )
         except (OSError, http.client.HTTPException):
@@ -115,7 +150,7 @@
         return Outcome(
             request_id=request_id,
             node=node.name,
-            is_unsafe=is_unsafe,
+            is_unsafe=body is not None,
             path=path,
             key=key,
             status=status,
--- a/tools/soak/cluster.py
+++ b/tools/soak/cluster.py
@@ -79,10 +79,10 @@
         )
         self.server = self._make_server()
 
-    def start_server(self) -> None:
-        """Starts a new server process under a new name."""
+    def start_ended_server(self) -> None:
+        """Starts a new server process under a new name if none is running."""
         with self._close_lock:
-            if self._is_closed:
+            if self._is_closed or self.server.is_running():
                 return
             self.server = self._make_server()
             self.server.start()
--- a/tools/soak/fault_injector.py
+++ b/tools/soak/fault_injector.py
@@ -65,8 +65,7 @@
             node.router.resume()
             node.server.resume()
             node.router.start()
-            if not node.server.is_running():
-                node.start_server()
+            node.start_ended_server()
 
     def _inject_fault(self) -> None:
         node = self._rng.choice(self._cluster.nodes)
@@ -132,13 +131,9 @@
         node.server.kill()
         self.ended_ms.setdefault(node.server.name, keyed.read_clock_ms())
         self._schedule(
-            self._rng.choice(FAULT_DURATIONS_S), self._start_ended_server, node
+            self._rng.choice(FAULT_DURATIONS_S), node.start_ended_server
         )
 
-    def _start_ended_server(self, node: cluster.Node) -> None:
-        if not node.server.is_running():
-            node.start_server()
-
     def _restart_router(self, node: cluster.Node) -> None:
         node.router.resume()
         node.router.send_signal(signal.SIGTERM)
@@ -152,7 +147,7 @@
         server.resume()
         server.stop()
         self.ended_ms.setdefault(server.name, keyed.read_clock_ms())
-        self._start_ended_server(node)
+        node.start_ended_server()
 
     def _run_in_thread(
         self, action: Callable[[cluster.Node], None], node: cluster.Node
--- a/tools/soak/soak_run.py
+++ b/tools/soak/soak_run.py
@@ -12,6 +12,7 @@
 from tools.soak import callers
 from tools.soak import cluster
 from tools.soak import fault_injector
+from tools.soak import poison_caller
 
 RECOVERY_TIMEOUT_S = 30.0
 """Timeout until all keys are served, after the start and after the faults."""
@@ -27,6 +28,7 @@
 class Result:
     """The result of a soak.
 
+    `crash_count` counts the servers that the poison request has ended.
     `recovered_s` is the time from the end of the faults until all probed keys
     were served again, or None if they weren't.
     """
@@ -34,6 +36,7 @@
     seed: int
     findings: list[audit.Finding]
     statuses: dict[int, int]
+    crash_count: int
     recovered_s: float | None
     events: list[str]
 
@@ -54,7 +57,8 @@
             recovery = f"after {self.recovered_s:.1f} s"
         return (
             f"seed {self.seed}: {verdict}, {len(self.events)} faults, answers"
-            f" {statuses_text}, all keys served again: {recovery}"
+            f" {statuses_text}, {self.crash_count} servers crashed by one"
+            f" request, all keys served again: {recovery}"
         )
 
 
@@ -88,20 +92,31 @@
         if _wait_until_served(running, traffic) is None:
             raise cluster.CannotRun("the keys weren't served after the start")
         injector = fault_injector.FaultInjector(running=running, seed=seed)
+        poison = poison_caller.PoisonCaller(
+            running=running, traffic=traffic, seed=seed
+        )
         traffic.start()
+        poison.start()
         injector.inject_faults(duration_s)
+        poison.stop()
         injector.restore()
         recovered_s = _wait_until_served(running, traffic)
         traffic.stop()
         records = audit.read_records(running.list_record_paths())
+    crashed_ms = {
+        record["server"]: record["at_ms"]
+        for record in records
+        if record["kind"] == "crash"
+    }
     return Result(
         seed=seed,
         findings=audit.check(
             outcomes=traffic.outcomes,
             records=records,
-            ended_ms=injector.ended_ms,
+            ended_ms={**injector.ended_ms, **crashed_ms},
         ),
         statuses=dict(collections.Counter(o.status for o in traffic.outcomes)),
+        crash_count=len(crashed_ms),
         recovered_s=recovered_s,
         events=[f"{event.at_ms:.0f} {event.text}" for event in injector.events],
     )
--- a/tools/standins/keyed.py
+++ b/tools/standins/keyed.py
@@ -6,7 +6,7 @@
 
 It writes a record for each run, each heartbeat reply with its grants and each
 request above its slots, whose connection it resets, as the platform's servers
-do. SIGTERM drains it.
+do. SIGTERM drains it. A request whose id begins with `poison-` ends it.
 """
 
 import argparse
@@ -37,6 +37,9 @@
 MAX_RUN_MS = 60
 NOT_EXECUTED = "X-Rhubarblead-Not-Executed"
 REQUEST_ID = "X-Rhubarblead-Request-Id"
+POISON_ID_PREFIX = "poison-"
+POISON_PATH_PART = "report"
+POISON_RUN_MS = 20
 LARGE_BODIES_OF_16 = 2
 """How many of 16 bodies are large."""
 
@@ -221,6 +224,10 @@
             path=self.path,
             body_bytes=len(body),
         )
+        if request_id.startswith(POISON_ID_PREFIX):
+            time.sleep(POISON_RUN_MS / 1_000)
+            state.records.write("crash", request_id=request_id)
+            os._exit(1)
         time.sleep(random.uniform(MIN_RUN_MS, MAX_RUN_MS) / 1_000)
         with state.lock:
             state.running_count -= 1
