Count a lost node as reachable again only once the link to it is up

A state that arrives while the link is lost is kept, and counts once the link is up; nothing could be sent to its node before.

ownership.feature, "gets no keys when its last messages arrive late": failed before (54,614 keys held), passes.

--- a/src/rhubarblead/router/directory.py
+++ b/src/rhubarblead/router/directory.py
@@ -22,6 +22,7 @@
         "_own_id",
         "_own_state",
         "_states",
+        "_unlinked_states",
         "table",
     )
 
@@ -29,6 +30,7 @@
         self._own_id = own_state.node_id
         self._own_state = own_state
         self._states: dict[str, wire.State] = {}
+        self._unlinked_states: dict[str, wire.State] = {}
         self._heard_at_ms: dict[str, int] = {}
         self._lost_at_ms: dict[str, int] = {}
         self._assignments: dict[str, tuple[assignment.Assignment, int]] = {}
@@ -40,10 +42,23 @@
         return self._own_state
 
     def update_state(self, state: wire.State, now_ms: int) -> None:
-        """Stores the newest state of another node."""
+        """Stores the newest state of another node.
+
+        A node whose link was lost counts as reachable only once the link is up
+        again: its last messages may arrive after the loss.
+        """
+        if state.node_id in self._lost_at_ms:
+            self._unlinked_states[state.node_id] = state
+            return
         self._states[state.node_id] = state
         self._heard_at_ms[state.node_id] = now_ms
-        self._lost_at_ms.pop(state.node_id, None)
+
+    def mark_linked(self, node_id: str, now_ms: int) -> None:
+        """Records that the link to a node is up."""
+        self._lost_at_ms.pop(node_id, None)
+        state = self._unlinked_states.pop(node_id, None)
+        if state is not None:
+            self.update_state(state, now_ms)
 
     def update_load(self, message: wire.Load, now_ms: int) -> wire.State | None:
         """Stores the newest load of a node's process.
@@ -66,6 +81,7 @@
     def mark_lost(self, node_id: str, now_ms: int) -> None:
         """Records that a node has become unreachable."""
         self._states.pop(node_id, None)
+        self._unlinked_states.pop(node_id, None)
         self._heard_at_ms.pop(node_id, None)
         self._lost_at_ms.setdefault(node_id, now_ms)
 
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -307,6 +307,7 @@
     def link_up(self, node_id: str) -> None:
         """Handles a new connection to a node by sending this node's state."""
         self._events.emit(catalog.Event.LINK_UP, node_id=node_id)
+        self._directory.mark_linked(node_id, read_now_ms())
         self._ownership.takeover.record_link(node_id, is_up=True)
         self._links.send(node_id, self._broadcaster.refresh())
         self._dispatcher.retry_parked(node_id)
--- a/tests/rhubarblead/router/ownership.feature
+++ b/tests/rhubarblead/router/ownership.feature
@@ -83,6 +83,13 @@
     Then n4 was answered "Conflict"
     And all nodes have the same assignment, with each key once
 
+  Scenario: A lost instance gets no keys when its last messages arrive late
+    Given a settled simulated cluster of 6 nodes
+    When loss of an instance occurs in the simulation
+    And 7000 ms pass in the simulation
+    Then all keys are held
+    And no key had two holders
+
   Scenario: Keys are handed over when the writer node is lost
     Given a settled simulated cluster of 8 nodes
     When the servers of 4 nodes drain, and node n0 is lost
--- a/tests/rhubarblead/router/simulated_cluster.py
+++ b/tests/rhubarblead/router/simulated_cluster.py
@@ -497,6 +497,7 @@
             is_up = self.links.is_up(node_id)
             if is_up and node_id not in self.up:
                 self.up.add(node_id)
+                self.cluster_directory.mark_linked(node_id, self.cluster.now_ms)
                 self.ownership.takeover.record_link(node_id, is_up=True)
                 self.links.send(node_id, _copy(self.state))
             elif not is_up and node_id in self.up:
--- a/tests/rhubarblead/router/state_sync.feature
+++ b/tests/rhubarblead/router/state_sync.feature
@@ -6,6 +6,14 @@
     Then node n2 is known
     And a link to n2 is requested
 
+  Scenario: The state of a lost node counts once the link to it is up again
+    Given a node that receives states of other nodes
+    When the state of node n2 arrives while the link to it is down
+    And the link to n2 is lost, and its state arrives again
+    Then node n2 is not known
+    When the link to n2 is up again
+    Then node n2 is known
+
   Scenario: A load is applied only to the process that sent it
     Given a node that receives states of other nodes
     When the state of node n2 arrives while the link to it is down
--- a/tests/steps/router_state_sync.py
+++ b/tests/steps/router_state_sync.py
@@ -73,6 +73,22 @@
     context.state_sync.handle_state(_make_state(name))
 
 
+@behave.when("the link to {name:w} is lost, and its state arrives again")
+def lose_link(context: runner.Context, name: str) -> None:
+    context.cluster_directory.mark_lost(name, 0)
+    receive_state(context, name)
+
+
+@behave.when("the link to {name:w} is up again")
+def restore_link(context: runner.Context, name: str) -> None:
+    context.cluster_directory.mark_linked(name, 0)
+
+
+@behave.then("node {name:w} is not known")
+def check_unknown(context: runner.Context, name: str) -> None:
+    assert context.cluster_directory.find_state(name) is None
+
+
 @behave.when("a load of {load:d} arrives from its process")
 def receive_load(context: runner.Context, load: int) -> None:
     _receive_load(context, "n2-b", load)
