Recover the ownership of keys when the store comes back from a copy

* The adapter reads the era of each answer; an older one, or one that is no number, is discarded and logged once.
No field: era 0, and nothing else changes.
* A revision is its era and the store's number.
A write that expects a revision of another era isn't sent; one that is answered in a new era is in doubt.
Each transaction expects a row that is written once an era, so that late ones fail.
* Fences contain the era.
A range with a fence of an earlier era is unconfirmed.
* A node keeps what is left of its lease in local time, registers and reads again, and writes again what it has held throughout.
Without its lease it claims only what its server reports in a fresh heartbeat.
Views known before count more than the copy.
* The configuration is read anew.

--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -546,6 +546,31 @@
     STORE_CALLS_RESUMED = _define(
         3201, _INFO, "call", "The store responds to this node again."
     )
+    STORE_RESTORED = _define(
+        3210,
+        _WARNING,
+        "era previous_era previous_revision lease_left_ms is_continuous",
+        "The store has come back from a copy and has lost its last writes;"
+        " `previous_revision` is that of this node's assignment before."
+        " `is_continuous` is set if this node has held its lease throughout.",
+        "Nothing; STORE_RECOVERED follows. See docs/OPERATIONS.md.",
+    )
+    STORE_RECOVERED = _define(
+        3211,
+        _INFO,
+        "era took_ms was_continuous given_up_count",
+        "This node has registered after a restore of the store, and has written"
+        " again which keys its server holds. `given_up_count` keys of the"
+        " service have no owner known yet.",
+    )
+    STORE_ERA_REFUSED = _define(
+        3212,
+        _WARNING,
+        "error",
+        "A response of the store had no valid era, or one that is over; it was"
+        " discarded. Logged once for each value.",
+        "Check the store, and what answers at its address.",
+    )
     LEASE_RENEWED_FIRST = _define(
         3300,
         _INFO,
--- a/src/rhubarblead/keyspace/assignment.py
+++ b/src/rhubarblead/keyspace/assignment.py
@@ -101,11 +101,14 @@
             counts[item.owner] = counts.get(item.owner, 0) + item.key_count
         return counts
 
-    def apply(self, transfers: Iterable[Transfer]) -> "Assignment":
+    def apply(
+        self, transfers: Iterable[Transfer], *, lowest_fence: int = 0
+    ) -> "Assignment":
         """Returns the assignment that results from transfers.
 
         Args:
             transfers: Transfers of disjoint ranges; each gets the new fence.
+            lowest_fence: The new fence is above this one, too.
 
         Returns:
             The new assignment.
@@ -113,25 +116,39 @@
         Raises:
             ValueError: Two transfers overlap.
         """
-        fence = self.fence + 1
-        ranges: list[KeyRange] = []
-        ordered = sorted(transfers, key=_get_first)
-        position = 0
-        for transfer in ordered:
-            if transfer.first < position:
-                raise ValueError(
-                    f"overlapping transfers of key {transfer.first}"
-                )
-            _extend(ranges, self._clip(position, transfer.first - 1))
-            moved = KeyRange(
+        fence = max(self.fence, lowest_fence) + 1
+        moved = [
+            KeyRange(
                 first=transfer.first,
                 last=transfer.last,
                 owner=transfer.owner,
                 fence=fence,
                 handover=transfer.handover,
             )
-            _extend(ranges, [moved])
-            position = transfer.last + 1
+            for transfer in transfers
+        ]
+        return self.replace(moved, fence=fence)
+
+    def replace(
+        self, replacements: Iterable[KeyRange], *, fence: int
+    ) -> "Assignment":
+        """Returns the assignment in which ranges are replaced by others.
+
+        Args:
+            replacements: Disjoint ranges.
+            fence: The fence counter of the result.
+
+        Raises:
+            ValueError: Two of the ranges overlap.
+        """
+        ranges: list[KeyRange] = []
+        position = 0
+        for item in sorted(replacements, key=_get_first):
+            if item.first < position:
+                raise ValueError(f"overlapping transfers of key {item.first}")
+            _extend(ranges, self._clip(position, item.first - 1))
+            _extend(ranges, [item])
+            position = item.last + 1
         _extend(ranges, self._clip(position, KEY_COUNT - 1))
         return Assignment(fence=fence, ranges=tuple(ranges))
 
@@ -199,8 +216,8 @@
         raise CannotDecode(str(error)) from error
 
 
-def _get_first(transfer: Transfer) -> int:
-    return transfer.first
+def _get_first(item: KeyRange) -> int:
+    return item.first
 
 
 def _extend(ranges: list[KeyRange], items: list[KeyRange]) -> None:
--- a/src/rhubarblead/keyspace/lease.py
+++ b/src/rhubarblead/keyspace/lease.py
@@ -31,6 +31,10 @@
         self._sent_at_ms = 0
         self._store_ms: int | None = None
 
+    def reset(self) -> None:
+        """Forgets all responses, as the store's time may have changed."""
+        self._store_ms = None
+
     @property
     def is_known(self) -> bool:
         """Whether any response of the store was observed."""
@@ -66,14 +70,48 @@
     which the instance is suspended.
     """
 
-    __slots__ = ("_clock", "_minimum_end_ms", "_ends_store_ms", "_renew_at_ms")
+    __slots__ = (
+        "_clock",
+        "_ends_store_ms",
+        "_minimum_end_ms",
+        "_previous_era_end_ms",
+        "_renew_at_ms",
+    )
 
     def __init__(self, *, store_clock: StoreClock) -> None:
         self._clock = store_clock
+        self._previous_era_end_ms: int | None = None
         self._ends_store_ms: int | None = None
         self._renew_at_ms = 0
         self._minimum_end_ms = 0
 
+    def begin_era(self, now_ms: int) -> None:
+        """Keeps only what is left of the lease when the store was restored.
+
+        The store's time may have changed, so that the end is kept in local
+        time. Renewals count once `end_recovery` was called.
+        """
+        left_ms = self.find_remaining_ms(now_ms)
+        drift_ms = left_ms * DRIFT_PER_MILLE // 1_000 + 1
+        self._previous_era_end_ms = now_ms + max(0, left_ms - drift_ms)
+        self._ends_store_ms = None
+        self._minimum_end_ms = 0
+        self._renew_at_ms = 0
+        self._clock.reset()
+
+    def drop_previous_era(self) -> None:
+        """Gives up what is left of the lease of the era before."""
+        self._previous_era_end_ms = 0
+
+    def end_recovery(self) -> None:
+        """Makes the renewals since the last restore of the store count."""
+        self._previous_era_end_ms = None
+
+    @property
+    def is_recovering(self) -> bool:
+        """Whether renewals don't count yet, after a restore of the store."""
+        return self._previous_era_end_ms is not None
+
     def set_minimum_end(self, ends_store_ms: int) -> None:
         """Sets the lease end that an earlier process of this node has written.
 
@@ -127,6 +165,8 @@
 
     def find_remaining_ms(self, now_ms: int) -> int:
         """Returns the guaranteed remaining time, 0 once the lease has ended."""
+        if self._previous_era_end_ms is not None:
+            return max(0, self._previous_era_end_ms - now_ms)
         if self._ends_store_ms is None:
             return 0
         return max(0, self._ends_store_ms - self._clock.find_latest(now_ms))
--- a/src/rhubarblead/keyspace/members.py
+++ b/src/rhubarblead/keyspace/members.py
@@ -15,7 +15,8 @@
     process, 0 while no server is known. `granter` is the process that may take
     over the node's keys under short promises, and `term` counts how often this
     process has chosen a granter. `hold_ms` is the longest hold, counted from
-    the last heartbeat, that the process has granted to its server.
+    the last heartbeat, that the process has granted to its server. `era` is
+    the era of the store in which the record was written.
     """
 
     node_id: str
@@ -28,6 +29,7 @@
     granter: str = ""
     term: int = 0
     hold_ms: int = 0
+    era: int = 0
 
 
 def encode(member: Member) -> bytes:
--- a/src/rhubarblead/keyspace/planning.py
+++ b/src/rhubarblead/keyspace/planning.py
@@ -94,6 +94,28 @@
     ]
 
 
+def plan_return(
+    *,
+    current: assignment.Assignment,
+    ranges: Iterable[assignment.KeyRange],
+    candidates: list[Candidate],
+) -> list[assignment.Transfer]:
+    """Plans owners for ranges, their named ones where those are candidates."""
+    owners = {item.owner for item in candidates}
+    ranges = tuple(ranges)
+    kept = [
+        assignment.Transfer(first=item.first, last=item.last, owner=item.owner)
+        for item in ranges
+        if item.owner in owners
+    ]
+    lost = tuple(item for item in ranges if item.owner not in owners)
+    if not lost:
+        return kept
+    return kept + plan_redistribution(
+        current=current, ranges=lost, candidates=candidates
+    )
+
+
 def plan_redistribution(
     *,
     current: assignment.Assignment,
--- a/src/rhubarblead/platform/store.py
+++ b/src/rhubarblead/platform/store.py
@@ -2,12 +2,18 @@
 
 import base64
 import binascii
+from collections.abc import Iterable
 import dataclasses
 from typing import TypeAlias
 import urllib.parse
 
 import msgspec
 
+from rhubarblead.keyspace import revisions
+
+ERA_FIELD = b"store-era"
+"""Response field that counts how often the store came back from a copy."""
+
 TABLE = "rhubarblead"
 """The table that holds all rows of this system."""
 
@@ -58,9 +64,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Conflict:
-    """The transaction had no effect, because a row has another revision."""
+    """The transaction had no effect, because a row has another revision.
+
+    `now_ms` is the store's monotonic clock, 0 if it is unknown.
+    """
 
     rows: tuple[Row, ...]
+    now_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -96,6 +106,10 @@
 ReadOutcome: TypeAlias = Rows | HistoryGone | NotDone | InDoubt
 
 
+class CannotDecode(Exception):
+    """A response has no valid era."""
+
+
 class _Row(msgspec.Struct, rename="camel"):
     table: str
     key: str
@@ -120,7 +134,10 @@
     """Encodes an atomic change of rows of this system."""
     body = {
         "expect": [
-            {**_make_row_id(row.key), "revisionNumber": row.revision}
+            {
+                **_make_row_id(row.key),
+                "revisionNumber": revisions.find_number(row.revision),
+            }
             for row in expected
         ],
         "put": [
@@ -149,13 +166,34 @@
 
 def encode_feed(table: str, after_revision: int, wait_ms: int) -> Call:
     """Encodes a long poll for changes of a table."""
-    query = {"table": table, "after": after_revision, "waitMs": wait_ms}
+    query = {
+        "table": table,
+        "after": revisions.find_number(after_revision),
+        "waitMs": wait_ms,
+    }
     return Call(
         method="GET", target=f"/rows-feed?{urllib.parse.urlencode(query)}"
     )
 
 
-def decode_write(status: int, body: bytes) -> WriteOutcome:
+def read_era(fields: Iterable[tuple[bytes, bytes]]) -> int:
+    """Reads the era of the store from a response; 0 if it has none.
+
+    Raises:
+        CannotDecode: The era isn't a number.
+    """
+    value = dict(fields).get(ERA_FIELD, b"0").strip()
+    if not value.isdigit():
+        raise CannotDecode(f"the store's era is {value!r}")
+    return int(value)
+
+
+def encode_era(era: int) -> list[tuple[bytes, bytes]]:
+    """Encodes the fields of a response that was relayed by another node."""
+    return [(ERA_FIELD, b"%d" % era)] if era else []
+
+
+def decode_write(status: int, body: bytes, era: int = 0) -> WriteOutcome:
     """Decodes the response to a transaction."""
     if status in (429, 503):
         return NotDone(reason=f"status {status}")
@@ -165,14 +203,17 @@
         response = msgspec.json.decode(body, type=_Response)
         if status == 200:
             return Applied(
-                revision=response.revision_number, now_ms=response.now_ms
+                revision=revisions.make_revision(era, response.revision_number),
+                now_ms=response.now_ms,
             )
-        return Conflict(rows=_decode_rows(response.rows))
+        return Conflict(
+            rows=_decode_rows(response.rows, era), now_ms=response.now_ms
+        )
     except (msgspec.MsgspecError, binascii.Error) as error:
         return InDoubt(reason=f"malformed answer: {error}")
 
 
-def decode_read(status: int, body: bytes) -> ReadOutcome:
+def decode_read(status: int, body: bytes, era: int = 0) -> ReadOutcome:
     """Decodes the response to a read or to a long poll for changes."""
     if status == 410:
         return HistoryGone()
@@ -181,8 +222,8 @@
     try:
         response = msgspec.json.decode(body, type=_Response)
         return Rows(
-            rows=_decode_rows(response.rows),
-            revision=response.revision_number,
+            rows=_decode_rows(response.rows, era),
+            revision=revisions.make_revision(era, response.revision_number),
             now_ms=response.now_ms,
             has_more=response.has_more,
         )
@@ -194,13 +235,15 @@
     return {"table": TABLE, "part": "", "key": key}
 
 
-def _decode_rows(rows: list[_Row]) -> tuple[Row, ...]:
+def _decode_rows(rows: list[_Row], era: int) -> tuple[Row, ...]:
     return tuple(
         Row(
             table=row.table,
             key=row.key,
             value=base64.b64decode(row.value),
-            revision=row.revision_number,
+            revision=revisions.make_revision(era, row.revision_number)
+            if row.revision_number
+            else 0,
             is_removed=row.removed,
         )
         for row in rows
--- a/src/rhubarblead/router/assignment_repository.py
+++ b/src/rhubarblead/router/assignment_repository.py
@@ -5,6 +5,8 @@
 
 from rhubarblead.events import catalog
 from rhubarblead.keyspace import assignment
+from rhubarblead.keyspace import eras
+from rhubarblead.keyspace import revisions
 from rhubarblead.platform import store
 from rhubarblead.router import directory
 from rhubarblead.router import event_log
@@ -85,7 +87,9 @@
             return False
         transfers = write_batching.decode_transfers(change.transfers)
         self._adopt(
-            change.service, key_assignment.apply(transfers), change.revision
+            change.service,
+            _apply(key_assignment, transfers, change.revision),
+            change.revision,
         )
         return True
 
@@ -105,8 +109,27 @@
                 error=str(error),
             )
             return
+        era = revisions.find_era(revision)
+        known, known_revision = self._directory.get_assignment(service)
+        if era and known_revision:
+            key_assignment = eras.merge(known, key_assignment, era)
         self._adopt(service, key_assignment, revision)
 
+    def keep_without_row(self) -> None:
+        """Keeps the known assignment although the store has lost its row."""
+        key_assignment, revision = self.get()
+        if revision:
+            self._adopt(
+                self._service,
+                key_assignment,
+                revisions.make_revision(self._access.era, 0),
+            )
+
+    def list_unconfirmed(self) -> list[assignment.KeyRange]:
+        """Lists the ranges of the service with owners of an earlier era."""
+        era = self._access.era
+        return eras.list_unconfirmed(self.get()[0].ranges, era) if era else []
+
     def apply_rows(self, rows: Iterable[store.Row]) -> bool:
         """Applies the assignments among the given rows of the store.
 
@@ -143,7 +166,7 @@
             The outcome; an applied change is also in effect at this node.
         """
         key_assignment, revision = self.get()
-        changed = key_assignment.apply(transfers)
+        changed = _apply(key_assignment, transfers, revision)
         own_registration = self._registration
         key = store_access.make_assignment_key(self._service)
         own_key = store_access.make_member_key(own_registration.member.node_id)
@@ -180,6 +203,9 @@
             Whether there were any.
         """
         key_assignment, revision = self.get()
+        if revisions.find_era(revision) != self._access.era:
+            # Queued until this node has read the restored rows.
+            return False
         if not revision:
             self._batcher.refuse_all("no assignment is known here")
         requests = self._batcher.take_batch()
@@ -191,7 +217,7 @@
         transfers = [
             transfer for request in owned for transfer in request.transfers
         ]
-        changed = key_assignment.apply(transfers)
+        changed = _apply(key_assignment, transfers, revision)
         key = store_access.make_assignment_key(self._service)
         outcome = await self._access.write(
             "assign",
@@ -228,9 +254,13 @@
         A node that got no answer may have sent the same request again.
         """
         owned: dict[str, write_batching.Request] = {}
+        era = self._access.era
         for request in requests:
-            if request.node_id in owned or not _owns_all(
-                key_assignment, request
+            if (
+                request.node_id in owned
+                or revisions.find_era(request.row.revision) != era
+                or not _owns_all(key_assignment, request, era)
+                or _overlaps_any(request, owned.values())
             ):
                 request.reply(store.Conflict(rows=()), None)
             else:
@@ -287,12 +317,30 @@
             self._on_adopted(service)
 
 
+def _apply(
+    key_assignment: assignment.Assignment,
+    transfers: list[assignment.Transfer],
+    revision: int,
+) -> assignment.Assignment:
+    """Applies transfers with fences of the era of a revision."""
+    era = revisions.find_era(revision)
+    return key_assignment.apply(
+        transfers, lowest_fence=eras.find_lowest_fence(era)
+    )
+
+
 def _owns_all(
-    key_assignment: assignment.Assignment, request: write_batching.Request
+    key_assignment: assignment.Assignment,
+    request: write_batching.Request,
+    era: int,
 ) -> bool:
-    """Tells whether the node still owns all keys that it hands over."""
+    """Tells whether the node still owns all keys that it hands over.
+
+    Who owns an unconfirmed range is known to its owner only.
+    """
     return all(
         assignment.parse_node_id(item.owner) == request.node_id
+        or not eras.is_confirmed(item, era)
         for transfer in request.transfers
         for item in key_assignment.list_overlapping(
             transfer.first, transfer.last
@@ -300,6 +348,18 @@
     )
 
 
+def _overlaps_any(
+    request: write_batching.Request, others: Iterable[write_batching.Request]
+) -> bool:
+    """Tells whether two nodes hand over the same keys."""
+    return any(
+        one.first <= other.last and other.first <= one.last
+        for other_request in others
+        for other in other_request.transfers
+        for one in request.transfers
+    )
+
+
 def _describe(
     service: str,
     base_revision: int,
--- a/src/rhubarblead/router/config_feed.py
+++ b/src/rhubarblead/router/config_feed.py
@@ -5,6 +5,7 @@
 
 from rhubarblead import routing_table
 from rhubarblead.events import catalog
+from rhubarblead.keyspace import revisions
 from rhubarblead.platform import configuration
 from rhubarblead.platform import store
 from rhubarblead.router import event_log
@@ -96,6 +97,10 @@
                 for row in outcome.rows:
                     if row.key == configuration.KEY and not row.is_removed:
                         self.apply(row.value, "store")
+                if self._is_restored(outcome.revision):
+                    # Changes since the copy was taken may be missing.
+                    self._revision = None
+                    return 0.0
                 self._revision = max(self._revision or 0, outcome.revision)
                 return POLL_INTERVAL_S if outcome.rows else 0.0
             case store.HistoryGone():
@@ -109,3 +114,9 @@
                     reason=outcome.reason,
                 )
                 return RETRY_DELAY_S
+
+    def _is_restored(self, revision: int) -> bool:
+        """Tells whether the store was restored since the last revision."""
+        return self._revision is not None and not revisions.is_same_era(
+            revision, self._revision
+        )
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -97,7 +97,7 @@
         self._state = _make_state(deployment)
         self._directory = directory.Directory(own_state=self._state)
         self._store = store_client.StoreClient(
-            address=deployment.store, now_ms=read_now_ms
+            address=deployment.store, events=self._events, now_ms=read_now_ms
         )
         transfer_queue = transfers.TransferQueue(
             link_bytes_per_ms=deployment.link_bytes_per_ms
--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -9,6 +9,7 @@
 
 from rhubarblead.events import catalog
 from rhubarblead.keyspace import assignment
+from rhubarblead.keyspace import eras
 from rhubarblead.keyspace import holdings
 from rhubarblead.keyspace import members
 from rhubarblead.keyspace import planning
@@ -16,6 +17,7 @@
 from rhubarblead.platform import store
 from rhubarblead.router import assignment_repository
 from rhubarblead.router import directory
+from rhubarblead.router import era_recovery
 from rhubarblead.router import event_log
 from rhubarblead.router import peers
 from rhubarblead.router import promise_exchange
@@ -76,6 +78,7 @@
         "_max_hold_ms",
         "_now_ms",
         "_on_change",
+        "_recovery",
         "_registration",
         "_rebalance_at_ms",
         "_started_at_ms",
@@ -153,12 +156,20 @@
             broadcast=links.broadcast,
             on_adopted=self._handle_adopted,
         )
+        self._recovery = era_recovery.EraRecovery(
+            access=self._access,
+            assignments=self._assignments,
+            own_registration=self._registration,
+            events=events,
+            now_ms=now_ms,
+        )
         self._takeover = takeover.Takeover(
             cluster_directory=cluster_directory,
             access=self._access,
             assignments=self._assignments,
             own_registration=self._registration,
             promise_exchange=promise_exchange,
+            recovery=self._recovery,
             now_ms=now_ms,
         )
         self._started_at_ms = now_ms()
@@ -236,9 +247,11 @@
         server.last_heartbeat_at_ms = now_ms
         server.is_silent = False
         server.is_leaving = server.is_leaving or heartbeat.is_draining
+        held = [(g.first, g.last, g.fence) for g in heartbeat.held or ()]
+        self._recovery.record_heartbeat([(h[0], h[1]) for h in held])
         self._holdings.record_heartbeat(
             sequence=heartbeat.sequence,
-            held=[(g.first, g.last, g.fence) for g in heartbeat.held or ()],
+            held=held,
             freed=[(f.first, f.last, f.handover) for f in heartbeat.freed],
             now_ms=now_ms,
         )
@@ -308,6 +321,8 @@
 
     async def step(self) -> None:
         """Does the most urgent action."""
+        if self._access.has_new_era:
+            self._begin_era()
         if self._access.is_backing_off or self._directory.table is None:
             self._batcher.refuse_all("the store is out of reach")
             return
@@ -324,9 +339,34 @@
             # Must be read after writing the own row: of two nodes that start
             # together, the later writer sees the other, and connects to it.
             await self._load()
+        elif self._registration.is_recovering:
+            await self._recover()
         elif self._registration.is_registered:
             await self._maintain_ownership()
 
+    def _begin_era(self) -> None:
+        """Begins to recover after the store came back from a copy."""
+        self._recovery.begin(has_released=bool(self._holdings.list_released()))
+        self._is_loaded = False
+        if not self._recovery.is_continuous:
+            self._holdings.cancel_releases()
+        self._update_holdings()
+
+    async def _recover(self) -> None:
+        """Writes again which keys the server holds."""
+        server = self.server
+        own_owner = ""
+        if server is not None and server.may_hold:
+            own_owner = self._make_owner_name(server)
+        claims = self._recovery.find_claims(self._state.node_id, own_owner)
+        if claims is None:
+            return
+        if claims and self._is_keyed():
+            await self._write_transfers(claims, "the store was restored")
+            return
+        self._recovery.end()
+        self._update_holdings()
+
     async def _maintain_ownership(self) -> None:
         self._check_server()
         if not self._is_keyed() or self._registration.find_lease_ms() <= 0:
@@ -376,14 +416,18 @@
         found = await self._access.read("load")
         if found is None:
             return
-        self._assignments.apply_rows(found.rows)
+        if not self._assignments.apply_rows(found.rows):
+            self._assignments.keep_without_row()
         self._is_loaded = True
         self._is_assignment_stale = False
         for row in found.rows:
             if not row.key.startswith(store_access.MEMBER_PREFIX):
                 continue
             member = self._access.decode_member(row)
-            if member is not None and member.node_id != self._state.node_id:
+            if member is None:
+                continue
+            self._recovery.record_earlier_row(member.era)
+            if member.node_id != self._state.node_id:
                 self._connect(member.node_id, member.address)
 
     async def _write_transfers(
@@ -476,9 +520,9 @@
         """Updates the holdings of the server to the newest assignment."""
         if self.server is None:
             return
-        key_assignment, _ = self._assignments.get()
+        own_owner = self._make_owner_name(self.server)
         self._holdings.update_owned(
-            key_assignment.list_owned(self._make_owner_name(self.server))
+            item for item in self._list_owned() if item.owner == own_owner
         )
 
     def _make_owner_name(self, server: ServerState) -> str:
@@ -513,8 +557,13 @@
     # Planning.
 
     def _list_owned(self) -> tuple[assignment.KeyRange, ...]:
+        """Lists the ranges that this node may use, hand over or confirm."""
         key_assignment, _ = self._assignments.get()
-        return key_assignment.list_owned_by_node(self._state.node_id)
+        owned = key_assignment.list_owned_by_node(self._state.node_id)
+        era = self._access.era
+        if not era or self._recovery.is_continuous:
+            return owned
+        return tuple(item for item in owned if eras.is_confirmed(item, era))
 
     def _list_candidates(self) -> list[planning.Candidate]:
         return self._directory.list_candidates(
@@ -582,7 +631,14 @@
         key_assignment, revision = self._assignments.get()
         unowned = key_assignment.list_owned(assignment.NO_OWNER)
         candidates = self._list_candidates()
-        if not unowned or not candidates or self._takeover.find_rank():
+        if not candidates or self._takeover.find_rank():
+            return [], ""
+        if free := self._recovery.list_free():
+            transfers = planning.plan_return(
+                current=key_assignment, ranges=free, candidates=candidates
+            )
+            return transfers, "leases of the era before have ended"
+        if not unowned:
             return [], ""
         if revision:
             transfers = planning.plan_redistribution(
@@ -591,6 +647,8 @@
             return transfers, "unowned keys"
         if self._now_ms() - self._started_at_ms < FIRST_PLAN_DELAY_MS:
             return [], ""
+        if not self._recovery.may_assign_all():
+            return [], ""
         return planning.plan_initial(candidates), "initial assignment"
 
     def _rebalance(self) -> None:
--- a/src/rhubarblead/router/registration.py
+++ b/src/rhubarblead/router/registration.py
@@ -92,6 +92,26 @@
             self.find_lease_ms(), self._now_ms()
         )
 
+    def begin_era(self) -> None:
+        """Makes this node register again, as the store was restored."""
+        self._lease.begin_era(self._now_ms())
+        self.revision = 0
+        self.is_registered = False
+        self.is_in_doubt = False
+
+    def drop_lease(self) -> None:
+        """Gives up what is left of an earlier era's lease."""
+        self._lease.drop_previous_era()
+
+    def end_recovery(self) -> None:
+        """Makes the lease of the present era count."""
+        self._lease.end_recovery()
+
+    @property
+    def is_recovering(self) -> bool:
+        """Whether only what is left of an earlier era's lease counts."""
+        return self._lease.is_recovering
+
     def check_row(self, rows: tuple[store.Row, ...]) -> None:
         """Makes the next write due if the rows show another own revision."""
         key = store_access.make_member_key(self.member.node_id)
@@ -152,6 +172,7 @@
             ends_store_ms=ends_ms,
             born_ms=born_ms,
             hold_ms=hold_ms,
+            era=self._access.era,
         )
         if is_keyed and is_loaded:
             member = self._choose_granter(member)
@@ -211,7 +232,8 @@
         present = self._access.decode_member(row) if row is not None else None
         self.revision = row.revision if row is not None else 0
         if present is not None:
-            self._lease.set_minimum_end(present.ends_store_ms)
+            if present.era == self._access.era:
+                self._lease.set_minimum_end(present.ends_store_ms)
             if present.incarnation == self.member.incarnation:
                 # A write of this process took effect; its response was lost.
                 return True
--- a/src/rhubarblead/router/relay.py
+++ b/src/rhubarblead/router/relay.py
@@ -137,6 +137,7 @@
                     status=result.status,
                     is_sent=True,
                     body=result.body,
+                    era=store.read_era(result.fields),
                 )
             case _:
                 store_reply = wire.StoreReply(
@@ -151,7 +152,10 @@
 def _decode(reply: wire.StoreReply) -> http_client.Result:
     if reply.status:
         return http_client.Response(
-            status=reply.status, reason=b"", fields=[], body=reply.body
+            status=reply.status,
+            reason=b"",
+            fields=store.encode_era(reply.era),
+            body=reply.body,
         )
     return http_client.NoResponse(
         failure=http_client.Failure.CLOSED, is_sent=reply.is_sent
--- a/src/rhubarblead/router/store_access.py
+++ b/src/rhubarblead/router/store_access.py
@@ -1,4 +1,10 @@
-"""Store access of the ownership task: clock, failures and back-off."""
+"""Store access of the ownership task: clock, eras, failures and back-off.
+
+In a store that counts its eras, each transaction expects a row that is written
+once in each era, and that removes those of earlier ones. So a transaction of an
+earlier era that arrives late has no effect, even if the revisions of all other
+rows that it expects were given out again.
+"""
 
 from collections.abc import Callable
 
@@ -11,6 +17,7 @@
 
 MEMBER_PREFIX = "m/"
 ASSIGNMENT_PREFIX = "a/"
+ERA_PREFIX = "e/"
 
 RETRY_DELAY_MS = 500
 """Pause after a failed call to the store."""
@@ -21,11 +28,13 @@
 
     __slots__ = (
         "_client",
+        "_era_revision",
         "_events",
         "_has_failed",
         "_now_ms",
         "_retry_at_ms",
         "clock",
+        "era",
     )
 
     def __init__(
@@ -40,7 +49,22 @@
         self._now_ms = now_ms
         self._has_failed = False
         self._retry_at_ms = 0
+        self._era_revision = 0
         self.clock = lease.StoreClock()
+        # The era that the ownership task has adapted to.
+        self.era = 0
+
+    @property
+    def has_new_era(self) -> bool:
+        """Whether the store has begun an era that `era` doesn't show yet."""
+        return (self._client.era or 0) != self.era
+
+    def begin_era(self) -> None:
+        """Adapts to the era of the store; earlier revisions are void."""
+        self.era = self._client.era or 0
+        self._era_revision = 0
+        self._retry_at_ms = 0
+        self.clock.reset()
 
     @property
     def is_backing_off(self) -> bool:
@@ -67,7 +91,10 @@
             self._fail(purpose, outcome)
             return None
         self._succeed(purpose)
+        if self.has_new_era:
+            return None
         self.clock.observe(sent_at_ms=sent_at_ms, store_ms=outcome.now_ms)
+        self._find_era_row(outcome.rows)
         return outcome
 
     async def write(
@@ -90,6 +117,16 @@
             What became of the transaction.
         """
         sent_at_ms = self._now_ms()
+        if self.era:
+            key = _make_era_key(self.era)
+            expected = (
+                *expected,
+                store.Expected(key=key, revision=self._era_revision),
+            )
+            if not self._era_revision:
+                puts = (*puts, store.Put(key=key, value=b""))
+                earlier = map(_make_era_key, range(1, self.era))
+                removed_keys = (*removed_keys, *earlier)
         outcome = await self._client.write(
             expected=expected, puts=puts, removed_keys=removed_keys
         )
@@ -99,12 +136,25 @@
                 self.clock.observe(
                     sent_at_ms=sent_at_ms, store_ms=outcome.now_ms
                 )
-            case store.Conflict():
+                self._era_revision = self._era_revision or outcome.revision
+            case store.Conflict(rows=rows, now_ms=store_ms):
                 self._succeed(purpose)
+                self._find_era_row(rows)
+                if store_ms:
+                    self.clock.observe(sent_at_ms=sent_at_ms, store_ms=store_ms)
             case _:
                 self._fail(purpose, outcome)
         return outcome
 
+    def _find_era_row(self, rows: tuple[store.Row, ...]) -> None:
+        """Records the revision of the row that marks the present era."""
+        if not self.era:
+            return
+        key = _make_era_key(self.era)
+        self._era_revision = next(
+            (row.revision for row in rows if row.key == key), 0
+        )
+
     def decode_member(self, row: store.Row) -> members.Member | None:
         """Decodes a node's row.
 
@@ -137,6 +187,10 @@
             self._events.emit(catalog.Event.STORE_CALLS_RESUMED, call=purpose)
 
 
+def _make_era_key(era: int) -> str:
+    return f"{ERA_PREFIX}{era}"
+
+
 def make_member_key(node_id: str) -> str:
     """Makes the key of a node's row."""
     return MEMBER_PREFIX + node_id
--- a/src/rhubarblead/router/store_client.py
+++ b/src/rhubarblead/router/store_client.py
@@ -5,8 +5,11 @@
 from collections.abc import Callable
 from typing import TypeAlias
 
+from rhubarblead.events import catalog
+from rhubarblead.keyspace import revisions
 from rhubarblead.platform import settings
 from rhubarblead.platform import store
+from rhubarblead.router import event_log
 from rhubarblead.router import http_client
 
 WRITE_TIMEOUT_S = 0.7
@@ -27,19 +30,39 @@
 
 
 class StoreClient:
-    """The process's only client for the platform's store."""
+    """The process's only client for the platform's store.
 
-    __slots__ = ("_failed_at_ms", "_host", "_now_ms", "_pool", "relay")
+    `era` is the highest era of any response, None before the first one.
+    """
+
+    __slots__ = (
+        "_events",
+        "_failed_at_ms",
+        "_host",
+        "_now_ms",
+        "_pool",
+        "_refused_eras",
+        "era",
+        "relay",
+    )
 
     def __init__(
-        self, *, address: settings.Address, now_ms: Callable[[], int]
+        self,
+        *,
+        address: settings.Address,
+        events: event_log.EventLog,
+        now_ms: Callable[[], int],
     ) -> None:
         """Initializes the client without connecting.
 
         Args:
             address: The store's address.
+            events: The event log.
             now_ms: Returns the current time in milliseconds.
         """
+        self._events = events
+        self._refused_eras: set[str] = set()
+        self.era: int | None = None
         self._host = str(address).encode()
         self._now_ms = now_ms
         self._failed_at_ms: int | None = None
@@ -66,13 +89,21 @@
         Returns:
             What became of the transaction.
         """
+        era = self.era
+        if not are_current(expected, era):
+            return store.NotDone(reason="a revision of another era")
         call = store.encode_transaction(
             expected=expected, puts=puts, removed_keys=removed_keys
         )
         result = await self._call(call, WRITE_TIMEOUT_S)
         match result:
+            case http_client.Response() if era not in (None, self.era):
+                # The revisions that it expected may be those of other rows.
+                return store.InDoubt(reason="the store was restored")
             case http_client.Response():
-                return store.decode_write(result.status, result.body)
+                return store.decode_write(
+                    result.status, result.body, self.era or 0
+                )
             case http_client.NoResponse(is_sent=True):
                 return store.InDoubt(reason=result.failure.value)
             case _:
@@ -87,6 +118,10 @@
             outcome = self._decode(await self._call(call, READ_TIMEOUT_S))
             if not isinstance(outcome, store.Rows):
                 return outcome
+            if rows and not revisions.is_same_era(
+                rows[0].revision, outcome.revision
+            ):
+                return store.InDoubt(reason="the store was restored")
             rows.extend(outcome.rows)
             if not outcome.has_more or not outcome.rows:
                 return store.Rows(
@@ -121,7 +156,9 @@
     def _decode(self, result: http_client.Result) -> store.ReadOutcome:
         match result:
             case http_client.Response():
-                return store.decode_read(result.status, result.body)
+                return store.decode_read(
+                    result.status, result.body, store.read_era(result.fields)
+                )
             case _:
                 return store.InDoubt(reason=result.failure.value)
 
@@ -138,7 +175,7 @@
             if is_direct:
                 result = await self._call_directly(call, timeout_s)
             elif self.relay is not None:
-                result = await self.relay(call)
+                result = self._check_era(await self.relay(call))
             else:
                 continue
             if _is_answered(result):
@@ -162,13 +199,35 @@
     async def _call_directly(
         self, call: store.Call, timeout_s: float
     ) -> http_client.Result:
-        result = await self._exchange(call, timeout_s)
+        result = self._check_era(await self._exchange(call, timeout_s))
         if _is_answered(result):
             self._failed_at_ms = None
         else:
             self._failed_at_ms = self._now_ms()
         return result
 
+    def _check_era(self, result: http_client.Result) -> http_client.Result:
+        """Records the era of a response, and discards one that is outdated."""
+        if not isinstance(result, http_client.Response):
+            return result
+        error = ""
+        try:
+            era = store.read_era(result.fields)
+            if self.era is None or era >= self.era:
+                self.era = era
+            else:
+                error = f"era {era} after {self.era}"
+        except store.CannotDecode as reason:
+            error = str(reason)
+        if not error:
+            return result
+        if error not in self._refused_eras:
+            self._refused_eras.add(error)
+            self._events.emit(catalog.Event.STORE_ERA_REFUSED, error=error)
+        return http_client.NoResponse(
+            failure=http_client.Failure.MALFORMED, is_sent=True
+        )
+
     async def _exchange(
         self, call: store.Call, timeout_s: float
     ) -> http_client.Result:
@@ -213,6 +272,15 @@
             )
 
 
+def are_current(expected: tuple[store.Expected, ...], era: int | None) -> bool:
+    """Returns whether all revisions are of an era, or of absent rows."""
+    return era is None or all(
+        not revisions.find_number(row.revision)
+        or revisions.find_era(row.revision) == era
+        for row in expected
+    )
+
+
 def _is_answered(result: http_client.Result) -> bool:
     """Returns whether the store has processed a call."""
     match result:
--- a/src/rhubarblead/router/takeover.py
+++ b/src/rhubarblead/router/takeover.py
@@ -4,12 +4,15 @@
 import dataclasses
 
 from rhubarblead.keyspace import assignment
+from rhubarblead.keyspace import eras
 from rhubarblead.keyspace import lease
 from rhubarblead.keyspace import planning
 from rhubarblead.keyspace import promises
+from rhubarblead.keyspace import revisions
 from rhubarblead.platform import store
 from rhubarblead.router import assignment_repository
 from rhubarblead.router import directory
+from rhubarblead.router import era_recovery
 from rhubarblead.router import promise_exchange
 from rhubarblead.router import registration
 from rhubarblead.router import store_access
@@ -44,6 +47,7 @@
         "_lapsed_revisions",
         "_now_ms",
         "_promise_exchange",
+        "_recovery",
         "_registration",
         "_service",
     )
@@ -56,6 +60,7 @@
         assignments: assignment_repository.AssignmentRepository,
         own_registration: registration.Registration,
         promise_exchange: promise_exchange.PromiseExchange,
+        recovery: era_recovery.EraRecovery,
         now_ms: Callable[[], int],
     ) -> None:
         """Initializes the takeover with no lost node.
@@ -66,8 +71,10 @@
             assignments: Reads and writes the assignment.
             own_registration: The registration of this node.
             promise_exchange: Knows the nodes to which this one gives promises.
+            recovery: Knows which keys have a known owner after a restore.
             now_ms: The clock.
         """
+        self._recovery = recovery
         self._directory = cluster_directory
         self._access = access
         self._assignments = assignments
@@ -109,8 +116,8 @@
         if not lapsed:
             return False
         node_id, revision = lapsed[0]
-        key_assignment, _ = self._assignments.get()
-        if not key_assignment.list_owned_by_node(node_id):
+        is_current = revisions.find_era(revision) == self._access.era
+        if not is_current or not self._list_owned(node_id):
             granter.end_term(node_id)
             return True
         revision = self._lapsed_revisions.get(node_id, revision)
@@ -156,6 +163,10 @@
         key = store_access.make_member_key(node_id)
         row = next((row for row in found.rows if row.key == key), None)
         member = self._access.decode_member(row) if row is not None else None
+        if member is not None and member.era != self._access.era:
+            # Its end is of another era, whose keys `EraRecovery` reassigns.
+            absence.lookup_at_ms = self._now_ms() + RANK_DELAY_MS
+            return
         ends_ms = member.ends_store_ms if member is not None else 0
         if not lease.is_expired(ends_store_ms=ends_ms, store_ms=found.now_ms):
             wait_ms = ends_ms - found.now_ms + lease.TAKEOVER_MARGIN_MS
@@ -174,7 +185,7 @@
             )
             if assignment.parse_node_id(item.owner) != node_id
         ]
-        ranges = key_assignment.list_owned_by_node(node_id)
+        ranges = self._list_owned(node_id)
         if not candidates or not ranges:
             return
         transfers = planning.plan_redistribution(
@@ -197,6 +208,15 @@
             case _:
                 pass
 
+    def _list_owned(self, node_id: str) -> tuple[assignment.KeyRange, ...]:
+        """Lists the ranges of a node whose owner is confirmed."""
+        key_assignment, _ = self._assignments.get()
+        return tuple(
+            item
+            for item in key_assignment.list_owned_by_node(node_id)
+            if eras.is_confirmed(item, self._access.era)
+        )
+
     def _check_lapsed_row(
         self, node_id: str, rows: tuple[store.Row, ...]
     ) -> None:
--- a/src/rhubarblead/router/wire.py
+++ b/src/rhubarblead/router/wire.py
@@ -279,12 +279,16 @@
 
 
 class StoreReply(msgspec.Struct, tag=14, array_like=True, kw_only=True):
-    """The result of a store call; `status` is 0 if there was no answer."""
+    """The result of a store call; `status` is 0 if there was no answer.
+
+    `era` counts how often the store came back from a copy.
+    """
 
     number: int
     status: int
     is_sent: bool
     body: bytes
+    era: int = 0
 
 
 class WriteResult(enum.IntEnum):
--- a/tests/rhubarblead/router/ownership.feature
+++ b/tests/rhubarblead/router/ownership.feature
@@ -123,6 +123,13 @@
       | count | seed |
       | 8     | 3    |
 
+  Scenario Outline: Random failures with restores of the store never cause two holders
+    Then <count> random fault schedules with restores and seed <seed> keep all invariants
+
+    Examples:
+      | count | seed |
+      | 8     | 5    |
+
   Scenario Outline: Ownership continues when the store comes back from a copy
     Given a settled simulated cluster of 6 nodes
     When a copy of the store is taken
--- a/tests/rhubarblead/router/simulated_cluster.py
+++ b/tests/rhubarblead/router/simulated_cluster.py
@@ -14,11 +14,13 @@
 from rhubarblead import routing_table
 from rhubarblead.keyspace import assignment
 from rhubarblead.keyspace import members
+from rhubarblead.keyspace import revisions
 from rhubarblead.platform import heartbeats
 from rhubarblead.platform import store
 from rhubarblead.router import directory
 from rhubarblead.router import ownership
 from rhubarblead.router import promise_exchange
+from rhubarblead.router import store_client
 from rhubarblead.router import wire
 from tools.standins import held_keys
 
@@ -72,6 +74,8 @@
         self.random = random.Random(seed)
         self.rows: dict[str, tuple[bytes, int]] = {}
         self.revision = 10
+        self.era = 0
+        self.clock_shift_ms = 0
         self._copy: tuple[dict[str, tuple[bytes, int]], int] = ({}, 0)
         self.is_store_up = True
         self.write_count = 0
@@ -94,7 +98,8 @@
     ) -> bool:
         """Applies a transaction of the store, all or nothing."""
         for row in expected:
-            if self.rows.get(row.key, (b"", 0))[1] != row.revision:
+            number = revisions.find_number(row.revision)
+            if self.rows.get(row.key, (b"", 0))[1] != number:
                 return False
         self.revision += 1
         for put in puts:
@@ -114,6 +119,15 @@
         """
         rows, self.revision = self._copy
         self.rows = dict(rows)
+        self.era += 1
+
+    def make_revision(self, number: int) -> int:
+        """Makes a revision of the present era; 0 for an absent row."""
+        return revisions.make_revision(self.era, number) if number else 0
+
+    def read_store_clock_ms(self) -> int:
+        """Reads the store's clock, which a restore may change."""
+        return self.now_ms + self.clock_shift_ms
 
     def close(self) -> None:
         """Stops all nodes and closes the event loop."""
@@ -178,6 +192,7 @@
     def __init__(self, node: "Node") -> None:
         self._node = node
         self._cluster = node.cluster
+        self.era: int | None = None
 
     @property
     def is_working(self) -> bool:
@@ -198,6 +213,8 @@
         cluster = self._cluster
         if not cluster.is_store_up or not self._node.has_store:
             return store.NotDone(reason="status 503")
+        if not store_client.are_current(expected, self.era):
+            return store.NotDone(reason="a revision of another era")
         if cluster.random.random() < cluster.in_doubt_share:
             delay_ms = cluster.random.choice([0, 0, 1_500, 5_000])
             cluster.delayed_writes.append(
@@ -209,12 +226,19 @@
             )
             return store.InDoubt(reason="no answer")
         cluster.write_count += 1
-        if cluster.apply(expected, puts, removed_keys):
+        is_applied = cluster.apply(expected, puts, removed_keys)
+        cluster.conflict_count += not is_applied
+        era, self.era = self.era, cluster.era
+        if era not in (None, cluster.era):
+            return store.InDoubt(reason="the store was restored")
+        now_ms = cluster.read_store_clock_ms()
+        if is_applied:
             return store.Applied(
-                revision=cluster.revision, now_ms=cluster.now_ms
+                revision=cluster.make_revision(cluster.revision), now_ms=now_ms
             )
-        cluster.conflict_count += 1
-        return store.Conflict(rows=self._list({row.key for row in expected}))
+        return store.Conflict(
+            rows=self._list({row.key for row in expected}), now_ms=now_ms
+        )
 
     async def read(self, table: str) -> store.ReadOutcome:
         """Reads all rows."""
@@ -222,10 +246,11 @@
         cluster = self._cluster
         if not cluster.is_store_up or not self._node.has_store:
             return store.NotDone(reason="status 503")
+        self.era = cluster.era
         return store.Rows(
             rows=self._list(set(cluster.rows)),
-            revision=cluster.revision,
-            now_ms=cluster.now_ms,
+            revision=cluster.make_revision(cluster.revision),
+            now_ms=cluster.read_store_clock_ms(),
             has_more=False,
         )
 
@@ -235,7 +260,9 @@
                 table=store.TABLE,
                 key=key,
                 value=self._cluster.rows.get(key, (b"", 0))[0],
-                revision=self._cluster.rows.get(key, (b"", 0))[1],
+                revision=self._cluster.make_revision(
+                    self._cluster.rows.get(key, (b"", 0))[1]
+                ),
             )
             for key in sorted(keys)
         )
--- a/tests/steps/router_ownership.py
+++ b/tests/steps/router_ownership.py
@@ -295,14 +295,31 @@
         _check_fault_schedule(seed * 1_000 + number, has_drains=True)
 
 
-def _check_fault_schedule(seed: int, *, has_drains: bool = False) -> None:
+@behave.then(
+    "{count:d} random fault schedules with restores and seed {seed:d} keep all"
+    " invariants"
+)
+def check_restore_schedules(
+    context: runner.Context, count: int, seed: int
+) -> None:
+    del context
+    for number in range(count):
+        _check_fault_schedule(seed * 1_000 + number, has_restores=True)
+
+
+def _check_fault_schedule(
+    seed: int, *, has_drains: bool = False, has_restores: bool = False
+) -> None:
     """Injects random faults; all keys must be held again after their end."""
     rng = random.Random(seed)
     cluster = simulated_cluster.SimulatedCluster(node_count=5, seed=seed)
     cluster.run(_SETTLE_MS)
+    cluster.copy_store()
     for _ in range(14):
         if has_drains and rng.random() < _DRAIN_PROBABILITY:
             _drain(rng.choice(sorted(cluster.nodes.values(), key=_get_name)))
+        if has_restores:
+            _copy_or_restore(cluster, rng)
         _inject_fault(cluster, rng)
         cluster.run(rng.choice([100, 300, 900, 2_500]))
         assert not cluster.violations, (seed, cluster.violations[:3])
@@ -327,6 +344,24 @@
     cluster.close()
 
 
+def _copy_or_restore(
+    cluster: simulated_cluster.SimulatedCluster, rng: random.Random
+) -> None:
+    """Takes a copy of the store, or puts the last one in its place."""
+    match rng.randrange(5):
+        case 0 | 1:
+            cluster.copy_store()
+        case 2 | 3:
+            was_up = cluster.is_store_up
+            cluster.is_store_up = False
+            cluster.run(rng.choice([50, 400, 1_500]))
+            cluster.restore_store()
+            cluster.clock_shift_ms += rng.choice([0, 0, -4_000, 6_000])
+            cluster.is_store_up = was_up
+        case _:
+            pass
+
+
 def _get_name(node: simulated_cluster.Node) -> str:
     return node.node_id
 
