--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -4,7 +4,9 @@
 ports serve all services. `PUT /-/mode` injects a fault, `PUT /-/budget` changes
 the request budget, `PUT /-/operator/NAME` writes a row as the operator does,
 `POST /-/forget` drops the history of changes, `POST /-/deliver` applies delayed
-transactions, and `GET /-/counts` reads the counters.
+transactions, `POST /-/copy` takes a copy of the rows, `POST /-/restore` puts it
+in their place, `PUT /-/era` sets the era, and `GET /-/counts` reads the
+counters.
 """
 
 import argparse
@@ -46,11 +48,11 @@
 
     __slots__ = ("_conditions", "_delayed", "_objects", "_rows", "_tables")
 
-    def __init__(self, *, budget: conditions.Budget) -> None:
+    def __init__(self, *, budget: conditions.Budget, era: str) -> None:
         self._conditions = conditions.Conditions(budget=budget)
         self._tables = table_service.TableService()
         self._objects = table_service.ObjectStore()
-        self._rows = row_calls.RowCalls()
+        self._rows = row_calls.RowCalls(era=era)
         self._delayed: list[exchange.Request] = []
 
     def __call__(
@@ -60,15 +62,16 @@
         request = _read_request(environ)
         if request.path.startswith("/-/"):
             return _respond(self._serve_control(request), start_response)
+        era = self._rows.era if row_calls.is_row_call(request) else ""
         mode = self._conditions.consume_mode(request)
         if mode.mode == "down":
             _drop_connection(environ)
         if not self._conditions.consume_budget(request):
             reply = exchange.Reply(status=http.HTTPStatus.TOO_MANY_REQUESTS)
-            return _respond(reply, start_response)
+            return _respond(reply, start_response, era)
         if mode.mode == "refusing":
             reply = exchange.Reply(status=http.HTTPStatus.SERVICE_UNAVAILABLE)
-            return _respond(reply, start_response)
+            return _respond(reply, start_response, era)
         if mode.mode == "late":
             self._serve_later(request, mode.delay_ms)
             _drop_connection(environ)
@@ -78,7 +81,9 @@
         self._conditions.count(request, reply)
         if mode.mode == "answer-lost":
             _drop_connection(environ)
-        return _respond(reply, start_response)
+        if row_calls.is_row_call(request):
+            era = self._rows.era
+        return _respond(reply, start_response, era)
 
     def _serve_later(self, request: exchange.Request, delay_ms: int) -> None:
         if not delay_ms:
@@ -132,9 +137,6 @@
                     for delayed_request in delayed:
                         self._serve(delayed_request)
                     return exchange.Reply(status=http.HTTPStatus.NO_CONTENT)
-                case "POST", "/-/forget":
-                    self._rows.drop_history()
-                    return exchange.Reply(status=http.HTTPStatus.NO_CONTENT)
                 case "GET", "/-/counts":
                     return exchange.Reply(
                         status=http.HTTPStatus.OK,
@@ -144,7 +146,21 @@
             return exchange.Reply(
                 status=http.HTTPStatus.BAD_REQUEST, body=str(error).encode()
             )
-        return exchange.Reply(status=http.HTTPStatus.NOT_FOUND)
+        return self._control_rows(request)
+
+    def _control_rows(self, request: exchange.Request) -> exchange.Reply:
+        match request.method, request.path:
+            case "POST", "/-/copy":
+                self._rows.take_copy()
+            case "POST", "/-/restore":
+                self._rows.restore()
+            case "PUT", "/-/era":
+                self._rows.era = request.body.decode()
+            case "POST", "/-/forget":
+                self._rows.drop_history()
+            case _:
+                return exchange.Reply(status=http.HTTPStatus.NOT_FOUND)
+        return exchange.Reply(status=http.HTTPStatus.NO_CONTENT)
 
 
 class StandIn:
@@ -158,6 +174,7 @@
         port: int = 0,
         object_port: int | None = None,
         budget: conditions.Budget | None = None,
+        era: str = "",
     ) -> None:
         """Binds the ports.
 
@@ -165,11 +182,12 @@
             port: The port to listen on; 0 picks a free one.
             object_port: A second port, or None for a single port.
             budget: Requests per second that are accepted.
+            era: The store's era in its replies, empty for none.
         """
         ports = [port] if object_port is None else [port, object_port]
         self._map: dict[int, Any] = {}
         self._server = waitress.create_server(
-            Services(budget=budget or conditions.Budget()),
+            Services(budget=budget or conditions.Budget(), era=era),
             listen=" ".join(f"127.0.0.1:{number}" for number in ports),
             map=self._map,
             threads=_THREADS,
@@ -221,9 +239,11 @@
 
 
 def _respond(
-    reply: exchange.Reply, start_response: _StartResponse
+    reply: exchange.Reply, start_response: _StartResponse, era: str = ""
 ) -> Iterable[bytes]:
     headers = [("Content-Length", str(len(reply.body)))]
+    if era:
+        headers.append(("Store-Era", era))
     if reply.revision is not None:
         headers.append(("ETag", f'"{reply.revision}"'))
     start_response(f"{reply.status.value} {reply.status.phrase}", headers)
@@ -245,6 +265,7 @@
     parser.add_argument("--object-port", type=int)
     parser.add_argument("--reads-per-s", type=int, default=2_000)
     parser.add_argument("--writes-per-s", type=int, default=400)
+    parser.add_argument("--era", default="")
     options = parser.parse_args()
     budget = conditions.Budget(
         reads_per_s=options.reads_per_s, writes_per_s=options.writes_per_s
@@ -253,7 +274,10 @@
     signal.signal(signal.SIGTERM, lambda *_: is_stopping.set())
     signal.signal(signal.SIGINT, lambda *_: is_stopping.set())
     with StandIn(
-        port=options.port, object_port=options.object_port, budget=budget
+        port=options.port,
+        object_port=options.object_port,
+        budget=budget,
+        era=options.era,
     ):
         is_stopping.wait()
 
--- a/tools/standins/row_calls.py
+++ b/tools/standins/row_calls.py
@@ -15,6 +15,8 @@
 ROW_BYTES = 65_536
 MAX_STORED_BYTES = 400_000_000
 MAX_LISTED_BLOBS = 1_000
+REWRITE_DELAY_S = 0.5
+"""Time after a restore until the operator has written its rows again."""
 
 _OPERATOR_TABLE = "op"
 _MS_PER_S = 1_000
@@ -28,12 +30,44 @@
 class RowCalls:
     """Rows and blobs, shared by all threads of the stand-in."""
 
-    __slots__ = ("_blobs", "_changed", "_rows")
+    __slots__ = ("_blobs", "_changed", "_copy", "_rows", "era")
 
-    def __init__(self) -> None:
+    def __init__(self, *, era: str = "") -> None:
+        """Makes an empty store.
+
+        Args:
+            era: The store's era in all its replies; they have none if empty.
+        """
         self._changed = threading.Condition()
         self._rows = rows.RowStore(row_bytes=ROW_BYTES)
+        self._copy = self._rows.copy()
         self._blobs: dict[str, bytes] = {}
+        self.era = era
+
+    def take_copy(self) -> None:
+        """Takes the copy that the next restore uses."""
+        with self._changed:
+            self._copy = self._rows.copy()
+
+    def restore(self) -> None:
+        """Puts the last copy in place of the rows, and begins an era.
+
+        The operator writes again what was lost, a little later.
+        """
+        with self._changed:
+            lost = self._rows.restore(self._copy)
+            self.era = str(int(self.era or "0") + 1)
+            self._changed.notify_all()
+        timer = threading.Timer(REWRITE_DELAY_S, self._rewrite, args=(lost,))
+        timer.daemon = True
+        timer.start()
+
+    def _rewrite(self, lost: dict[str, bytes]) -> None:
+        with self._changed:
+            for name, value in lost.items():
+                table, _, key = name.partition("/")
+                self._rows.write_operator(table, key, value)
+            self._changed.notify_all()
 
     def write_operator(self, key: str, value: bytes) -> None:
         """Writes a row of the operator's table."""
--- a/tools/standins/rows.py
+++ b/tools/standins/rows.py
@@ -60,6 +60,14 @@
     value: bytes | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Copy:
+    """The rows at one time."""
+
+    rows: dict[_Name, _Row]
+    revision: int
+
+
 class RowStore:
     """All rows, and the history of changes since it was last dropped."""
 
@@ -88,6 +96,31 @@
         """The number of the newest transaction."""
         return self._revision
 
+    def copy(self) -> "Copy":
+        """Takes a copy of the rows."""
+        return Copy(rows=dict(self._rows), revision=self._revision)
+
+    def restore(self, copy: "Copy") -> dict[str, bytes]:
+        """Replaces the rows by a copy; revisions since are given out again.
+
+        Returns:
+            The lost values of read-only tables' rows, which their writers
+            write again, by table and key.
+        """
+        lost = {
+            f"{name[0]}/{name[2]}": row.value
+            for name, row in self._rows.items()
+            if name[0] in READ_ONLY_TABLES and copy.rows.get(name) != row
+        }
+        self._rows = dict(copy.rows)
+        self._revision = copy.revision
+        self._changes = [
+            change
+            for change in self._changes
+            if change.revision <= copy.revision
+        ]
+        return lost
+
     def write_operator(self, table: str, key: str, value: bytes) -> None:
         """Writes a row of a table that only the operator may write."""
         self._revision += 1
@@ -173,7 +206,7 @@
             or None if there are none yet.
         """
         after = int(query.get("after", "0"))
-        if after < self._dropped_revision:
+        if not self._dropped_revision <= after <= self._revision:
             return _refuse(http.HTTPStatus.GONE, "history is forgotten")
         rows = [
             _describe_change(change)
