Fences of the first assignment contain the era; soak with restores of the store

A node that wrote the first assignment in a store that counts its eras took the era of an absent row, 0, while the others took the present one: fences differed by node, and the keys waited 13 s for leases of an era that never was. The simulation starts in era 1, too.

--- a/src/rhubarblead/router/assignment_repository.py
+++ b/src/rhubarblead/router/assignment_repository.py
@@ -88,7 +88,9 @@
         transfers = write_batching.decode_transfers(change.transfers)
         self._adopt(
             change.service,
-            _apply(key_assignment, transfers, change.revision),
+            _apply(
+                key_assignment, transfers, revisions.find_era(change.revision)
+            ),
             change.revision,
         )
         return True
@@ -166,7 +168,7 @@
             The outcome; an applied change is also in effect at this node.
         """
         key_assignment, revision = self.get()
-        changed = _apply(key_assignment, transfers, revision)
+        changed = _apply(key_assignment, transfers, self._access.era)
         own_registration = self._registration
         key = store_access.make_assignment_key(self._service)
         own_key = store_access.make_member_key(own_registration.member.node_id)
@@ -217,7 +219,7 @@
         transfers = [
             transfer for request in owned for transfer in request.transfers
         ]
-        changed = _apply(key_assignment, transfers, revision)
+        changed = _apply(key_assignment, transfers, self._access.era)
         key = store_access.make_assignment_key(self._service)
         outcome = await self._access.write(
             "assign",
@@ -320,10 +322,9 @@
 def _apply(
     key_assignment: assignment.Assignment,
     transfers: list[assignment.Transfer],
-    revision: int,
+    era: int,
 ) -> assignment.Assignment:
-    """Applies transfers with fences of the era of a revision."""
-    era = revisions.find_era(revision)
+    """Applies transfers with fences of an era."""
     return key_assignment.apply(
         transfers, lowest_fence=eras.find_lowest_fence(era)
     )
--- a/tests/rhubarblead/router/ownership.feature
+++ b/tests/rhubarblead/router/ownership.feature
@@ -130,6 +130,11 @@
       | count | seed |
       | 8     | 5    |
 
+  Scenario: Keys are held as soon in a store that counts its eras as in another
+    Given a settled simulated cluster of 6 nodes in era 1
+    Then all keys are held
+    And no key had two holders
+
   Scenario Outline: Ownership continues when the store comes back from a copy
     Given a settled simulated cluster of 6 nodes
     When a copy of the store is taken
--- a/tests/rhubarblead/router/simulated_cluster.py
+++ b/tests/rhubarblead/router/simulated_cluster.py
@@ -68,13 +68,13 @@
 class SimulatedCluster:
     """All nodes, their servers and the store."""
 
-    def __init__(self, *, node_count: int, seed: int) -> None:
+    def __init__(self, *, node_count: int, seed: int, era: int = 0) -> None:
         self.now_ms = 100_000
         self.loop = _VirtualTimeLoop(self)
         self.random = random.Random(seed)
         self.rows: dict[str, tuple[bytes, int]] = {}
         self.revision = 10
-        self.era = 0
+        self.era = era
         self.clock_shift_ms = 0
         self._copy: tuple[dict[str, tuple[bytes, int]], int] = ({}, 0)
         self.is_store_up = True
@@ -192,7 +192,8 @@
     def __init__(self, node: "Node") -> None:
         self._node = node
         self._cluster = node.cluster
-        self.era: int | None = None
+        # The configuration is read before anything is written.
+        self.era: int | None = node.cluster.era
 
     @property
     def is_working(self) -> bool:
--- a/tests/steps/router_ownership.py
+++ b/tests/steps/router_ownership.py
@@ -30,6 +30,15 @@
     assert context.cluster.count_held() == simulated_cluster.KEY_COUNT
 
 
+@behave.given("a settled simulated cluster of {count:d} nodes in era {era:d}")
+def make_cluster_in_era(context: runner.Context, count: int, era: int) -> None:
+    context.cluster = simulated_cluster.SimulatedCluster(
+        node_count=count, seed=1, era=era
+    )
+    context.add_cleanup(context.cluster.close)
+    context.cluster.run(_SETTLE_MS)
+
+
 @behave.when("a copy of the store is taken")
 def copy_store(context: runner.Context) -> None:
     context.cluster.copy_store()
@@ -312,7 +321,9 @@
 ) -> None:
     """Injects random faults; all keys must be held again after their end."""
     rng = random.Random(seed)
-    cluster = simulated_cluster.SimulatedCluster(node_count=5, seed=seed)
+    cluster = simulated_cluster.SimulatedCluster(
+        node_count=5, seed=seed, era=seed // 2 % 2 if has_restores else 0
+    )
     cluster.run(_SETTLE_MS)
     cluster.copy_store()
     for _ in range(14):
--- a/tests/steps/soak.py
+++ b/tests/steps/soak.py
@@ -120,6 +120,15 @@
         "ended_ms": {"a": 900.0},
     },
     "a previous holder whose hold had expired": {"records": _EXPIRED_HOLD},
+    "a lower fence in the middle of a range": {
+        "records": [
+            {
+                **_make_holds_record("a", 0.0, 800.0),
+                "ranges": [[40, 50, 5, 800]],
+            },
+            _make_holds_record("b", 1_000.0, 9_000.0, 4),
+        ]
+    },
     "a poison request that ran 3 times late": {
         "records": _make_crashes(100, 200, 300, 3_400, 4_000, 5_000)
     },
--- a/tests/tools/soak.feature
+++ b/tests/tools/soak.feature
@@ -19,6 +19,7 @@
       | a previous holder that was killed          |          |
       | a previous holder whose hold had expired   |          |
       | a fence that does not rise between servers | FENCE    |
+      | a lower fence in the middle of a range     | FENCE    |
       | a poison request that ran 3 times late     |          |
       | a poison request that ran 4 times late     | BUDGET   |
       | a poison request that ran 4 times at once  |          |
--- a/tools/soak/audit.py
+++ b/tools/soak/audit.py
@@ -159,22 +159,46 @@
 
 
 def _check_fences(records: list[dict[str, Any]]) -> Iterable[Finding]:
-    """Compares the fence of each grant with those of other servers."""
-    known: dict[int, tuple[int, str]] = {}
+    """Compares the fences of each key with those that other servers had."""
+    fences = [0] * callers.KEY_COUNT
+    holders = [""] * callers.KEY_COUNT
+    checked: set[tuple[str, int, int, int]] = set()
     for record in records:
         if record["kind"] != "holds":
             continue
+        server = record["server"]
         for first, last, fence, _ in record["ranges"]:
-            for key in (first, last):
-                highest, holder = known.get(key, (0, ""))
-                if holder not in ("", record["server"]) and fence <= highest:
-                    yield Finding(
-                        rule=Rule.FENCE,
-                        explanation=f"{record['server']} got key {key} with"
-                        f" fence {fence}, {holder} had fence {highest}",
-                    )
-                if fence >= highest:
-                    known[key] = (fence, record["server"])
+            grant = (server, first, last, fence)
+            if grant in checked:
+                continue
+            checked.add(grant)
+            key = _find_lower_key(fences, holders, grant)
+            if key is not None:
+                yield Finding(
+                    rule=Rule.FENCE,
+                    explanation=f"{server} got key {key} with fence {fence},"
+                    f" {holders[key]} had fence {fences[key]}",
+                )
+            for held in range(first, last + 1):
+                if fence >= fences[held]:
+                    fences[held], holders[held] = fence, server
+
+
+def _find_lower_key(
+    fences: list[int],
+    holders: list[str],
+    grant: tuple[str, int, int, int],
+) -> int | None:
+    """Finds a granted key for which another server had such a fence."""
+    server, first, last, fence = grant
+    return next(
+        (
+            key
+            for key in range(first, last + 1)
+            if holders[key] not in ("", server) and fence <= fences[key]
+        ),
+        None,
+    )
 
 
 def _list_spans(
--- a/tools/soak/cluster.py
+++ b/tools/soak/cluster.py
@@ -172,7 +172,7 @@
             role=processes.Role.PLATFORM,
             arguments=(
                 "tools.standins.platform",
-                *("--port", str(self.store_port)),
+                *("--port", str(self.store_port), "--era", "1"),
             ),
             folder=folder,
         )
--- a/tools/soak/soak_run.py
+++ b/tools/soak/soak_run.py
@@ -13,6 +13,7 @@
 from tools.soak import cluster
 from tools.soak import fault_injector
 from tools.soak import poison_caller
+from tools.soak import store_restorer
 
 RECOVERY_TIMEOUT_S = 30.0
 """Timeout until all keys are served, after the start and after the faults."""
@@ -28,7 +29,8 @@
 class Result:
     """The result of a soak.
 
-    `crash_count` counts the servers that the poison request has ended.
+    `crash_count` counts the servers that the poison request has ended,
+    `restore_count` how often the store came back from a copy.
     `recovered_s` is the time from the end of the faults until all probed keys
     were served again, or None if they weren't.
     """
@@ -37,6 +39,7 @@
     findings: list[audit.Finding]
     statuses: dict[int, int]
     crash_count: int
+    restore_count: int
     recovered_s: float | None
     events: list[str]
 
@@ -58,7 +61,8 @@
         return (
             f"seed {self.seed}: {verdict}, {len(self.events)} faults, answers"
             f" {statuses_text}, {self.crash_count} servers crashed by one"
-            f" request, all keys served again: {recovery}"
+            f" request, {self.restore_count} restores, all keys served again:"
+            f" {recovery}"
         )
 
 
@@ -95,10 +99,13 @@
         poison = poison_caller.PoisonCaller(
             running=running, traffic=traffic, seed=seed
         )
+        restorer = store_restorer.StoreRestorer(running=running, seed=seed)
         traffic.start()
         poison.start()
+        restorer.start()
         injector.inject_faults(duration_s)
         poison.stop()
+        restorer.stop()
         injector.restore()
         recovered_s = _wait_until_served(running, traffic)
         traffic.stop()
@@ -117,6 +124,7 @@
         ),
         statuses=dict(collections.Counter(o.status for o in traffic.outcomes)),
         crash_count=len(crashed_ms),
+        restore_count=restorer.count,
         recovered_s=recovered_s,
         events=[f"{event.at_ms:.0f} {event.text}" for event in injector.events],
     )
