Keep the limit that a server states on its request rate

Cause: nothing read the field; of what a server says about itself in its responses, only the idle time-out had an effect. Class: a statement of the server that the system doesn't take up.

--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -621,6 +621,30 @@
         "error",
         "A heartbeat was invalid; the last valid one stays in effect.",
     )
+    SERVER_LIMIT_CHANGED = _define(
+        3308,
+        _WARNING,
+        "server_id limit_per_s previous_per_s limited_ms refused_count source",
+        "The local server has stated another limit on its requests per second,"
+        " or none. `limited_ms` is how long it had stated one, `refused_count`"
+        " how many requests were refused under limits since the process"
+        " started.",
+        "Find out what the server is short of.",
+    )
+    SERVER_LIMIT_MALFORMED = _define(
+        3309,
+        _WARNING,
+        "server_id value",
+        "The local server has stated a limit that is no decimal number of 0 or"
+        " more, or stated it twice; it has no effect. Reported every 10 s.",
+        "Check the server's software.",
+    )
+    SERVER_STATES_LEAVING = _define(
+        3310,
+        _INFO,
+        "server_id source",
+        "The local server has stated in a response that it is shutting down.",
+    )
     LINK_UP = _define(3400, _INFO, "node_id", "A link to another node is up.")
     LINK_DOWN = _define(
         3401,
@@ -699,12 +723,12 @@
         3508,
         _INFO,
         "request_id route reason is_call expected_wait_ms queued_ms"
-        " running_count call_count reserved_count waiting_count",
+        " running_count call_count reserved_count waiting_count limit_per_s",
         "The local server's queue refused a request. `expected_wait_ms` is the"
         " wait that was estimated on its arrival, `queued_ms` how long it"
         " waited, `call_count` how many of the running requests are calls of"
         " other servers, `reserved_count` how many slots are reserved for"
-        " those.",
+        " those, `limit_per_s` the limit that the server has stated.",
     )
     TRANSFER_ABANDONED = _define(
         3509,
--- a/src/rhubarblead/platform/headers.py
+++ b/src/rhubarblead/platform/headers.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import re
 from typing import TypeAlias
 
 Field: TypeAlias = tuple[bytes, bytes]
@@ -14,6 +15,9 @@
 NOT_RUN = b"x-rhubarblead-not-executed"
 CALLER_SERVICE = b"x-rhubarblead-caller-service"
 KEY = b"x-rhubarblead-shard-key"
+# Requests per second that the server takes from all machines together.
+LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
 
 _HOP_BY_HOP = frozenset(
     {
@@ -33,6 +37,8 @@
 _SET_BY_SYSTEM = frozenset({DEADLINE, EXPECTED_INSTANCE, CALLER_SERVICE})
 _KEY_COUNT = 65_536
 _DEFAULT_DEADLINE_MS = 30_000
+_DECIMAL = re.compile(rb"[0-9]{1,15}(\.[0-9]{0,15})?|\.[0-9]{1,15}")
+_MAX_LOGGED_CHARACTERS = 80
 
 
 class CannotRead(Exception):
@@ -53,8 +59,12 @@
 class ResponseHead:
     """The header fields of a server's response.
 
+    `is_genuine` is set if the server itself has answered, and echoes an id.
     `is_not_run` is set if the server states that the request has not run and
-    will not run.
+    will not run. `limit_per_s` is the rate of requests that the server states
+    as its limit, None if it states none; `malformed_limit` is a value that is
+    no such rate, empty if there is none. `is_leaving` is set if the server
+    states that it is shutting down.
     """
 
     request_id: str
@@ -62,6 +72,14 @@
     is_not_run: bool
     is_encoded: bool
     idle_timeout_s: int | None
+    limit_per_s: float | None = None
+    malformed_limit: str = ""
+    is_leaving: bool = False
+
+    @property
+    def is_genuine(self) -> bool:
+        """Whether the server itself has answered a request."""
+        return self.has_signature and bool(self.request_id)
 
 
 def read_request(fields: Iterable[Field]) -> RequestHead:
@@ -120,7 +138,11 @@
 
 def read_response(fields: Iterable[Field]) -> ResponseHead:
     """Reads the header fields of a response; names are in lower case."""
+    fields = list(fields)
     found = dict(fields)
+    limit_per_s, malformed_limit = _read_limit(
+        [value for name, value in fields if name == LIMIT]
+    )
     encoding = found.get(b"content-encoding", b"").strip().lower()
     return ResponseHead(
         request_id=found.get(REQUEST_ID, b"").decode("latin-1"),
@@ -128,6 +150,9 @@
         is_not_run=NOT_RUN in found,
         is_encoded=encoding not in (b"", b"identity"),
         idle_timeout_s=_read_timeout(found.get(b"keep-alive", b"")),
+        limit_per_s=limit_per_s,
+        malformed_limit=malformed_limit,
+        is_leaving=found.get(LEAVING, b"").strip() == b"1",
     )
 
 
@@ -172,6 +197,22 @@
     return int(value)
 
 
+def _read_limit(values: list[bytes]) -> tuple[float | None, str]:
+    """Reads the values of the limit's field.
+
+    Returns:
+        The limit, None if there is none or a malformed one, and the malformed
+        text, empty if there is none.
+    """
+    if not values:
+        return None, ""
+    text = b", ".join(values).strip()
+    if not _DECIMAL.fullmatch(text):
+        shown = text[:_MAX_LOGGED_CHARACTERS].decode("latin-1")
+        return None, shown or "(empty)"
+    return float(text), ""
+
+
 def _read_timeout(value: bytes) -> int | None:
     for part in value.split(b","):
         name, _, number = part.strip().partition(b"=")
--- a/src/rhubarblead/requests/slot_use.py
+++ b/src/rhubarblead/requests/slot_use.py
@@ -64,7 +64,7 @@
         return int(in_use + 0.5)
 
     def find_stretch(
-        self, rank_class: RankClass, slot_count: int, now_ms: int
+        self, rank_class: RankClass, slot_count: float, now_ms: int
     ) -> float:
         """Finds the factor by which more urgent requests stretch a wait.
 
--- a/src/rhubarblead/requests/waiting.py
+++ b/src/rhubarblead/requests/waiting.py
@@ -3,12 +3,15 @@
 When load exceeds the slots of the server, requests that can still meet their
 target run before late ones, and urgent ones before others. A request that can't
 be served before its deadline is refused on arrival, with a time to retry after.
+The limit on its requests per second that the server states applies as well.
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 from typing import TypeAlias
 
+from rhubarblead.requests import rate_limit
 from rhubarblead.requests import service_times
 from rhubarblead.requests import slot_use
 
@@ -103,6 +106,7 @@
         "_is_ready",
         "_parked",
         "_rank_classes",
+        "_rate_limit",
         "_running",
         "_slot_count",
         "_slot_use",
@@ -127,6 +131,7 @@
         self._running: dict[int, tuple[str, int]] = {}
         self._rank_classes: dict[int, slot_use.RankClass] = {}
         self._times = service_times.ServiceTimes()
+        self._rate_limit = rate_limit.RateLimit()
         self._calls: set[int] = set()
         self._slot_use = slot_use.SlotUse()
 
@@ -167,21 +172,25 @@
         """Service times at this server."""
         return self._times
 
+    @property
+    def rate_limit(self) -> rate_limit.RateLimit:
+        """Limit on the rate of requests to this server."""
+        return self._rate_limit
+
     def find_wait_ms(self, ticket: Ticket, now_ms: int) -> float:
-        """Estimates the wait of a request for a slot, in milliseconds."""
-        rank = self._rank(ticket, now_ms)
-        ahead = [
-            other.route
-            for other in self._tickets.values()
-            if self._rank(other, now_ms) <= rank
-        ]
+        """Estimates the wait of a request to be sent, in milliseconds."""
+        ahead = [other.route for other in self._list_ahead(ticket, now_ms)]
         running = self._list_blocking(ticket, now_ms)
+        open_count = self._count_open(now_ms, is_call=ticket.is_call)
         first_free_ms = 0.0
-        if not self._has_slot(now_ms, is_call=ticket.is_call):
+        if not open_count:
             first_free_ms = self._times.estimate_first_free_ms(running, now_ms)
-        return first_free_ms + self._times.estimate_queue_ms(
-            ahead, running, self._slot_count
+        # Requests that wait for the rate limit only will take the open slots.
+        slot_wait_ms = first_free_ms + self._times.estimate_queue_ms(
+            ahead[open_count:], running, self._slot_count
         )
+        limit_wait_ms = self._rate_limit.find_wait_ms(len(ahead), now_ms)
+        return max(slot_wait_ms, limit_wait_ms)
 
     def estimate_wait_ms(self, now_ms: int, *, is_call: bool) -> float:
         """Estimates the wait of an urgent request for a slot.
@@ -209,9 +218,9 @@
         """
         if not self._is_ready(ticket):
             return self._park(ticket)
-        slot_wait_ms = self.find_wait_ms(ticket, now_ms)
-        wait_ms = max(slot_wait_ms, ticket.transfer_wait_ms)
-        may_start = slot_wait_ms <= 0 and self._has_slot(
+        send_wait_ms = self.find_wait_ms(ticket, now_ms)
+        wait_ms = max(send_wait_ms, ticket.transfer_wait_ms)
+        may_start = send_wait_ms <= 0 and self._has_slot(
             now_ms, is_call=ticket.is_call
         )
         if may_start and wait_ms <= 0:
@@ -219,9 +228,14 @@
             return Start()
         if not ticket.may_wait:
             return Busy(wait_ms=int(wait_ms) + 1)
-        longest_ms = self._find_longest_wait_ms(ticket, slot_wait_ms, now_ms)
-        if self._is_infeasible(ticket, now_ms + max(wait_ms, longest_ms)):
-            return self.refuse(wait_ms)
+        longest_ms = self._find_longest_wait_ms(ticket, send_wait_ms, now_ms)
+        start_ms = now_ms + max(wait_ms, longest_ms)
+        waiting: Iterable[Ticket] = self._tickets.values()
+        if self._rate_limit.find_rate_per_s(now_ms) is not None:
+            # Those that it overtakes are withdrawn if there are too many.
+            waiting = self._list_ahead(ticket, now_ms)
+        if self._is_infeasible(ticket, start_ms, waiting, now_ms):
+            return self._refuse(wait_ms, now_ms)
         if may_start:
             self._start(ticket, now_ms)
             return Start()
@@ -235,7 +249,8 @@
             now_ms: Current time in milliseconds.
 
         Returns:
-            The started request, if any, and the expired requests.
+            The started request, if any, and the requests that are withdrawn
+            as they can't be served before their deadline.
         """
         self._unpark()
         expired = [
@@ -245,6 +260,9 @@
         ]
         for ticket in expired:
             self.withdraw(ticket.number)
+        expired += self._withdraw_over_limit(now_ms)
+        if self._rate_limit.find_wait_ms(0, now_ms) > 0:
+            return None, expired
         open_to = {
             is_call
             for is_call in (True, False)
@@ -287,10 +305,57 @@
             return
         self._times.add(route, float(now_ms - started_ms), now_ms)
 
-    def refuse(self, wait_ms: float) -> Refuse:
-        """Refuses a request; the retry time is `wait_ms` within limits."""
-        after_ms = min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, wait_ms))
-        return Refuse(retry_after_ms=int(after_ms), wait_ms=int(wait_ms))
+    def find_retry_after_ms(self, wait_ms: float, now_ms: int) -> int:
+        """Finds when the caller of a refused request may come back.
+
+        Under a rate limit, callers come back one after another at its rate.
+
+        Args:
+            wait_ms: Time until there is room for the request.
+            now_ms: Current time in milliseconds.
+        """
+        planned_ms = self._rate_limit.plan_return_ms(wait_ms, now_ms)
+        after_ms = wait_ms if planned_ms is None else planned_ms
+        return int(min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, after_ms)))
+
+    def _list_ahead(self, ticket: Ticket, now_ms: int) -> list[Ticket]:
+        """Lists the waiting requests that run before a request."""
+        rank = self._rank(ticket, now_ms)
+        return [
+            other
+            for other in self._tickets.values()
+            if self._rank(other, now_ms) <= rank
+        ]
+
+    def _refuse(self, wait_ms: float, now_ms: int) -> Refuse:
+        return Refuse(
+            retry_after_ms=self.find_retry_after_ms(wait_ms, now_ms),
+            wait_ms=int(wait_ms),
+        )
+
+    def _withdraw_over_limit(self, now_ms: int) -> list[Ticket]:
+        """Withdraws what the rate limit leaves no time for.
+
+        The limit may have been lowered since the requests arrived, and more
+        urgent ones may have followed.
+        """
+        if self._rate_limit.find_rate_per_s(now_ms) is None:
+            return []
+        kept: list[Ticket] = []
+        withdrawn = []
+        in_order = sorted(
+            self._tickets.values(), key=lambda item: self._rank(item, now_ms)
+        )
+        for ticket in in_order:
+            start_ms = now_ms + self._find_longest_limit_wait_ms(
+                ticket, self._rate_limit.find_wait_ms(len(kept), now_ms), now_ms
+            )
+            if self._is_infeasible(ticket, start_ms, kept, now_ms):
+                withdrawn.append(ticket)
+                del self._tickets[ticket.number]
+            else:
+                kept.append(ticket)
+        return withdrawn
 
     def _park(self, ticket: Ticket) -> Offer:
         """Queues a request apart until the server holds its key."""
@@ -307,8 +372,10 @@
                 self._tickets[ticket.number] = ticket
 
     def _start(self, ticket: Ticket, now_ms: int) -> None:
+        rank_class = self._rank(ticket, now_ms)[:3]
         self._running[ticket.number] = (ticket.route, now_ms)
-        self._rank_classes[ticket.number] = self._rank(ticket, now_ms)[:3]
+        self._rank_classes[ticket.number] = rank_class
+        self._rate_limit.record_send(rank_class, now_ms)
         if ticket.is_call:
             self._calls.add(ticket.number)
 
@@ -319,14 +386,18 @@
         )
         return self._slot_count - reserved
 
+    def _count_open(self, now_ms: int, *, is_call: bool) -> int:
+        """Counts the free slots that are open to calls, or to others."""
+        free_count = max(0, self._slot_count - len(self._running))
+        if is_call or not free_count:
+            return free_count
+        others_count = len(self._running) - len(self._calls)
+        open_count = self._count_unreserved(now_ms) - others_count
+        return max(0, min(free_count, open_count))
+
     def _has_slot(self, now_ms: int, *, is_call: bool) -> bool:
         """Returns whether a free slot is open to calls, or to others."""
-        if len(self._running) >= self._slot_count:
-            return False
-        if is_call:
-            return True
-        others_count = len(self._running) - len(self._calls)
-        return others_count < self._count_unreserved(now_ms)
+        return self._count_open(now_ms, is_call=is_call) > 0
 
     def _list_blocking(
         self, ticket: Ticket, now_ms: int
@@ -361,6 +432,7 @@
             wait_ms: Expected wait if no other request arrives.
             now_ms: Current time in milliseconds.
         """
+        limit_ms = self._find_longest_limit_wait_ms(ticket, wait_ms, now_ms)
         rank_class = self._rank(ticket, now_ms)[:3]
         stretch = self._slot_use.find_stretch(
             rank_class, self._slot_count, now_ms
@@ -368,9 +440,39 @@
         deviation_ms = self._times.estimate_queue_deviation_ms(
             wait_ms, stretch, self._slot_count
         )
-        return wait_ms * stretch + DEVIATIONS * deviation_ms
+        return max(limit_ms, wait_ms * stretch + DEVIATIONS * deviation_ms)
+
+    def _find_longest_limit_wait_ms(
+        self, ticket: Ticket, wait_ms: float, now_ms: int
+    ) -> float:
+        rank_class = self._rank(ticket, now_ms)[:3]
+        return self._rate_limit.find_longest_wait_ms(
+            rank_class, wait_ms, now_ms
+        )
+
+    def _count_usable_slots(self, now_ms: int) -> float:
+        """Counts the slots that the rate limit leaves in use."""
+        rate_per_s = self._rate_limit.find_rate_per_s(now_ms)
+        if rate_per_s is None:
+            return self._slot_count
+        in_use = rate_per_s * self._times.overall_ms / 1_000
+        return min(self._slot_count, in_use)
+
+    def _is_infeasible(
+        self,
+        ticket: Ticket,
+        start_ms: float,
+        waiting: Iterable[Ticket],
+        now_ms: int,
+    ) -> bool:
+        """Returns whether a request can't be served, or too many are late.
 
-    def _is_infeasible(self, ticket: Ticket, start_ms: float) -> bool:
+        Args:
+            ticket: The request.
+            start_ms: Time at which it will be sent.
+            waiting: The requests that wait besides it.
+            now_ms: Current time in milliseconds.
+        """
         service_ms = self._times.find_ms(ticket.route)
         if start_ms + service_ms * FINISH_SHARE > ticket.deadline_at_ms:
             return True
@@ -380,9 +482,10 @@
             return False
         late_count = sum(
             start_ms + self._times.find_ms(other.route) > other.target_at_ms
-            for other in self._tickets.values()
+            for other in waiting
         )
-        return late_count >= MAX_LATE_PER_SLOT * self._slot_count
+        usable_count = self._count_usable_slots(now_ms)
+        return late_count >= MAX_LATE_PER_SLOT * usable_count
 
     def _is_too_late(self, ticket: Ticket, now_ms: int) -> bool:
         service_ms = self._times.find_ms(ticket.route)
--- a/src/rhubarblead/router/metrics_exporter.py
+++ b/src/rhubarblead/router/metrics_exporter.py
@@ -23,6 +23,9 @@
     WAITING = "waiting_requests"
     PENDING = "pending_requests"
     SLOTS = "slots"
+    LIMIT = "server_limit_per_s"
+    LIMITED = "server_limited_ms"
+    LIMIT_REFUSALS = "limit_refused_requests"
     CONFIG_VERSION = "config_version"
     HELD_KEYS = "held_keys"
     LEASE_LEFT = "right_left_ms"
@@ -36,6 +39,14 @@
     Gauge.WAITING: "requests that wait for a slot or a key at the local server",
     Gauge.PENDING: "requests received from callers and not answered yet",
     Gauge.SLOTS: "requests that the local server can run concurrently",
+    Gauge.LIMIT: (
+        "limit on its requests per second that the local server states, -1 if"
+        " there is none"
+    ),
+    Gauge.LIMITED: "time for which the local server has stated a limit",
+    Gauge.LIMIT_REFUSALS: (
+        "requests refused by the local server's queue while there was a limit"
+    ),
     Gauge.CONFIG_VERSION: "configuration version in force, -1 if there is none",
     Gauge.HELD_KEYS: "keys in the latest grant to the local server",
     Gauge.LEASE_LEFT: "time for which this node may still grant keys",
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -32,6 +32,7 @@
 from rhubarblead.router import relay
 from rhubarblead.router import remote_jobs
 from rhubarblead.router import response_sender
+from rhubarblead.router import server_notices
 from rhubarblead.router import shutdown
 from rhubarblead.router import state_broadcaster
 from rhubarblead.router import state_sync
@@ -75,6 +76,7 @@
         "_remote_jobs",
         "_response_sender",
         "_chunks",
+        "_server_notices",
         "_servers",
         "_started_at_s",
         "_state",
@@ -127,6 +129,7 @@
             ip=deployment.callers.ip,
             port=deployment.peers_port,
         )
+        self._server_notices = server_notices.ServerNotices(links=self._links)
         self._crash_sync = crash_sync.CrashSync(
             crash_detector=self._upstream.crashes, links=self._links
         )
@@ -181,6 +184,7 @@
             events=self._events,
             on_change=self._broadcast_state,
         )
+        self._upstream.statements.on_limit = self._handle_limit_change
         self._metrics = metrics_exporter.MetricsExporter(
             events=self._events, gauges=self._read_gauges
         )
@@ -245,6 +249,7 @@
             case wire.State():
                 self._state_sync.handle_state(message)
                 self._crash_sync.handle_state(message)
+                self._server_notices.handle_state(message)
             case wire.Load():
                 self._state_sync.handle_load(message)
             case (
@@ -253,10 +258,12 @@
                 | wire.Snapshot()
             ):
                 self._state_sync.handle(message, reply)
-            case wire.CrashSuspects():
-                self._upstream.crashes.record_remote_crash(message)
-            case wire.CrashListRequest():
-                self._crash_sync.handle_request(reply)
+            case (
+                wire.CrashSuspects()
+                | wire.CrashListRequest()
+                | wire.ServerNotice()
+            ):
+                self._handle_server_message(message, reply)
             case wire.StoreCall():
                 self._relay.handle_call(message, reply)
             case wire.LeaseHeartbeat() | wire.LeaseLeave():
@@ -266,6 +273,20 @@
             case _:
                 self.refuse_message("request", type(message).__name__)
 
+    def _handle_server_message(
+        self,
+        message: wire.CrashSuspects | wire.CrashListRequest | wire.ServerNotice,
+        reply: Callable[[wire.Message], None],
+    ) -> None:
+        """Handles a message about what has been seen of servers."""
+        match message:
+            case wire.CrashSuspects():
+                self._upstream.crashes.record_remote_crash(message)
+            case wire.CrashListRequest():
+                self._crash_sync.handle_request(reply)
+            case wire.ServerNotice():
+                self._upstream.statements.apply_notice(message)
+
     def handle_reply(self, node_id: str, message: wire.Message) -> None:
         """Handles a reply to a message of this node."""
         match message:
@@ -280,6 +301,7 @@
             case wire.DelegatedWriteReply():
                 self._ownership.batcher.handle_reply(message)
             case wire.Outcome():
+                self._server_notices.record_outcome(node_id, message)
                 self._dispatcher.handle_outcome(node_id, message)
             case wire.Chunk():
                 self._handle_chunk(node_id, message)
@@ -310,6 +332,7 @@
         self._directory.mark_linked(node_id, read_now_ms())
         self._ownership.takeover.record_link(node_id, is_up=True)
         self._links.send(node_id, self._broadcaster.refresh())
+        self._server_notices.send(node_id)
         self._dispatcher.retry_parked(node_id)
 
     def link_down(self, node_id: str) -> None:
@@ -457,6 +480,10 @@
         self._upstream.start_waiting()
         self._dispatcher.retry_parked()
 
+    def _handle_limit_change(self) -> None:
+        self._upstream.start_waiting()
+        self._broadcast_state()
+
     def _check_server(self) -> None:
         """Stops serving if the server is silent and doesn't answer requests."""
         server = self._ownership.server
@@ -486,6 +513,17 @@
             metrics_exporter.Gauge.WAITING: wait_queue.waiting_count,
             metrics_exporter.Gauge.PENDING: self._dispatcher.count_pending(),
             metrics_exporter.Gauge.SLOTS: wait_queue.slot_count,
+            metrics_exporter.Gauge.LIMIT: (
+                -1.0
+                if wait_queue.rate_limit.limit_per_s is None
+                else wait_queue.rate_limit.limit_per_s
+            ),
+            metrics_exporter.Gauge.LIMITED: (
+                self._upstream.statements.find_limited_ms()
+            ),
+            metrics_exporter.Gauge.LIMIT_REFUSALS: (
+                self._upstream.statements.refused_count
+            ),
             metrics_exporter.Gauge.CONFIG_VERSION: self._config.version,
             metrics_exporter.Gauge.HELD_KEYS: self._ownership.count_held(),
             metrics_exporter.Gauge.LEASE_LEFT: (
--- a/src/rhubarblead/router/state_broadcaster.py
+++ b/src/rhubarblead/router/state_broadcaster.py
@@ -122,7 +122,8 @@
             if self._is_keyed()
             else wait_queue.times.list_valid(now_ms),
             load_per_mille=int(1_000 * rate / capacity_per_s),
-            capacity_per_s=int(capacity_per_s),
+            # At least 1, as the loads of servers are weighted by it.
+            capacity_per_s=max(1, round(capacity_per_s)),
             has_store=self._client.is_working,
             config_version=self._config.version,
             link_backlog_ms=int(self._upstream.link_load.find_backlog_ms()),
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -14,6 +14,7 @@
 from rhubarblead.router import crashes
 from rhubarblead.router import event_log
 from rhubarblead.router import http_client
+from rhubarblead.router import server_statements
 from rhubarblead.router import tasks
 from rhubarblead.router import wire
 
@@ -45,6 +46,10 @@
 CANCEL_SETTLE_MS = 30
 """Delay before the slot of a cancelled request is reused."""
 
+CHECK_INTERVAL_S = 0.05
+MIN_CHECK_DELAY_S = 0.001
+"""Delay of the checks of the queue, which is exact under a rate limit."""
+
 _BODY_METHODS = frozenset({b"POST", b"PUT", b"PATCH"})
 
 
@@ -55,6 +60,7 @@
     work: wire.Work
     reply: Callable[[wire.Outcome], None]
     ticket: waiting.Ticket
+    server: str = ""
     connection: http_client.Connection | None = None
     timer: asyncio.TimerHandle | None = None
     is_ended: bool = False
@@ -95,6 +101,7 @@
         "crashes",
         "is_serving",
         "server_id",
+        "statements",
     )
 
     def __init__(
@@ -142,6 +149,9 @@
         self._check_timer: asyncio.TimerHandle | None = None
         self._last_response_at_ms = 0
         self._closed_reason = wire.Reason.LEAVING
+        self.statements = server_statements.ServerStatements(
+            limit=self._wait_queue.rate_limit, events=events, now_ms=now_ms
+        )
         self.server_id = ""
         self.is_serving = False
         self.crashes = crashes.CrashDetector(
@@ -169,11 +179,14 @@
 
     def find_capacity_per_s(self) -> float:
         """Estimates how many requests per second the server can run."""
-        return (
-            self._wait_queue.slot_count
-            * 1_000
-            / self._wait_queue.times.overall_ms
+        wait_queue = self._wait_queue
+        capacity_per_s = (
+            wait_queue.slot_count * 1_000 / wait_queue.times.overall_ms
         )
+        if wait_queue.rate_limit.limit_per_s is None:
+            return capacity_per_s
+        limit_per_s = wait_queue.rate_limit.find_rate_per_s(self._now_ms())
+        return min(capacity_per_s, limit_per_s or capacity_per_s)
 
     def set_server(
         self, server_id: str, slot_count: int, *, born_ms: int
@@ -188,7 +201,9 @@
         if server_id != self.server_id:
             self._pool.close_idle()
         self.server_id = server_id
-        self.crashes.set_server(f"{server_id}@{born_ms}")
+        process = f"{server_id}@{born_ms}"
+        self.crashes.set_server(process)
+        self.statements.set_server(process)
         self._wait_queue.slot_count = slot_count
 
     def find_left_ms(self) -> int:
@@ -344,8 +359,14 @@
 
     def _schedule_check(self) -> None:
         """Schedules the next check of the queue while requests wait."""
-        if self._check_timer is None:
-            self._check_timer = self._loop.call_later(0.05, self._check_waiting)
+        if self._check_timer is not None:
+            return
+        limit = self._wait_queue.rate_limit
+        limit_wait_s = limit.find_wait_ms(0, self._now_ms()) / 1_000
+        delay_s = CHECK_INTERVAL_S
+        if limit_wait_s > 0:
+            delay_s = min(CHECK_INTERVAL_S, limit_wait_s + MIN_CHECK_DELAY_S)
+        self._check_timer = self._loop.call_later(delay_s, self._check_waiting)
 
     def _check_waiting(self) -> None:
         self._check_timer = None
@@ -369,11 +390,15 @@
             return
         job.is_ended = True
         self._log_not_admitted(job, reason)
-        self._reply(job, self._refuse(job.work, reason, EXPIRED_RETRY_MS))
+        retry_after_ms = self._wait_queue.find_retry_after_ms(
+            EXPIRED_RETRY_MS, self._now_ms()
+        )
+        self._reply(job, self._refuse(job.work, reason, retry_after_ms))
 
     def _log_not_admitted(self, job: Job, reason: wire.Reason) -> None:
         now_ms = self._now_ms()
         queue = self._wait_queue
+        self.statements.count_refusal()
         self._events.emit(
             catalog.Event.REQUEST_NOT_ADMITTED,
             request_id=job.work.request_id,
@@ -386,12 +411,14 @@
             call_count=queue.call_count,
             reserved_count=queue.count_reserved(now_ms),
             waiting_count=queue.waiting_count,
+            limit_per_s=queue.rate_limit.limit_per_s,
         )
 
     def _reply(self, job: Job, outcome: wire.Outcome) -> None:
         now_ms = self._now_ms()
         outcome.queued_ms = job.find_queued_ms(now_ms)
         outcome.ran_ms = job.find_ran_ms(now_ms)
+        outcome.statement = self.statements.make_statement()
         job.reply(outcome)
 
     def _run(self, job: Job) -> None:
@@ -447,6 +474,7 @@
         )
         job.connection = connection
         job.is_sent = True
+        job.server = self.statements.server
         self.crashes.begin(job.ticket.number, work)
         job.timer = self._loop.call_later(
             (remaining_ms + LATE_RESPONSE_MS) / 1_000, self._expire, job
@@ -503,6 +531,7 @@
                 self._last_response_at_ms = self._now_ms()
                 head = headers.read_response(result.fields)
                 self._apply_idle_timeout(head)
+                self.statements.record_response(job.server, head)
                 outcome = self._classify(job, result, head)
             case http_client.NoResponse(failure=failure):
                 self._log_unusable(job, failure.value)
--- a/src/rhubarblead/router/wire.py
+++ b/src/rhubarblead/router/wire.py
@@ -72,13 +72,34 @@
     host: str = ""
 
 
+class ServerStatement(
+    msgspec.Struct, array_like=True, kw_only=True, frozen=True
+):
+    """What a server has stated about itself in a response.
+
+    `server` names its process. `limit_per_s` is the limit on its requests per
+    second, None if there is none. `is_leaving` is set if it is shutting down.
+    """
+
+    server: str
+    limit_per_s: float | None = None
+    is_leaving: bool = False
+
+
+class ServerNotice(msgspec.Struct, tag=21, array_like=True, kw_only=True):
+    """Tells a node what its server stated in a response passed on elsewhere."""
+
+    statement: ServerStatement
+
+
 class Outcome(msgspec.Struct, tag=2, array_like=True, kw_only=True):
     """The outcome of a request at the node beside a server.
 
     `has_arrived` is set if the request reached the server. `wait_ms` is the
     expected wait if the reason is `BUSY`. `phrase` is the HTTP reason phrase.
     `queued_ms` is the time that the request waited there for a slot or a key,
-    `ran_ms` the time that it held a slot.
+    `ran_ms` the time that it held a slot. `statement` is what the server has
+    stated about itself, None if that is nothing.
     """
 
     number: int
@@ -92,6 +113,7 @@
     body: bytes = b""
     queued_ms: int = 0
     ran_ms: int = 0
+    statement: ServerStatement | None = None
 
 
 class Cancel(msgspec.Struct, tag=3, array_like=True, kw_only=True):
@@ -350,6 +372,7 @@
     | DelegatedWriteReply
     | Chunk
     | ChunkAck
+    | ServerNotice
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/tests/stating_server.py
+++ b/tests/stating_server.py
@@ -38,7 +38,9 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         loop = asyncio.get_running_loop()
-        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+        with contextlib.suppress(
+            asyncio.IncompleteReadError, asyncio.CancelledError, OSError
+        ):
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 self.arrived_at_s.append(loop.time())
@@ -68,7 +70,7 @@
     start, repeated = _ENDLESS[kind]
     writer.write(start)
     block = repeated * max(1, _CHUNK // len(repeated))
-    with contextlib.suppress(OSError):
+    with contextlib.suppress(asyncio.CancelledError, OSError):
         while not writer.is_closing():
             writer.write(block)
             await writer.drain()
--- a/tests/steps/router_server_statements.py
+++ b/tests/steps/router_server_statements.py
@@ -45,6 +45,7 @@
     )
     made.set_server("i-1", _SLOTS, born_ms=1)
     made.is_serving = True
+    made.statements.on_leaving = lambda: made.refuse_all(wire.Reason.LEAVING)
     return made
 
 
