Take a server out that states in a response that it leaves, and keep it out

And, found while reading that path: a heartbeat that was sent before a server deregistered and arrives afterwards brought it back into use.

Cause: the field wasn't read; and whether a server is used was taken from the latest heartbeat alone. Class: state that an older message takes back.

Change: a response, a heartbeat and a deregistration lead to the same steps, once, in any order. Leaving holds for the life of the server process, also where the deregistration reaches a restarted node before a heartbeat does.

--- a/src/rhubarblead/platform/heartbeats.py
+++ b/src/rhubarblead/platform/heartbeats.py
@@ -57,9 +57,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Deregistration:
-    """The notice that a server is leaving and will send no more heartbeats."""
+    """The notice that a server is leaving and will send no more heartbeats.
+
+    `born_ms` is the Unix time of its start, 0 if it is not stated.
+    """
 
     server_id: str
+    born_ms: int = 0
 
 
 class _Information(msgspec.Struct):
@@ -74,6 +78,10 @@
     cold_remaining_ms: float = 0.0
 
 
+class _DeregistrationBody(msgspec.Struct):
+    born: int = 0
+
+
 class _Body(msgspec.Struct):
     information: _Information
     status: _Status
@@ -104,7 +112,7 @@
         raise CannotDecode("the call names no server")
     match fields.get("call"):
         case "instances.deregister":
-            return Deregistration(server_id=server_id)
+            return _decode_deregistration(server_id, content)
         case "instances.heartbeat":
             return _decode_heartbeat(server_id, content)
         case _:
@@ -125,6 +133,14 @@
     return msgspec.json.encode({"holds": rows, "holdMs": hold_ms})
 
 
+def _decode_deregistration(server_id: str, content: bytes) -> Deregistration:
+    try:
+        body = msgspec.json.decode(content or b"{}", type=_DeregistrationBody)
+    except msgspec.MsgspecError as error:
+        raise CannotDecode(str(error)) from error
+    return Deregistration(server_id=server_id, born_ms=body.born)
+
+
 def _decode_heartbeat(server_id: str, content: bytes) -> Heartbeat:
     try:
         body = msgspec.json.decode(content, type=_Body)
--- a/src/rhubarblead/router/heartbeat_handler.py
+++ b/src/rhubarblead/router/heartbeat_handler.py
@@ -11,6 +11,9 @@
 from rhubarblead.router import upstream
 from rhubarblead.router import wire
 
+MAX_DEPARTED_COUNT = 64
+"""Servers remembered as gone; an instance has one server at a time."""
+
 _JSON = b"content-type: application/json\r\n"
 
 
@@ -19,6 +22,7 @@
 
     __slots__ = (
         "is_stopping",
+        "_departed",
         "_events",
         "_on_change",
         "_ownership",
@@ -50,6 +54,8 @@
         self._service = service
         self._events = events
         self._on_change = on_change
+        # The start of each server process that has deregistered last, by id.
+        self._departed: dict[str, int] = {}
         self.is_stopping = False
 
     def handle(self, exchange: http_server.Exchange) -> None:
@@ -89,11 +95,15 @@
         local_upstream.set_server(
             heartbeat.server_id, heartbeat.slots, born_ms=heartbeat.born_ms
         )
-        local_upstream.is_serving = (
-            not heartbeat.is_draining and not self.is_stopping
-        )
+        # A heartbeat may have been sent before the server began to leave.
+        if self._has_departed(heartbeat):
+            self._ownership.begin_server_leaving(
+                heartbeat.server_id, "server had deregistered"
+            )
+        is_leaving = self._ownership.is_server_leaving
+        local_upstream.is_serving = not is_leaving and not self.is_stopping
         self._finish(exchange, self._ownership.make_reply())
-        if heartbeat.is_draining and was_serving:
+        if is_leaving and was_serving:
             self._begin_leaving(heartbeat.server_id, has_deregistered=False)
         elif is_new or was_serving != local_upstream.is_serving:
             self._on_change()
@@ -104,12 +114,35 @@
         exchange: http_server.Exchange,
         call: heartbeats.Deregistration,
     ) -> None:
-        if self._ownership.handle_deregistration(call.server_id):
+        self._record_departure(call)
+        if self._ownership.begin_server_leaving(
+            call.server_id, "server deregistered"
+        ):
             self._upstream.is_serving = False
             self._upstream.crashes.expect_exit()
             self._begin_leaving(call.server_id, has_deregistered=True)
         self._finish(exchange, b"{}")
 
+    def _record_departure(self, call: heartbeats.Deregistration) -> None:
+        """Remembers a server that is gone, also if none is known here yet."""
+        self._departed.pop(call.server_id, None)
+        self._departed[call.server_id] = call.born_ms
+        if len(self._departed) > MAX_DEPARTED_COUNT:
+            del self._departed[next(iter(self._departed))]
+
+    def _has_departed(self, heartbeat: heartbeats.Heartbeat) -> bool:
+        departed_born_ms = self._departed.get(heartbeat.server_id, -1)
+        return heartbeat.born_ms <= departed_born_ms
+
+    def handle_stated_leaving(self) -> None:
+        """Handles the statement in a response that the server is leaving."""
+        server_id = self._upstream.server_id
+        is_current = self._ownership.begin_server_leaving(
+            server_id, "server states that it leaves"
+        )
+        if is_current and self._upstream.is_serving:
+            self._begin_leaving(server_id, has_deregistered=False)
+
     def _begin_leaving(self, server_id: str, *, has_deregistered: bool) -> None:
         wait_queue = self._upstream.wait_queue
         self._events.emit(
@@ -119,6 +152,7 @@
             waiting_count=wait_queue.waiting_count,
             running_count=wait_queue.running_count,
         )
+        self._upstream.statements.record_leaving()
         self._upstream.refuse_all(wire.Reason.LEAVING)
         self._on_change()
 
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -185,6 +185,9 @@
             on_change=self._broadcast_state,
         )
         self._upstream.statements.on_limit = self._handle_limit_change
+        self._upstream.statements.on_leaving = (
+            self._heartbeat_handler.handle_stated_leaving
+        )
         self._metrics = metrics_exporter.MetricsExporter(
             events=self._events, gauges=self._read_gauges
         )
--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -260,8 +260,12 @@
         self.wake.set()
         return True
 
-    def handle_deregistration(self, server_id: str) -> bool:
-        """Handles a deregistration, after which no heartbeats follow.
+    def begin_server_leaving(self, server_id: str, cause: str) -> bool:
+        """Releases the keys of the server, which has announced its exit.
+
+        Args:
+            server_id: The server that is leaving.
+            cause: How it has announced that; logged with the release.
 
         Returns:
             Whether the named server is the current one.
@@ -269,10 +273,15 @@
         if self.server is None or self.server.server_id != server_id:
             return False
         self.server.is_leaving = True
-        self._release_all("server deregistered")
+        self._release_all(cause)
         self.wake.set()
         return True
 
+    @property
+    def is_server_leaving(self) -> bool:
+        """Whether the server process has begun to shut down."""
+        return self.server is not None and self.server.is_leaving
+
     def make_reply(self) -> bytes:
         """Returns the encoded reply to the latest heartbeat."""
         if not self._assignments.get()[1] or self._is_assignment_stale:
--- /dev/null
+++ b/tests/rhubarblead/router/server_leaving.feature
@@ -0,0 +1,58 @@
+Feature: A server that has begun to leave isn't used again, whatever arrives late
+
+  Scenario Outline: A server that leaves isn't used by what arrives afterwards
+    Given a node whose server has sent a heartbeat
+    When <first>
+    And <second>
+    Then the server is not used, and its keys are released
+    And its leaving was logged once
+
+    Examples: announcements in either order, and heartbeats that were sent before
+      | first                             | second                            |
+      | a heartbeat says that it drains   | a heartbeat says that it is ready |
+      | it states in a response that it leaves | a heartbeat says that it is ready |
+      | it states in a response that it leaves | a heartbeat says that it drains |
+      | a heartbeat says that it drains   | it states in a response that it leaves |
+      | it states in a response that it leaves | it states in a response that it leaves |
+
+  # DRAIN: a delayed heartbeat brought a server back that had deregistered.
+  Scenario Outline: A delayed heartbeat doesn't bring a server back that has deregistered
+    Given a node whose server <known>
+    When it deregisters
+    And a heartbeat says that it is ready
+    Then the server is not used
+
+    Examples: a restarted node may hear of the deregistration first
+      | known                  |
+      | has sent a heartbeat   |
+      | has sent no heartbeat  |
+
+  Scenario: A server that starts again under the same id is used
+    Given a node whose server has sent a heartbeat
+    When it deregisters
+    And it starts again under the same id
+    And a heartbeat says that it is ready
+    Then the server is used
+
+  Scenario Outline: A restarted node learns from another one what its server stated
+    Given a node whose server has sent no heartbeat
+    When another node tells that the server "<told>" stated "<statement>"
+    And a heartbeat says that it is ready
+    Then the server <is>
+
+    Examples: a statement of an earlier process has no effect
+      | told    | statement | is                              |
+      | i-1@100 | leaving   | is not used                     |
+      | i-1@99  | leaving   | is used                         |
+      | i-1@100 | 0.3       | is used with a limit of 0.3     |
+      | i-1@99  | 0.3       | is used without a limit         |
+
+  Scenario: A node tells a restarted one what its server stated, once a process
+    Given a node that has passed on a response in which the server of "n2" stated a limit of 5
+    When the state of process "a" of "n2" arrives
+    And the state of process "a" of "n2" arrives
+    And the state of process "b" of "n2" arrives
+    Then it has told "n2" 2 times of a limit of 5
+    When it passes on a response of "n2" without a statement
+    And the state of process "c" of "n2" arrives
+    Then it has told "n2" 2 times of a limit of 5
--- /dev/null
+++ b/tests/steps/router_server_leaving.py
@@ -0,0 +1,242 @@
+"""Steps for servers that leave, and for what other nodes know of them."""
+
+import json
+from typing import Any
+
+import behave
+from behave import runner
+
+from rhubarblead.events import catalog
+from rhubarblead.platform import headers
+from rhubarblead.platform import settings
+from rhubarblead.requests import link_load
+from rhubarblead.router import heartbeat_handler
+from rhubarblead.router import server_notices
+from rhubarblead.router import upstream
+from rhubarblead.router import wire
+from tests import router_doubles
+from tests.rhubarblead.router import simulated_cluster
+
+_SERVER_ID = "i-1"
+_BORN_MS = 100
+_LATER_BORN_MS = 200
+_SERVICE = simulated_cluster.SERVICE
+
+
+class _Exchange:
+    """One call of the server."""
+
+    def __init__(self, call: str, body: dict[str, Any]) -> None:
+        self.target = f"/rpc?call=instances.{call}&of={_SERVER_ID}".encode()
+        self.body = json.dumps(body).encode()
+
+    def finish(self, response: object) -> None:
+        """Discards the reply."""
+
+
+class _Node:
+    """A node with its handler of heartbeats, without sockets."""
+
+    def __init__(self) -> None:
+        self.cluster = simulated_cluster.SimulatedCluster(node_count=2, seed=1)
+        self.ownership = self.cluster.nodes["n1"].ownership
+        self.events: Any = simulated_cluster.RecordingEventLog()
+        self.born_ms = _BORN_MS
+        self.sequence = 0
+        self.cluster.loop.run_until_complete(self._open())
+
+    async def _open(self) -> None:
+        self.upstream = upstream.Upstream(
+            address=settings.Address(ip="127.0.0.1", port=9),
+            events=self.events,
+            now_ms=lambda: self.cluster.now_ms,
+            is_held=lambda key: True,
+            is_owned=lambda key: True,
+            link=link_load.LinkLoad(
+                bytes_per_ms=1_250, min_bytes=8_000, find_queued_bytes=lambda: 0
+            ),
+            count_servers=lambda: 1,
+            broadcast=lambda message: None,
+        )
+        self.handler = heartbeat_handler.HeartbeatHandler(
+            key_ownership=self.ownership,
+            local_upstream=self.upstream,
+            service=_SERVICE,
+            events=self.events,
+            on_change=lambda: None,
+        )
+        self.upstream.statements.on_leaving = self.handler.handle_stated_leaving
+
+    def call(self, name: str, body: dict[str, Any]) -> None:
+        """Handles a call of the server."""
+        exchange: Any = _Exchange(name, body)
+
+        async def handle() -> None:
+            self.handler.handle(exchange)
+
+        self.cluster.loop.run_until_complete(handle())
+
+    def send_heartbeat(self, state: str) -> None:
+        """Handles the server's next heartbeat."""
+        self.sequence += 1
+        self.call(
+            "heartbeat",
+            {
+                "born": self.born_ms,
+                "information": {"service": _SERVICE, "slots": 4},
+                "status": {"state": state, "sequence": self.sequence},
+                "holds": [],
+                "freed": [],
+            },
+        )
+
+
+@behave.given("a node whose server has sent a heartbeat")
+def make_known(context: runner.Context) -> None:
+    make_unknown(context)
+    context.node.send_heartbeat("ready")
+    assert context.node.upstream.is_serving
+
+
+@behave.given("a node whose server has sent no heartbeat")
+def make_unknown(context: runner.Context) -> None:
+    context.node = _Node()
+    context.add_cleanup(context.node.cluster.close)
+
+
+@behave.when("a heartbeat says that it drains")
+def send_draining(context: runner.Context) -> None:
+    context.node.send_heartbeat("draining")
+
+
+@behave.when("a heartbeat says that it is ready")
+def send_ready(context: runner.Context) -> None:
+    context.node.send_heartbeat("ready")
+
+
+@behave.when("it states in a response that it leaves")
+def state_leaving(context: runner.Context) -> None:
+    node: _Node = context.node
+    node.upstream.statements.record_response(
+        node.upstream.statements.server,
+        headers.read_response(
+            [
+                (headers.REQUEST_ID, b"r1"),
+                (headers.SIGNATURE, b"s"),
+                (headers.LEAVING, b"1"),
+            ]
+        ),
+    )
+
+
+@behave.when("it deregisters")
+def deregister(context: runner.Context) -> None:
+    context.node.call("deregister", {"born": context.node.born_ms})
+
+
+@behave.when("it starts again under the same id")
+def start_again(context: runner.Context) -> None:
+    context.node.born_ms = _LATER_BORN_MS
+    context.node.sequence = 0
+
+
+@behave.when('another node tells that the server "{server}" stated "{stated}"')
+def tell(context: runner.Context, server: str, stated: str) -> None:
+    is_leaving = stated == "leaving"
+    context.node.upstream.statements.apply_notice(
+        wire.ServerNotice(
+            statement=wire.ServerStatement(
+                server=server,
+                limit_per_s=None if is_leaving else float(stated),
+                is_leaving=is_leaving,
+            )
+        )
+    )
+
+
+@behave.then("the server is not used")
+def check_unused(context: runner.Context) -> None:
+    assert not context.node.upstream.is_serving
+
+
+@behave.then("the server is not used, and its keys are released")
+def check_released(context: runner.Context) -> None:
+    check_unused(context)
+    assert context.node.ownership.server.is_leaving
+
+
+@behave.then("its leaving was logged once")
+def check_logged(context: runner.Context) -> None:
+    name = catalog.Event.SERVER_LEAVING.name
+    found = [event for event, _ in context.node.events.events if event == name]
+    assert len(found) == 1, found
+
+
+@behave.then("the server is used")
+def check_used(context: runner.Context) -> None:
+    assert context.node.upstream.is_serving
+
+
+@behave.then("the server is used without a limit")
+def check_unlimited(context: runner.Context) -> None:
+    check_used(context)
+    assert context.node.upstream.wait_queue.rate_limit.limit_per_s is None
+
+
+@behave.then("the server is used with a limit of {limit:g}")
+def check_limited(context: runner.Context, limit: float) -> None:
+    check_used(context)
+    assert context.node.upstream.wait_queue.rate_limit.limit_per_s == limit
+
+
+class _RecordingLinks:
+    """Links that record what is sent."""
+
+    def __init__(self) -> None:
+        self.sent: list[tuple[str, wire.Message]] = []
+
+    def send(self, node_id: str, message: wire.Message) -> bool:
+        """Records a message."""
+        self.sent.append((node_id, message))
+        return True
+
+
+@behave.given(
+    "a node that has passed on a response in which the server of"
+    ' "{node_id}" stated a limit of {limit:g}'
+)
+def make_notices(context: runner.Context, node_id: str, limit: float) -> None:
+    context.links = _RecordingLinks()
+    context.notices = server_notices.ServerNotices(links=context.links)
+    context.notices.record_outcome(
+        node_id,
+        wire.Outcome(
+            number=1,
+            verdict=wire.Verdict.RAN,
+            statement=wire.ServerStatement(server="i-2@1", limit_per_s=limit),
+        ),
+    )
+
+
+@behave.when('it passes on a response of "{node_id}" without a statement')
+def pass_on(context: runner.Context, node_id: str) -> None:
+    context.notices.record_outcome(
+        node_id, wire.Outcome(number=2, verdict=wire.Verdict.RAN)
+    )
+
+
+@behave.when('the state of process "{process}" of "{node_id}" arrives')
+def receive_state(context: runner.Context, process: str, node_id: str) -> None:
+    context.notices.handle_state(
+        router_doubles.make_state(node_id, _SERVICE, incarnation=process)
+    )
+
+
+@behave.then('it has told "{node_id}" {count:d} times of a limit of {limit:g}')
+def check_told(
+    context: runner.Context, node_id: str, count: int, limit: float
+) -> None:
+    notice = wire.ServerNotice(
+        statement=wire.ServerStatement(server="i-2@1", limit_per_s=limit)
+    )
+    assert context.links.sent == [(node_id, notice)] * count, context.links.sent
--- a/tools/standins/keyed.py
+++ b/tools/standins/keyed.py
@@ -335,7 +335,12 @@
         ended.set()
         heartbeat_thread.join()
         options = state.options
-        call_control(options.control, options.id, "deregister", {})
+        call_control(
+            options.control,
+            options.id,
+            "deregister",
+            {"born": state.born_ms},
+        )
         server.shutdown()
     return 0
 
