Bound all that a server sends: heads, trailers, skipped responses, bodies

Cause: only the body had a limit, of 32 MB each. Class: input whose size nothing bounds.

Change: an exchange has 128 KB for what isn't body, besides a byte for each of the body; at most 8 interim and foreign responses are skipped; the incomplete bodies of a process, those of the store's responses too, share 64 MB.

--- a/src/rhubarblead/router/http_client.py
+++ b/src/rhubarblead/router/http_client.py
@@ -21,6 +21,19 @@
 """An eighth of a node's memory; users' largest responses are 0.5 MB."""
 
 
+MAX_BUFFERED_BYTES = 67_108_864
+"""Limit on the incomplete bodies of a process; a node has 200 to 300 MB."""
+
+MAX_OVERHEAD_BYTES = 131_072
+"""Limit on what isn't body in an exchange, besides a byte for each of the body.
+
+Heads usually have less than 1 KB, and chunks more bytes than their framing.
+"""
+
+MAX_SKIPPED_RESPONSES = 8
+"""Interim and foreign responses before the expected one; one is usual."""
+
+
 class Failure(enum.Enum):
     """Why no complete response was received."""
 
@@ -28,6 +41,8 @@
     CLOSED = "closed"
     MALFORMED = "malformed"
     TOO_LARGE = "too_large"
+    TOO_MANY_SKIPPED = "too_many_skipped"
+    NO_MEMORY = "no_memory"
 
 
 class Probe(enum.Enum):
@@ -66,16 +81,44 @@
     return True
 
 
+class BodyBudget:
+    """Limits the bytes of all incomplete bodies of a process."""
+
+    __slots__ = ("_max_bytes", "reserved_bytes")
+
+    def __init__(self, *, max_bytes: int = MAX_BUFFERED_BYTES) -> None:
+        """Creates a budget of which nothing is in use.
+
+        Args:
+            max_bytes: The limit.
+        """
+        self._max_bytes = max_bytes
+        self.reserved_bytes = 0
+
+    def reserve(self, count_bytes: int) -> bool:
+        """Reserves bytes; returns whether the limit allows it."""
+        if self.reserved_bytes + count_bytes > self._max_bytes:
+            return False
+        self.reserved_bytes += count_bytes
+        return True
+
+    def release(self, count_bytes: int) -> None:
+        """Releases reserved bytes."""
+        self.reserved_bytes -= count_bytes
+
+
 class Connection(asyncio.Protocol):
     """One open connection.
 
     A response that belongs to another request is skipped. The connection is
-    then closed after the expected response.
+    then closed after the expected response. All that a server sends is
+    bounded: a faulty one may send bytes without end.
     """
 
     __slots__ = (
         "_body",
         "_body_bytes",
+        "_exchange_body_bytes",
         "_fields",
         "_has_head",
         "_has_length",
@@ -83,9 +126,11 @@
         "_must_close",
         "_method",
         "_on_result",
+        "_overhead_bytes",
         "_parser",
         "_pool",
         "_reason",
+        "_skipped_count",
         "_transport",
         "idle_since_s",
         "is_open",
@@ -101,6 +146,10 @@
         self._fields: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
         self._body_bytes = 0
+        # Of the exchange, with those of skipped responses.
+        self._exchange_body_bytes = 0
+        self._overhead_bytes = 0
+        self._skipped_count = 0
         self._reason = b""
         self._has_head = False
         self._has_length = False
@@ -129,6 +178,9 @@
         self._is_expected = is_expected
         self._method = method
         self._has_head = False
+        self._exchange_body_bytes = 0
+        self._overhead_bytes = 0
+        self._skipped_count = 0
         self._transport.write(data)
 
     def enable_keepalive(self) -> None:
@@ -154,6 +206,7 @@
     def close(self) -> None:
         """Closes the connection at once."""
         self.is_open = False
+        self._drop_body()
         if self._transport is not None:
             self._transport.abort()
 
@@ -171,6 +224,7 @@
         if exc is None and ends_at_close and self._on_result is not None:
             self._finish_message()
         self._fail(Failure.CLOSED)
+        self._drop_body()
 
     def data_received(self, data: bytes) -> None:
         """Parses received bytes."""
@@ -178,17 +232,22 @@
             # No request is outstanding, so the bytes belong to none.
             self.close()
             return
+        body_bytes = self._exchange_body_bytes
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            self._fail(Failure.MALFORMED)
-            self.close()
+            self._abandon(Failure.MALFORMED)
+            return
+        received_bytes = self._exchange_body_bytes - body_bytes
+        self._overhead_bytes += len(data) - received_bytes
+        most_bytes = MAX_OVERHEAD_BYTES + self._exchange_body_bytes
+        if self._overhead_bytes > most_bytes:
+            self._abandon(Failure.TOO_LARGE)
 
     def on_message_begin(self) -> None:
         """Starts a response."""
         self._fields = []
-        self._body = []
-        self._body_bytes = 0
+        self._drop_body()
         self._reason = b""
         self._has_head = False
         if self._on_result is None:
@@ -215,16 +274,22 @@
 
     def on_body(self, body: bytes) -> None:
         """Collects a part of the body."""
-        self._body_bytes += len(body)
-        if self._body_bytes > MAX_RESPONSE_BYTES:
-            self._fail(Failure.TOO_LARGE)
-            self.close()
+        self._exchange_body_bytes += len(body)
+        if self._on_result is None:
+            return
+        if self._body_bytes + len(body) > MAX_RESPONSE_BYTES:
+            self._abandon(Failure.TOO_LARGE)
+            return
+        if not self._pool.body_budget.reserve(len(body)):
+            self._abandon(Failure.NO_MEMORY)
             return
+        self._body_bytes += len(body)
         self._body.append(body)
 
     def on_message_complete(self) -> None:
         """Completes a response, unless it is an interim one."""
         if 100 <= self._parser.get_status_code() < 200:
+            self._skip()
             return
         if self._has_head:
             self._finish_message()
@@ -235,6 +300,7 @@
             return
         if not self._is_expected(self._fields):
             self._must_close = True
+            self._skip()
             return
         on_result, self._on_result = self._on_result, None
         response = Response(
@@ -243,7 +309,7 @@
             fields=self._fields,
             body=b"".join(self._body),
         )
-        self._body = []
+        self._drop_body()
         is_reusable = (
             not self._must_close
             and self._has_length
@@ -266,6 +332,21 @@
             self.close()
         on_result(response)
 
+    def _skip(self) -> None:
+        """Skips an interim response, or one to another request."""
+        self._skipped_count += 1
+        if self._skipped_count > MAX_SKIPPED_RESPONSES:
+            self._abandon(Failure.TOO_MANY_SKIPPED)
+
+    def _abandon(self, failure: Failure) -> None:
+        self._fail(failure)
+        self.close()
+
+    def _drop_body(self) -> None:
+        self._pool.body_budget.release(self._body_bytes)
+        self._body_bytes = 0
+        self._body = []
+
     def _fail(self, failure: Failure) -> None:
         on_result, self._on_result = self._on_result, None
         if on_result is not None:
@@ -275,16 +356,33 @@
 class Pool:
     """Connections to one server, opened on demand and kept for reuse."""
 
-    __slots__ = ("_connections", "_idle", "_ip", "_loop", "_port", "max_idle_s")
+    __slots__ = (
+        "_connections",
+        "_idle",
+        "_ip",
+        "_loop",
+        "_port",
+        "body_budget",
+        "max_idle_s",
+    )
 
-    def __init__(self, *, ip: str, port: int, max_idle_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        ip: str,
+        port: int,
+        max_idle_s: float,
+        body_budget: BodyBudget | None = None,
+    ) -> None:
         """Creates an empty pool.
 
         Args:
             ip: The server's address.
             port: Its port.
             max_idle_s: How long an idle connection is kept.
+            body_budget: Limits the bodies; shared by the pools of a process.
         """
+        self.body_budget = body_budget or BodyBudget()
         self._ip = ip
         self._port = port
         self._loop = asyncio.get_running_loop()
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -24,6 +24,7 @@
 from rhubarblead.router import dispatcher
 from rhubarblead.router import event_log
 from rhubarblead.router import heartbeat_handler
+from rhubarblead.router import http_client
 from rhubarblead.router import http_server
 from rhubarblead.router import metrics_exporter
 from rhubarblead.router import ownership
@@ -98,8 +99,12 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._state = _make_state(deployment)
         self._directory = directory.Directory(own_state=self._state)
+        body_budget = http_client.BodyBudget()
         self._store = store_client.StoreClient(
-            address=deployment.store, events=self._events, now_ms=read_now_ms
+            address=deployment.store,
+            events=self._events,
+            now_ms=read_now_ms,
+            body_budget=body_budget,
         )
         transfer_queue = transfers.TransferQueue(
             link_bytes_per_ms=deployment.link_bytes_per_ms
@@ -123,6 +128,7 @@
                 deployment.service
             ),
             broadcast=lambda message: self._links.broadcast(message),
+            body_budget=body_budget,
         )
         self._links = peers.Links(
             receiver=self,
--- a/src/rhubarblead/router/store_client.py
+++ b/src/rhubarblead/router/store_client.py
@@ -52,6 +52,7 @@
         address: settings.Address,
         events: event_log.EventLog,
         now_ms: Callable[[], int],
+        body_budget: http_client.BodyBudget | None = None,
     ) -> None:
         """Initializes the client without connecting.
 
@@ -59,6 +60,7 @@
             address: The store's address.
             events: The event log.
             now_ms: Returns the current time in milliseconds.
+            body_budget: Limits the incomplete bodies of the process.
         """
         self._events = events
         self._refused_eras: set[str] = set()
@@ -69,7 +71,10 @@
         # Calls the store through another node; None if there is no relay.
         self.relay: Relay | None = None
         self._pool = http_client.Pool(
-            ip=address.ip, port=address.port, max_idle_s=MAX_IDLE_S
+            ip=address.ip,
+            port=address.port,
+            max_idle_s=MAX_IDLE_S,
+            body_budget=body_budget,
         )
 
     async def write(
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -115,6 +115,7 @@
         link: link_load.LinkLoad,
         count_servers: Callable[[], int],
         broadcast: Callable[[wire.Message], None],
+        body_budget: http_client.BodyBudget | None = None,
     ) -> None:
         """Creates an upstream that serves nothing before its first heartbeat.
 
@@ -129,6 +130,7 @@
             link: Load of the instance's link by responses.
             count_servers: Counts the servers of the server's service.
             broadcast: Sends a message to all nodes.
+            body_budget: Limits the incomplete bodies of the process.
         """
         self._loop = asyncio.get_running_loop()
         self._events = events
@@ -136,7 +138,10 @@
         self._is_held = is_held
         self._is_owned = is_owned
         self._pool = http_client.Pool(
-            ip=address.ip, port=address.port, max_idle_s=MAX_IDLE_S
+            ip=address.ip,
+            port=address.port,
+            max_idle_s=MAX_IDLE_S,
+            body_budget=body_budget,
         )
         self._wait_queue = waiting.WaitQueue(
             slot_count=1, is_ready=self._is_ready
--- a/tests/rhubarblead/router/http.feature
+++ b/tests/rhubarblead/router/http.feature
@@ -4,6 +4,7 @@
     When a server sends "<sent>"
     Then the client reports <result>
     And the connection is <kept>
+    And no bytes of bodies remain reserved
 
     Examples: a-id and b-id are responses to the request and to another one with the body "body" (short: half of it, open: without a length), garbage is not HTTP; at the end the server closes, resets or keeps the connection
       | sent              | result                | kept   |
@@ -21,6 +22,16 @@
       | a-id garbage keep | the complete response | closed |
       | chunked-a-id keep | the complete response | kept   |
       | interim a-id keep | the complete response | kept   |
+      | interim interim interim interim interim interim interim interim a-id keep | the complete response | kept |
+      | b-id b-id b-id b-id b-id b-id b-id b-id a-id keep | the complete response | closed |
+      | interim interim interim interim b-id b-id b-id b-id b-id a-id keep | too_many_skipped | closed |
+
+  Scenario: The incomplete bodies of a process share a limit
+    Given a limit of 3 bytes for all bodies
+    When a server sends "chunked-a-id keep"
+    Then the client reports no_memory
+    And the connection is closed
+    And no bytes of bodies remain reserved
 
   Scenario: A server that refuses connections gets no request
     When no server listens
--- a/tests/steps/router_http.py
+++ b/tests/steps/router_http.py
@@ -38,9 +38,15 @@
             return head + b"content-length: 4\r\n\r\nbody"
 
 
-async def _exchange(actions: list[str]) -> tuple[http_client.Result, bool]:
+async def _exchange(
+    actions: list[str], body_budget: http_client.BodyBudget
+) -> tuple[http_client.Result, bool]:
     """Serves one request by a script.
 
+    Args:
+        actions: What the server sends, and how it ends.
+        body_budget: Limits the bodies that the client holds.
+
     Returns:
         The client's result, and whether it keeps the connection for reuse.
     """
@@ -64,7 +70,9 @@
 
     server = await asyncio.start_server(serve, _IP, 0)
     port = server.sockets[0].getsockname()[1]
-    pool = http_client.Pool(ip=_IP, port=port, max_idle_s=60.0)
+    pool = http_client.Pool(
+        ip=_IP, port=port, max_idle_s=60.0, body_budget=body_budget
+    )
     connection = await pool.open()
     assert connection is not None
     done = asyncio.get_running_loop().create_future()
@@ -90,13 +98,25 @@
     )
 
 
+@behave.given("a limit of {most:d} bytes for all bodies")
+def limit_bodies(context: runner.Context, most: int) -> None:
+    context.body_budget = http_client.BodyBudget(max_bytes=most)
+
+
 @behave.when('a server sends "{actions}"')
 def send(context: runner.Context, actions: str) -> None:
+    if "body_budget" not in context:
+        context.body_budget = http_client.BodyBudget()
     context.result, context.is_reusable = asyncio.run(
-        _exchange(actions.split())
+        _exchange(actions.split(), context.body_budget)
     )
 
 
+@behave.then("no bytes of bodies remain reserved")
+def check_reserved(context: runner.Context) -> None:
+    assert context.body_budget.reserved_bytes == 0
+
+
 @behave.when("no server listens")
 def connect_refused(context: runner.Context) -> None:
     async def connect() -> http_client.Connection | None:
