Soak: servers that state limits, and that leave by their responses

The stand-in takes what it states from PUT /-/statement. The audit checks both rules by their words, per node that has passed on a statement and wasn't disturbed since; eight cases show what it finds and what it lets pass.

--- a/tests/steps/soak.py
+++ b/tests/steps/soak.py
@@ -78,6 +78,38 @@
     ]
 
 
+def _make_stated(
+    count: int,
+    *,
+    sent_ms: float,
+    limit: str | None = None,
+    is_leaving: bool = False,
+) -> dict[str, Any]:
+    """Makes a run after a server's statement, by one node that was told."""
+    later = [f"r{number}" for number in range(2, count + 2)]
+    return {
+        "outcomes": [
+            _make_outcome(
+                "r1", server="a", limit=limit or "", is_leaving=is_leaving
+            ),
+            *(_make_outcome(name, sent_ms=sent_ms) for name in later),
+        ],
+        "records": [
+            {
+                "kind": "statement",
+                "server": "a",
+                "at_ms": 5.0,
+                "limit": limit,
+                "is_leaving": is_leaving,
+            },
+            _make_run_record("r1"),
+            *(_make_run_record(name, at_ms=sent_ms + 5) for name in later),
+        ],
+    }
+
+
+_RESTARTED = {"disturbed_ms": {"n1": [1_000.0]}}
+
 # Outcomes, records and server end times, where they differ from a correct run.
 _RUNS: dict[str, dict[str, Any]] = {
     "no violation": {},
@@ -138,6 +170,32 @@
     "a poison request that ran 4 times at once": {
         "records": _make_crashes(100, 200, 300, 300, 300, 300, 300)
     },
+    "6 requests to a server with a limit of 0": _make_stated(
+        6, sent_ms=2_500.0, limit="0"
+    ),
+    "5 requests to a server with a limit of 0": _make_stated(
+        5, sent_ms=2_500.0, limit="0"
+    ),
+    "6 requests to a server with a limit of 0.3": _make_stated(
+        6, sent_ms=2_500.0, limit="0.3"
+    ),
+    "9 requests 400 ms after a limit of 0": _make_stated(
+        9, sent_ms=400.0, limit="0"
+    ),
+    "9 requests of a restarted node after a limit of 0": {
+        **_make_stated(9, sent_ms=2_500.0, limit="0"),
+        **_RESTARTED,
+    },
+    "a request 2.5 s after its server left": _make_stated(
+        1, sent_ms=2_500.0, is_leaving=True
+    ),
+    "a request 1.5 s after its server left": _make_stated(
+        1, sent_ms=1_500.0, is_leaving=True
+    ),
+    "a request of a restarted node after its server left": {
+        **_make_stated(1, sent_ms=2_500.0, is_leaving=True),
+        **_RESTARTED,
+    },
     "a fence that does not rise between servers": {
         "records": _make_overlapping_holds(100.0, fence=1)
     },
@@ -150,6 +208,7 @@
     context.outcomes = case.get("outcomes", [_make_outcome("r1")])
     context.records = case.get("records", [_make_run_record("r1")])
     context.ended_ms = case.get("ended_ms", {})
+    context.disturbed_ms = case.get("disturbed_ms", {})
 
 
 @behave.then('the audit finds "{rules}"')
@@ -159,6 +218,7 @@
         outcomes=context.outcomes,
         records=sorted(context.records, key=lambda record: record["at_ms"]),
         ended_ms=context.ended_ms,
+        disturbed_ms=context.disturbed_ms,
     )
     found = {finding.rule.name for finding in findings}
     assert found == set(rules.split()), findings
--- a/tests/tools/soak.feature
+++ b/tests/tools/soak.feature
@@ -23,6 +23,14 @@
       | a poison request that ran 3 times late     |          |
       | a poison request that ran 4 times late     | BUDGET   |
       | a poison request that ran 4 times at once  |          |
+      | 6 requests to a server with a limit of 0   | LIMIT    |
+      | 5 requests to a server with a limit of 0   |          |
+      | 6 requests to a server with a limit of 0.3 |          |
+      | 9 requests 400 ms after a limit of 0       |          |
+      | 9 requests of a restarted node after a limit of 0 |   |
+      | a request 2.5 s after its server left      | DRAIN    |
+      | a request 1.5 s after its server left      |          |
+      | a request of a restarted node after its server left | |
 
   Scenario: A keyed server reports held keys, releases them and refuses old fences
     Given a keyed server that is granted 0-99 with fence 3 for 1000 ms
--- a/tools/soak/audit.py
+++ b/tools/soak/audit.py
@@ -18,6 +18,7 @@
 from typing import Any
 
 from tools.soak import callers
+from tools.soak import statement_audit
 
 MAX_OVERLAP_MS = 500
 """The platform's rules let two servers hold the same key for this long."""
@@ -45,6 +46,8 @@
     UNASKED = "a server ran what nobody sent"
     OVERFULL = "a server got more requests than it has slots"
     BUDGET = "a request that crashes servers was sent to them again and again"
+    LIMIT = "a server got more requests than the limit that it stated"
+    DRAIN = "a server got requests after it had stated that it leaves"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -84,6 +87,7 @@
     outcomes: Iterable[callers.Outcome],
     records: list[dict[str, Any]],
     ended_ms: Mapping[str, float],
+    disturbed_ms: Mapping[str, list[float]],
 ) -> list[Finding]:
     """Checks the results of one soak.
 
@@ -91,7 +95,10 @@
         outcomes: Outcomes of the callers' requests.
         records: Records that the servers wrote, sorted by time.
         ended_ms: End times of server processes, by server name.
+        disturbed_ms: Times at which a node's router was started, stopped,
+            frozen or resumed, by node.
     """
+    outcomes = list(outcomes)
     outcomes_by_id = {item.request_id: item for item in outcomes}
     runs = [record for record in records if record["kind"] == "run"]
     return [
@@ -103,6 +110,18 @@
             if record["kind"] == "overfull"
         ),
         *_check_poison(records),
+        *(
+            Finding(rule=Rule.LIMIT, explanation=text)
+            for text in statement_audit.find_excesses(
+                outcomes, records, disturbed_ms
+            )
+        ),
+        *(
+            Finding(rule=Rule.DRAIN, explanation=text)
+            for text in statement_audit.find_late_sends(
+                outcomes, records, disturbed_ms
+            )
+        ),
         *_check_fences(records),
         *_check_owners(_list_spans(records, ended_ms)),
     ]
--- a/tools/soak/callers.py
+++ b/tools/soak/callers.py
@@ -8,6 +8,7 @@
 import random
 import threading
 import time
+from typing import Any
 
 from tools.soak import cluster
 from tools.standins import keyed
@@ -20,7 +21,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Outcome:
-    """The outcome of one request; `status` is 0 if no answer came."""
+    """The outcome of one request; `status` is 0 if no answer came.
+
+    `server`, `limit` and `is_leaving` are what the answer states; they are
+    empty and False without a server's answer.
+    """
 
     request_id: str
     node: str
@@ -31,6 +36,9 @@
     is_correct: bool
     sent_ms: float
     ended_ms: float
+    server: str = ""
+    limit: str = ""
+    is_leaving: bool = False
 
 
 class Callers:
@@ -125,6 +133,7 @@
     ) -> Outcome:
         sent_ms = keyed.read_clock_ms()
         status, is_correct = 0, True
+        stated: dict[str, Any] = {}
         try:
             connection.request(
                 "GET" if body is None else "POST",
@@ -144,6 +153,11 @@
                 content == keyed.make_body(request_id)
                 and bool(response.headers.get("X-Rhubarblead-Server-Seal"))
             )
+            stated = {
+                "server": response.headers.get("X-Rhubarblead-Instance-Id", ""),
+                "limit": response.headers.get(keyed.LIMIT, ""),
+                "is_leaving": keyed.LEAVING in response.headers,
+            }
         except (OSError, http.client.HTTPException):
             # No answer; the next request opens a new connection.
             connection.close()
@@ -157,6 +171,7 @@
             is_correct=is_correct,
             sent_ms=sent_ms,
             ended_ms=keyed.read_clock_ms(),
+            **stated,
         )
 
 
--- a/tools/soak/fault_injector.py
+++ b/tools/soak/fault_injector.py
@@ -7,6 +7,7 @@
 import threading
 import time
 
+from tools import processes
 from tools.soak import cluster
 from tools.soak import proxy
 from tools.standins import keyed
@@ -47,6 +48,9 @@
         self._config_version = 1
         self.events: list[Event] = []
         self.ended_ms: dict[str, float] = {}
+        self.disturbed_ms: dict[str, list[float]] = {
+            node.name: [] for node in running.nodes
+        }
 
     def inject_faults(self, duration_s: float) -> None:
         """Injects faults at random intervals for the given time."""
@@ -72,8 +76,9 @@
         match self._rng.randrange(11):
             case 0 | 1:
                 self._record_event(f"kill router {node.name}")
+                self._record_disturbance(node)
                 node.router.kill()
-                self._schedule(RESTART_DELAY_S, node.router.start)
+                self._schedule(RESTART_DELAY_S, self._start_router, node)
             case 2:
                 self._record_event(f"stop router {node.name}")
                 self._run_in_thread(self._restart_router, node)
@@ -110,8 +115,20 @@
         self._record_event(
             f"freeze {process.role.value} {process.name} {duration_s} s"
         )
+        self._record_disturbance(node)
         process.freeze()
-        self._schedule(duration_s, process.resume)
+        self._schedule(duration_s, self._resume, node, process)
+
+    def _resume(self, node: cluster.Node, process: processes.Process) -> None:
+        process.resume()
+        self._record_disturbance(node)
+
+    def _start_router(self, node: cluster.Node) -> None:
+        node.router.start()
+        self._record_disturbance(node)
+
+    def _record_disturbance(self, node: cluster.Node) -> None:
+        self.disturbed_ms[node.name].append(keyed.read_clock_ms())
 
     def _disrupt_store_proxy(self, node: cluster.Node) -> None:
         choices = [mode for mode in proxy.Mode if mode is not proxy.Mode.PASS]
@@ -136,11 +153,12 @@
 
     def _restart_router(self, node: cluster.Node) -> None:
         node.router.resume()
+        self._record_disturbance(node)
         node.router.send_signal(signal.SIGTERM)
         if node.router.wait(STOP_TIMEOUT_S) is None:
             node.router.kill()
         time.sleep(RESTART_DELAY_S)
-        node.router.start()
+        self._start_router(node)
 
     def _replace_server(self, node: cluster.Node) -> None:
         server = node.server
--- a/tools/soak/soak_run.py
+++ b/tools/soak/soak_run.py
@@ -13,6 +13,7 @@
 from tools.soak import cluster
 from tools.soak import fault_injector
 from tools.soak import poison_caller
+from tools.soak import statement_changer
 from tools.soak import store_restorer
 
 RECOVERY_TIMEOUT_S = 30.0
@@ -30,7 +31,8 @@
     """The result of a soak.
 
     `crash_count` counts the servers that the poison request has ended,
-    `restore_count` how often the store came back from a copy.
+    `restore_count` how often the store came back from a copy,
+    `statement_count` how often a server changed what it states about itself.
     `recovered_s` is the time from the end of the faults until all probed keys
     were served again, or None if they weren't.
     """
@@ -40,6 +42,7 @@
     statuses: dict[int, int]
     crash_count: int
     restore_count: int
+    statement_count: int
     recovered_s: float | None
     events: list[str]
 
@@ -61,8 +64,8 @@
         return (
             f"seed {self.seed}: {verdict}, {len(self.events)} faults, answers"
             f" {statuses_text}, {self.crash_count} servers crashed by one"
-            f" request, {self.restore_count} restores, all keys served again:"
-            f" {recovery}"
+            f" request, {self.restore_count} restores, {self.statement_count}"
+            f" statements, all keys served again: {recovery}"
         )
 
 
@@ -100,12 +103,15 @@
             running=running, traffic=traffic, seed=seed
         )
         restorer = store_restorer.StoreRestorer(running=running, seed=seed)
+        changer = statement_changer.StatementChanger(running=running, seed=seed)
         traffic.start()
         poison.start()
         restorer.start()
+        changer.start()
         injector.inject_faults(duration_s)
         poison.stop()
         restorer.stop()
+        changer.stop()
         injector.restore()
         recovered_s = _wait_until_served(running, traffic)
         traffic.stop()
@@ -120,12 +126,18 @@
         findings=audit.check(
             outcomes=traffic.outcomes,
             records=records,
-            ended_ms={**injector.ended_ms, **crashed_ms},
+            ended_ms={
+                **injector.ended_ms,
+                **changer.ended_ms,
+                **crashed_ms,
+            },
+            disturbed_ms=injector.disturbed_ms,
         ),
         statuses=dict(collections.Counter(o.status for o in traffic.outcomes)),
         crash_count=len(crashed_ms),
         restore_count=restorer.count,
         recovered_s=recovered_s,
+        statement_count=changer.count,
         events=[f"{event.at_ms:.0f} {event.text}" for event in injector.events],
     )
 
--- a/tools/standins/keyed.py
+++ b/tools/standins/keyed.py
@@ -6,7 +6,9 @@
 
 It writes a record for each run, each heartbeat reply with its grants and each
 request above its slots, whose connection it resets, as the platform's servers
-do. SIGTERM drains it. A request whose id begins with `poison-` ends it.
+do. SIGTERM drains it. A request whose id begins with `poison-` ends it. PUT
+/-/statement with `{"limit": "2.5", "is_leaving": false}` sets what it states
+about itself in its responses.
 """
 
 import argparse
@@ -37,6 +39,9 @@
 MAX_RUN_MS = 60
 NOT_EXECUTED = "X-Rhubarblead-Not-Executed"
 REQUEST_ID = "X-Rhubarblead-Request-Id"
+LIMIT = "Server-Limit"
+LEAVING = "Server-Leaving"
+STATEMENT_PATH = "/-/statement"
 POISON_ID_PREFIX = "poison-"
 POISON_PATH_PART = "report"
 POISON_RUN_MS = 20
@@ -95,6 +100,8 @@
         self.keys = held_keys.HeldKeys()
         self.running_count = 0
         self.is_draining = threading.Event()
+        # What the responses state; kept by one assignment, read without lock.
+        self.stated: dict[str, str] = {}
         self.records = RecordWriter(path=options.records, server_id=options.id)
         self._sequence = 0
 
@@ -132,6 +139,14 @@
         }
         return body, released, now_ms
 
+    def set_statement(self, limit: str | None, *, is_leaving: bool) -> None:
+        """Sets what the responses state from now on."""
+        stated = {} if limit is None else {LIMIT: limit}
+        if is_leaving:
+            stated[LEAVING] = "1"
+        self.records.write("statement", limit=limit, is_leaving=is_leaving)
+        self.stated = stated
+
     def apply_reply(self, reply: dict[str, Any], sent_at_ms: float) -> None:
         """Applies the reply to a heartbeat."""
         if "holds" not in reply:
@@ -182,8 +197,15 @@
         if self.path == "/health":
             self._respond(http.HTTPStatus.OK, b"")
             return
+        if self.path == STATEMENT_PATH:
+            self.server.state.set_statement(**json.loads(body))
+            self._respond(http.HTTPStatus.OK, b"")
+            return
         refusal = self._find_refusal()
         if refusal is not None:
+            self.server.state.records.write(
+                "turned_away", request_id=self.headers.get(REQUEST_ID)
+            )
             self._respond(refusal, b"", not_executed=True)
             return
         self._execute(body)
@@ -249,6 +271,8 @@
         if request_id := self.headers.get(REQUEST_ID):
             self.send_header(REQUEST_ID, request_id)
             self.send_header("X-Rhubarblead-Server-Seal", f"seal.{options.id}")
+            for name, value in self.server.state.stated.items():
+                self.send_header(name, value)
         if not_executed:
             self.send_header(NOT_EXECUTED, "1")
         self.end_headers()
