Keep a stated limit in the product's nodes too, with the same decision

The product's own node has an upstream beside it as well, and read nothing of the kind. Its response field is Rhubarb-Rate-Limit; admission keeps the limit with requests/rate_limit.py, the module that the router uses, and one parser (rates.py) reads both fields. UPSTREAM_LIMIT_CHANGED and UPSTREAM_LIMIT_MALFORMED (every 10 s) are logged.

Two scenarios of requests/admission.feature: a limit of 10 a second starts waiting requests each 100 ms and ends within 1.6 s; threads that wait already notice a limit that is stated later.

--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -416,6 +416,22 @@
         " doesn't check fences.",
         "Fix the upstream, or set is_fenced to false for the pool.",
     )
+    UPSTREAM_LIMIT_CHANGED = _define(
+        2108,
+        _WARNING,
+        "server limit_per_s",
+        "The upstream has begun or ceased to state a limit on its requests per"
+        " second; the node keeps to it.",
+        "Find out what the upstream is short of.",
+    )
+    UPSTREAM_LIMIT_MALFORMED = _define(
+        2109,
+        _WARNING,
+        "server value",
+        "The upstream has stated a limit that is no decimal number of 0 or"
+        " more; it has no effect. Reported every 10 s.",
+        "Check the upstream's software.",
+    )
     PEER_LINK_RESET = _define(
         2200,
         _WARNING,
--- a/src/rhubarblead/node/requests/execution.py
+++ b/src/rhubarblead/node/requests/execution.py
@@ -6,6 +6,8 @@
 
 import result
 
+from rhubarblead import clock
+from rhubarblead import rates
 from rhubarblead import refusal as refusals
 from rhubarblead import verdict as verdicts
 from rhubarblead.events import catalog
@@ -18,9 +20,14 @@
 from rhubarblead.requests import slots
 from rhubarblead.upstream import client
 
+_MAX_LOGGED_CHARACTERS = 80
+
 SendResult: TypeAlias = result.Result[
     client.UpstreamResponse, client.UpstreamFailure
 ]
+MALFORMED_REPORT_MS = 10_000
+"""Interval of the reports of malformed limits, which come in each response."""
+
 Send: TypeAlias = Callable[[], SendResult]
 
 
@@ -36,6 +43,7 @@
         "_events",
         "_detect_crash",
         "_instance",
+        "_malformed_at_ms",
         "_slot_queue",
     )
 
@@ -53,6 +61,7 @@
         self._crashes = crash_detector
         self._detect_crash = detect_crash
         self._events = events
+        self._malformed_at_ms = -MALFORMED_REPORT_MS
 
     def count_in_flight(self) -> int:
         """Counts the requests that run or wait for a slot."""
@@ -91,10 +100,39 @@
         try:
             sent = send()
             is_answered = sent.is_ok()
+            if isinstance(sent, result.Ok):
+                self._record_limit(sent.ok_value.rate_limit)
             return self._build_outcome(sent)
         finally:
             self._crashes.end(work, is_answered=is_answered)
 
+    def _record_limit(self, text: str) -> None:
+        """Records the limit that a response states.
+
+        A malformed one changes nothing.
+        """
+        limit_per_s = rates.parse_rate(text) if text else None
+        if text and limit_per_s is None:
+            self._report_malformed(text)
+            return
+        if self._slot_queue.record_limit(limit_per_s):
+            self._events.emit(
+                catalog.Event.UPSTREAM_LIMIT_CHANGED,
+                server=self._instance,
+                limit_per_s=limit_per_s,
+            )
+
+    def _report_malformed(self, text: str) -> None:
+        now_ms = clock.read_monotonic_ms()
+        if now_ms - self._malformed_at_ms < MALFORMED_REPORT_MS:
+            return
+        self._malformed_at_ms = now_ms
+        self._events.emit(
+            catalog.Event.UPSTREAM_LIMIT_MALFORMED,
+            server=self._instance,
+            value=text[:_MAX_LOGGED_CHARACTERS],
+        )
+
     def _build_outcome(self, sent: SendResult) -> outcomes.Outcome:
         match sent:
             case result.Ok(response):
--- a/src/rhubarblead/platform/headers.py
+++ b/src/rhubarblead/platform/headers.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Iterable
 import dataclasses
-import re
 from typing import TypeAlias
 
+from rhubarblead import rates
+
 Field: TypeAlias = tuple[bytes, bytes]
 
 REQUEST_ID = b"x-rhubarblead-request-id"
@@ -37,7 +38,6 @@
 _SET_BY_SYSTEM = frozenset({DEADLINE, EXPECTED_INSTANCE, CALLER_SERVICE})
 _KEY_COUNT = 65_536
 _DEFAULT_DEADLINE_MS = 30_000
-_DECIMAL = re.compile(rb"[0-9]{1,15}(\.[0-9]{0,15})?|\.[0-9]{1,15}")
 _MAX_LOGGED_CHARACTERS = 80
 
 
@@ -206,11 +206,11 @@
     """
     if not values:
         return None, ""
-    text = b", ".join(values).strip()
-    if not _DECIMAL.fullmatch(text):
-        shown = text[:_MAX_LOGGED_CHARACTERS].decode("latin-1")
-        return None, shown or "(empty)"
-    return float(text), ""
+    text = b", ".join(values).decode("latin-1")
+    limit_per_s = rates.parse_rate(text)
+    if limit_per_s is None:
+        return None, text[:_MAX_LOGGED_CHARACTERS] or "(empty)"
+    return limit_per_s, ""
 
 
 def _read_timeout(value: bytes) -> int | None:
--- a/src/rhubarblead/requests/admission.py
+++ b/src/rhubarblead/requests/admission.py
@@ -6,6 +6,7 @@
 from typing import TypeAlias
 
 from rhubarblead import refusal
+from rhubarblead.requests import rate_limit
 
 KEY_SHARE_PER_MILLE = 250
 INITIAL_SERVICE_MS = 5.0
@@ -13,6 +14,9 @@
 MIN_RETRY_AFTER_MS = 20
 EXCLUSIVE_GAP_MS = 500
 
+_RANK_CLASS = (True, False, 0)
+"""Requests have no ranks here."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Ticket:
@@ -61,7 +65,8 @@
     """Slots and a bounded queue that is fair among keys.
 
     Keys are served round-robin, and one key may fill only a share of the
-    queue. Not thread-safe.
+    queue. A limit on the rate of requests holds besides the slots. Not
+    thread-safe.
     """
 
     def __init__(
@@ -90,6 +95,12 @@
         self._exclusive_id = ""
         self._exclusive_waiting: Ticket | None = None
         self._exclusive_after_ms = 0
+        self._rate_limit = rate_limit.RateLimit()
+
+    @property
+    def rate_limit(self) -> rate_limit.RateLimit:
+        """Limit on the rate of requests to the upstream."""
+        return self._rate_limit
 
     @property
     def slot_count(self) -> int:
@@ -114,7 +125,7 @@
     def set_slots(self, slots: int, now_ms: int) -> Dispatch:
         """Sets the number of slots, at least one."""
         self._slots = max(1, slots)
-        return self._advance(now_ms)
+        return self.advance(now_ms)
 
     def offer(self, ticket: Ticket, now_ms: int) -> Offer:
         """Decides on an arriving request.
@@ -128,17 +139,20 @@
         """
         if ticket.is_exclusive:
             return self._offer_exclusive(ticket, now_ms)
-        if self._is_free() and not self._waiting_count:
+        if self._is_free(now_ms) and not self._waiting_count:
             self._start(ticket, now_ms)
             return Start()
         waiting = self._queues.get(ticket.key, ())
         if self._waiting_count >= self._queue_length:
-            return self._refuse("the queue is full")
+            return self._refuse("the queue is full", now_ms)
         if ticket.key and len(waiting) >= self._key_limit:
-            return self._refuse("too many requests wait for this key")
-        wait_ms = self._find_wait_ms(len(waiting))
+            return self._refuse("too many requests wait for this key", now_ms)
+        wait_ms = max(
+            self._find_wait_ms(len(waiting)),
+            self._rate_limit.find_wait_ms(self._waiting_count, now_ms),
+        )
         if now_ms + wait_ms + self._service_ms > ticket.deadline_ms:
-            return self._refuse("it can't be served in time")
+            return self._refuse("it can't be served in time", now_ms)
         self._queues.setdefault(ticket.key, collections.deque()).append(ticket)
         self._waiting_count += 1
         return Queued()
@@ -161,14 +175,14 @@
         if request_id == self._exclusive_id:
             self._exclusive_id = ""
             self._exclusive_after_ms = now_ms + EXCLUSIVE_GAP_MS
-        return self._advance(now_ms)
+        return self.advance(now_ms)
 
     def withdraw(self, request_id: str, now_ms: int) -> Dispatch:
         """Removes a waiting request whose caller has disconnected."""
         exclusive = self._exclusive_waiting
         if exclusive is not None and exclusive.request_id == request_id:
             self._exclusive_waiting = None
-            return self._advance(now_ms)
+            return self.advance(now_ms)
         for key, waiting in self._queues.items():
             for ticket in waiting:
                 if ticket.request_id == request_id:
@@ -183,27 +197,35 @@
         # All other requests wait meanwhile; the gap limits how often.
         is_busy = self._exclusive_id or self._exclusive_waiting is not None
         if is_busy or now_ms < self._exclusive_after_ms:
-            return self._refuse("another suspect runs alone", EXCLUSIVE_GAP_MS)
-        if not self._running:
+            return self._refuse(
+                "another suspect runs alone", now_ms, EXCLUSIVE_GAP_MS
+            )
+        if not self._running and self._is_allowed(now_ms):
             self._exclusive_id = ticket.request_id
             self._start(ticket, now_ms)
             return Start()
         self._exclusive_waiting = ticket
         return Queued()
 
-    def _is_free(self) -> bool:
+    def _is_free(self, now_ms: int) -> bool:
         if self._exclusive_id or self._exclusive_waiting is not None:
             return False
-        return len(self._running) < self._slots
+        has_slot = len(self._running) < self._slots
+        return has_slot and self._is_allowed(now_ms)
+
+    def _is_allowed(self, now_ms: int) -> bool:
+        return self._rate_limit.find_wait_ms(0, now_ms) <= 0
 
     def _start(self, ticket: Ticket, now_ms: int) -> None:
         self._running[ticket.request_id] = now_ms
+        self._rate_limit.record_send(_RANK_CLASS, now_ms)
 
-    def _advance(self, now_ms: int) -> Dispatch:
+    def advance(self, now_ms: int) -> Dispatch:
+        """Starts what the slots and the limit allow by now."""
         started: list[str] = []
         refused: list[str] = []
         self._advance_exclusive(now_ms, started, refused)
-        while self._waiting_count and self._is_free():
+        while self._waiting_count and self._is_free(now_ms):
             ticket = self._take_next()
             if now_ms >= ticket.deadline_ms:
                 refused.append(ticket.request_id)
@@ -222,7 +244,7 @@
             self._exclusive_waiting = None
             refused.append(ticket.request_id)
             return
-        if not self._running:
+        if not self._running and self._is_allowed(now_ms):
             self._exclusive_waiting = None
             self._exclusive_id = ticket.request_id
             self._start(ticket, now_ms)
@@ -242,8 +264,14 @@
         ahead = sum(min(len(q), rounds) for q in self._queues.values())
         return (ahead + 1) * self._service_ms / self._slots
 
-    def _refuse(self, explanation: str, retry_after_ms: int = 0) -> Refuse:
+    def _refuse(
+        self, explanation: str, now_ms: int, retry_after_ms: int = 0
+    ) -> Refuse:
         drained_ms = self._waiting_count * self._service_ms / self._slots
+        limited_ms = self._rate_limit.plan_return_ms(
+            self._rate_limit.find_wait_ms(self._waiting_count, now_ms), now_ms
+        )
+        drained_ms = max(drained_ms, limited_ms or 0.0)
         return Refuse(
             refused=refusal.Refused(
                 refusal=refusal.Refusal.OVERLOADED,
--- a/src/rhubarblead/upstream/client.py
+++ b/src/rhubarblead/upstream/client.py
@@ -50,12 +50,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class UpstreamResponse:
-    """A complete response, with validated framing and request id."""
+    """A complete response, with validated framing and request id.
+
+    `rate_limit` is the limit that the upstream states on its requests per
+    second, empty if it states none.
+    """
 
     status: int
     reason: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    rate_limit: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -282,6 +287,7 @@
             reason=response.reason,
             headers=fields.forwarded,
             body=body,
+            rate_limit=fields.rate_limit,
         )
     )
 
--- a/src/rhubarblead/upstream/headers.py
+++ b/src/rhubarblead/upstream/headers.py
@@ -9,6 +9,7 @@
 REQUEST_ID = "Rhubarb-Request-Id"
 DEADLINE = "Rhubarb-Deadline-Ms"
 REFUSED = "rhubarb-refused"
+RATE_LIMIT = "rhubarb-rate-limit"
 
 _HOP_BY_HOP = frozenset(
     {
@@ -66,6 +67,7 @@
     request_id: str
     refused: str
     retry_after_ms: int
+    rate_limit: str
 
 
 def write_head(
@@ -162,6 +164,7 @@
         request_id=found.get("rhubarb-request-id", ""),
         refused=found.get(REFUSED, ""),
         retry_after_ms=_read_retry_after_ms(found.get("retry-after", "")),
+        rate_limit=found.get(RATE_LIMIT, ""),
     )
 
 
--- a/tests/rhubarblead/requests/admission.feature
+++ b/tests/rhubarblead/requests/admission.feature
@@ -37,6 +37,24 @@
     When the admission is offered "a99 b99 c99 c99 d99 d99 e99 e99 f99 f99 g99"
     Then the admission's last refusal has a retry time of 40 ms
 
+  Scenario: A limit on the request rate holds besides the slots
+    Given an admission with 9 slots and a queue of 8
+    And its measured service time is 10 ms
+    When its upstream states a limit of 10 requests per second
+    And the admission is offered "a999 b999 c150 d999"
+    Then the admission decided "w w r w"
+    When the admission goes on for 310 ms
+    Then the admission started "a b d" in this order
+    When its upstream states no limit
+    And the admission goes on for 1600 ms
+    And the admission is offered "a99 b99 c99 d99"
+    Then the admission decided "s s s s"
+
+  Scenario: Threads that wait for slots notice a limit that is stated later
+    When 12 threads run requests of 20 ms through 4 slots with a limit of 10 per second from 10 ms on
+    Then at most 9 of them had run after 600 ms
+    And each thread ran or was refused
+
   Scenario: A suspect runs in isolation, and the next one only after a gap
     Given an admission with 2 slots and a queue of 8
     And its measured service time is 10 ms
--- a/tests/steps/admission.py
+++ b/tests/steps/admission.py
@@ -3,6 +3,7 @@
 from concurrent import futures
 import itertools
 import threading
+import time
 
 import behave
 from behave import runner
@@ -97,6 +98,24 @@
     record_dispatch(context, dispatch)
 
 
+@behave.when("its upstream states a limit of {limit:g} requests per second")
+def state_limit(context: runner.Context, limit: float) -> None:
+    context.admission.rate_limit.set(limit, context.now_ms)
+
+
+@behave.when("its upstream states no limit")
+def state_no_limit(context: runner.Context) -> None:
+    context.admission.rate_limit.lift(context.now_ms)
+
+
+@behave.when("the admission goes on for {length:d} ms")
+def go_on(context: runner.Context, length: int) -> None:
+    end_ms = context.now_ms + length
+    while context.now_ms < end_ms:
+        context.now_ms += 10
+        record_dispatch(context, context.admission.advance(context.now_ms))
+
+
 @behave.when("the admission's slots become {count:d}")
 def set_slots(context: runner.Context, count: int) -> None:
     record_dispatch(context, context.admission.set_slots(count, context.now_ms))
@@ -168,6 +187,51 @@
     context.queue = queue
 
 
+@behave.when(
+    "{count:d} threads run requests of {length:d} ms through {slot_count:d}"
+    " slots with a limit of {limit:d} per second from {start:d} ms on"
+)
+def run_limited_threads(
+    context: runner.Context,
+    count: int,
+    length: int,
+    slot_count: int,
+    limit: int,
+    start: int,
+) -> None:
+    queue = slots.SlotQueue(
+        decisions=admission.Admission(
+            slots=slot_count, queue_length=count, key_share_per_mille=1_000
+        )
+    )
+    started_ms = clock.read_monotonic_ms()
+    context.ran_at_ms = []
+
+    def run_request(number: int) -> bool:
+        ticket = admission.Ticket(
+            request_id=f"{number}", key="", deadline_ms=started_ms + 5_000
+        )
+        if queue.acquire(ticket).is_err():
+            return True
+        with queue.releasing(ticket.request_id):
+            context.ran_at_ms.append(clock.read_monotonic_ms() - started_ms)
+            time.sleep(length / 1_000)
+        return True
+
+    with futures.ThreadPoolExecutor(count) as executor:
+        running = [executor.submit(run_request, n) for n in range(count)]
+        time.sleep(start / 1_000)
+        assert queue.record_limit(float(limit))
+        context.outcomes = [item.result() for item in running]
+    context.queue = queue
+
+
+@behave.then("at most {most:d} of them had run after {length:d} ms")
+def check_paced(context: runner.Context, most: int, length: int) -> None:
+    found = sum(at_ms <= length for at_ms in context.ran_at_ms)
+    assert found <= most, context.ran_at_ms
+
+
 @behave.then("never more than {count:d} ran concurrently")
 def check_most(context: runner.Context, count: int) -> None:
     assert 1 <= context.max_concurrent <= count
