Make a request's grant and its remaining time after its wait for a slot

Cause: the grant's expiry and the time left were computed before the wait for a slot. After 1 to 2 s in the queue the grant had expired, so that the upstream refused what had waited longest, and an upstream was told of more time than was left. Class: a value that is used after a wait and was read before it.

Both scenarios of node/requests/local.feature failed before.

--- a/src/rhubarblead/node/requests/local.py
+++ b/src/rhubarblead/node/requests/local.py
@@ -1,5 +1,6 @@
 """Runs requests at the upstream on the node's instance."""
 
+from collections.abc import Callable
 from concurrent import futures
 import contextlib
 
@@ -80,7 +81,7 @@
         if work.find_remaining_ms() <= 0:
             return _refuse(refusals.Refusal.DEADLINE, "no time is left")
         if not work.is_keyed:
-            return self._run(work, headers=())
+            return self._run(work, build_headers=tuple)
         view = self._shared_view.read()
         refused = self._check_owner(view, work)
         if refused is not None:
@@ -153,14 +154,16 @@
         if refused is not None:
             return refused
         if not work.forward.is_protected:
-            return self._run(work, headers=self._build_grant(view, work))
+            return self._run(
+                work, build_headers=lambda: self._build_grant(view, work)
+            )
         prior_outcome = self._request_ledger.begin(view, work)
         if prior_outcome is not None:
             return prior_outcome
         self._report_start(view, work)
         # The lease may have lapsed while the ledger entry was being copied.
         outcome = self._check_owner(view, work) or self._run(
-            work, headers=self._build_grant(view, work)
+            work, build_headers=lambda: self._build_grant(view, work)
         )
         self._request_ledger.finish(view, work, outcome)
         return outcome
@@ -193,7 +196,9 @@
         )
 
     def _run(
-        self, work: works.Work, headers: tuple[tuple[str, str], ...]
+        self,
+        work: works.Work,
+        build_headers: Callable[[], tuple[tuple[str, str], ...]],
     ) -> outcomes.Outcome:
         upstream = self._upstream.read()
         if upstream is None or not upstream.is_serving:
@@ -205,11 +210,11 @@
                 ),
                 "the server beside this node is not serving",
             )
-        remaining_ms = work.find_remaining_ms()
-        if remaining_ms <= 0:
+        if work.find_remaining_ms() <= 0:
             return _refuse(refusals.Refusal.DEADLINE, "no time is left")
+        # The grant and the time left are those after the wait for a slot.
         outcome = self._execution.run(
-            work, lambda: self._send(upstream, work, headers, remaining_ms)
+            work, lambda: self._send(upstream, work, build_headers())
         )
         if outcome.refusal is None:
             self._upstream.record_response()
@@ -220,9 +225,17 @@
         upstream: probes.UpstreamView,
         work: works.Work,
         headers: tuple[tuple[str, str], ...],
-        remaining_ms: int,
     ) -> result.Result[client.UpstreamResponse, client.UpstreamFailure]:
         forward = work.forward
+        remaining_ms = work.find_remaining_ms()
+        if remaining_ms <= 0:
+            return result.Err(
+                client.UpstreamFailure(
+                    verdict=_NOT_RUN,
+                    refusal=refusals.Refusal.DEADLINE,
+                    explanation="no time was left after the wait for a slot",
+                )
+            )
         sent = upstream.client.send(
             client.UpstreamRequest(
                 method=forward.method,
