Load tool: a fault rate-limit, in which an upstream states a limit

tools.faults rate-limit lets one upstream state 10 requests a second for 5 s, counts what it ran in that time (at least half of the limit, at most 1.5 times and 5), and what callers saw. A request may wait for the limit at most half of its time; what waits to its deadline leaves its caller no time to try again.

--- a/src/rhubarblead/requests/admission.py
+++ b/src/rhubarblead/requests/admission.py
@@ -13,6 +13,11 @@
 SERVICE_WEIGHT = 0.1
 MIN_RETRY_AFTER_MS = 20
 EXCLUSIVE_GAP_MS = 500
+MAX_LIMIT_WAIT_SHARE = 0.5
+"""Share of its time that a request may wait for the limit on the request rate.
+
+Waiting longer would leave its caller no time to try again.
+"""
 
 _RANK_CLASS = (True, False, 0)
 """Requests have no ranks here."""
@@ -147,11 +152,7 @@
             return self._refuse("the queue is full", now_ms)
         if ticket.key and len(waiting) >= self._key_limit:
             return self._refuse("too many requests wait for this key", now_ms)
-        wait_ms = max(
-            self._find_wait_ms(len(waiting)),
-            self._rate_limit.find_wait_ms(self._waiting_count, now_ms),
-        )
-        if now_ms + wait_ms + self._service_ms > ticket.deadline_ms:
+        if not self._is_feasible(ticket, len(waiting), now_ms):
             return self._refuse("it can't be served in time", now_ms)
         self._queues.setdefault(ticket.key, collections.deque()).append(ticket)
         self._waiting_count += 1
@@ -258,6 +259,17 @@
         self._waiting_count -= 1
         return ticket
 
+    def _is_feasible(
+        self, ticket: Ticket, ahead_of_key: int, now_ms: int
+    ) -> bool:
+        left_ms = ticket.deadline_ms - now_ms
+        limit_wait_ms = self._rate_limit.find_wait_ms(
+            self._waiting_count, now_ms
+        )
+        if limit_wait_ms > MAX_LIMIT_WAIT_SHARE * left_ms:
+            return False
+        return self._find_wait_ms(ahead_of_key) + self._service_ms <= left_ms
+
     def _find_wait_ms(self, ahead_of_key: int) -> float:
         """Estimates the wait behind `ahead_of_key` requests of the same key."""
         rounds = ahead_of_key + 1
--- a/tools/injection.py
+++ b/tools/injection.py
@@ -12,6 +12,8 @@
 
 from tools import launch
 from tools import processes
+from tools import records
+from tools.standins import upstream_state
 
 _NS_PER_S = 1_000_000_000
 _FREEZE_S = 3.0
@@ -23,6 +25,15 @@
 _APPLY_TIMEOUT_S = 30.0
 _CONFLICT_CODE = 3
 _MAX_UNAVAILABLE_MS = 2_000
+_LIMITED_S = 5.0
+_LIMIT_TOLD_S = 0.5
+_LIMIT_FACTOR = 1.5
+_LIMIT_EXTRA = 5
+"""What the platform's rule allows beyond a limit."""
+
+_MIN_LIMIT_USE = 0.5
+"""Share of the limit that the upstream must get at least."""
+
 _NODE = (processes.Role.NODE,)
 _UPSTREAM = (processes.Role.UPSTREAM,)
 _BOTH = (*_NODE, *_UPSTREAM)
@@ -48,6 +59,7 @@
     STOP_NODE = "planned-stop-node"
     STOP_UPSTREAM = "planned-stop-upstream"
     TWO_OPERATORS = "two-operators"
+    RATE_LIMIT = "rate-limit"
 
 
 _PLANNED = frozenset({Fault.STOP_NODE, Fault.STOP_UPSTREAM})
@@ -109,8 +121,21 @@
     """Changes the tables as two operators at the same time."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class StateLimit:
+    """Lets the victims' upstreams state a limit on their requests."""
+
+    per_s: float
+
+
 Action: TypeAlias = (
-    Kill | Terminate | Freeze | StoreOutage | DegradeStore | ConcurrentEdits
+    Kill
+    | Terminate
+    | Freeze
+    | StoreOutage
+    | DegradeStore
+    | ConcurrentEdits
+    | StateLimit
 )
 
 _SLOW = launch.PlatformMode(mode="slow", delay_ms=_SLOW_MS)
@@ -141,6 +166,7 @@
     Fault.STORE_SLOW: (Victims.ONE, DegradeStore(mode=_SLOW)),
     Fault.STORE_ANSWER_LOST: (Victims.ONE, DegradeStore(mode=_LOST_ANSWERS)),
     Fault.TWO_OPERATORS: (Victims.NONE, ConcurrentEdits()),
+    Fault.RATE_LIMIT: (Victims.ONE, StateLimit(per_s=10.0)),
 }
 
 
@@ -158,9 +184,18 @@
 
 def find_bound(fault: Fault) -> Bound:
     """Returns the limits on what callers may observe during a fault."""
-    return Bound(
-        is_cut_off_allowed=fault not in (*_PLANNED, Fault.TWO_OPERATORS)
+    is_cut_off_allowed = fault not in (
+        *_PLANNED,
+        Fault.TWO_OPERATORS,
+        Fault.RATE_LIMIT,
     )
+    if fault is Fault.RATE_LIMIT:
+        # The keys of the limited upstream may go unserved while it lasts.
+        return Bound(
+            unavailable_ms=int(_LIMITED_S * 1_000) + _MAX_UNAVAILABLE_MS,
+            is_cut_off_allowed=is_cut_off_allowed,
+        )
+    return Bound(is_cut_off_allowed=is_cut_off_allowed)
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -198,12 +233,12 @@
         """
         time.sleep(max(0.0, (after_ns - time.monotonic_ns()) / _NS_PER_S))
         self.injected.at_ns = time.monotonic_ns()
+        self._act(store_down_s)
+
+    def _act(self, store_down_s: float) -> None:
         match _ACTIONS[self._fault][1]:
             case Kill(roles=roles, is_restarted=is_restarted):
-                self._kill(roles)
-                for process in self._list_victims(roles):
-                    if is_restarted:
-                        process.start()
+                self._kill(roles, is_restarted=is_restarted)
             case Terminate(roles=roles):
                 for process in self._list_victims(roles):
                     process.stop()
@@ -218,6 +253,37 @@
                 self._launcher.set_platform_mode(launch.STORE_UP)
             case ConcurrentEdits():
                 self._apply_concurrent_edits()
+            case StateLimit(per_s=per_s):
+                self._state_limit(per_s)
+
+    def _state_limit(self, per_s: float) -> None:
+        """Lets upstreams state a limit, and counts what they get under it."""
+        for name in self.injected.victims:
+            self._launcher.set_upstream_mode(
+                name, upstream_state.Mode(rate_limit=str(per_s))
+            )
+        time.sleep(_LIMIT_TOLD_S)
+        start_ns = time.monotonic_ns()
+        time.sleep(_LIMITED_S)
+        end_ns = time.monotonic_ns()
+        for name in self.injected.victims:
+            self._launcher.set_upstream_mode(name, upstream_state.Mode())
+        runs = records.read_records(
+            self._launcher.list_record_paths(), records.Run
+        )
+        for name in self.injected.victims:
+            count = sum(
+                run.server == name and start_ns <= run.start_ns < end_ns
+                for run in runs
+            )
+            self._check_limited(name, count, per_s * _LIMITED_S)
+
+    def _check_limited(self, name: str, count: int, limit: float) -> None:
+        most = _LIMIT_FACTOR * limit + _LIMIT_EXTRA
+        if not _MIN_LIMIT_USE * limit <= count <= most:
+            self.injected.notes.append(
+                f"{name} ran {count} requests under its limit of {limit:g}"
+            )
 
     def _choose_victims(self) -> tuple[str, ...]:
         spec = self._launcher.deployment
@@ -245,12 +311,16 @@
             if process.role in roles and process.name in self.injected.victims
         ]
 
-    def _kill(self, roles: tuple[processes.Role, ...]) -> None:
+    def _kill(
+        self, roles: tuple[processes.Role, ...], *, is_restarted: bool = False
+    ) -> None:
         self.injected.at_ns = time.monotonic_ns()
         for process in self._list_victims(roles):
             process.send_signal(signal.SIGKILL)
         for process in self._list_victims(roles):
             process.kill()
+            if is_restarted:
+                process.start()
 
     def _freeze(self, roles: tuple[processes.Role, ...]) -> None:
         with contextlib.ExitStack() as stack:
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -22,6 +22,7 @@
 from tools import deployment
 from tools import http_json
 from tools import processes
+from tools.standins import upstream_state
 
 START_TIMEOUT_S = 60.0
 _Answer = TypeVar("_Answer")
@@ -70,6 +71,7 @@
         self._stable_since_s = 0.0
         self.nodes: dict[str, processes.Process] = {}
         self.upstreams: dict[str, processes.Process] = {}
+        self._upstream_authorities: dict[str, str] = {}
 
     def __enter__(self) -> Self:
         with contextlib.ExitStack() as stack:
@@ -164,6 +166,17 @@
         if answer.status not in _ACCEPTED:
             raise http_json.CannotReach(f"PUT /-/mode: {answer.status}")
 
+    def set_upstream_mode(self, name: str, mode: upstream_state.Mode) -> None:
+        """Sets the faults of the stand-in of one upstream."""
+        answer = http_json.exchange(
+            self._upstream_authorities[name],
+            "PUT",
+            "/-/mode",
+            body=msgspec.json.encode(mode),
+        )
+        if answer.status not in _ACCEPTED:
+            raise http_json.CannotReach(f"PUT /-/mode: {answer.status}")
+
     def read_platform_counts(self) -> dict[str, int]:
         """Reads the counters of the platform stand-in, by kind."""
         answer = http_json.exchange(self.platform_authority, "GET", "/-/counts")
@@ -348,6 +361,7 @@
         self, stack: contextlib.ExitStack, name: str, port: int
     ) -> processes.Process:
         pool = self.deployment.find_pool_of(name)
+        self._upstream_authorities[name] = f"{processes.LOOPBACK}:{port}"
         return self._add_process(
             stack,
             name,
--- a/tools/standins/upstream.py
+++ b/tools/standins/upstream.py
@@ -266,6 +266,9 @@
         ]
         if request_id:
             lines.append(f"Rhubarb-Request-Id: {request_id}")
+        rate_limit = self.server.state.mode.rate_limit
+        if rate_limit:
+            lines.append(f"Rhubarb-Rate-Limit: {rate_limit}")
         if status == http.HTTPStatus.NO_CONTENT:
             del lines[1]
         head = "\r\n".join([*lines, "", ""]).encode("latin-1")
