Plan no load shift to servers without capacity

plan_shift divided by zero when the servers below the mean load report a capacity of 0, as one with a limit below 1 request a second could (a new row of keyspace/planning.feature failed with ZeroDivisionError). A scenario shows that keys leave a server that states a limit and stay away when it ends: at most 1 per cent moves in a round then.

--- a/src/rhubarblead/keyspace/planning.py
+++ b/src/rhubarblead/keyspace/planning.py
@@ -254,6 +254,8 @@
         and len(current.list_owned(owner)) < MAX_RANGES_PER_TARGET
     }
     total = sum(spares.values())
+    if total <= 0:
+        return []
     excess = (source.load - mean_load) * source.capacity_per_s * SHIFT_SHARE
     pool = _SpanPool(ranges=current.list_owned(own_owner), rates=rates)
     transfers = []
--- a/tests/rhubarblead/keyspace/planning.feature
+++ b/tests/rhubarblead/keyspace/planning.feature
@@ -59,6 +59,18 @@
       | a:4.0:60 b:0.6:120    | 5:200 6:20 205:20             | 5-5:b              |
       | a:4.0:60 b:0.6:60     | 5:200 6:20 205:20             | 200-299:b          |
       | a:0.9:60 b:0.3:120    | 5:54                          |                    |
+      | a:1.5:10 b:0.5:0      | 5:15                          |                    |
+      | a:0:0 b:0:0           | 5:15                          |                    |
+
+  Scenario: Keys leave a server that states a limit, and stay away when it ends
+    Given 6 servers of 80 requests per second, one of 40
+    And 180 requests per second, 10 per cent of them for 200 adjacent keys
+    When the capacity of s0 becomes 10 requests per second
+    And all servers plan 6 rounds
+    Then no server's load is above 0.95
+    When the capacity of s0 becomes 80 requests per second
+    And all servers plan 6 rounds
+    Then at most 1 per cent of the keys moved in a round
 
   Scenario: A hot spot is distributed over the servers within a few rounds
     Given 6 servers of 80 requests per second, one of 40
--- a/tests/steps/keyspace_planning.py
+++ b/tests/steps/keyspace_planning.py
@@ -111,6 +111,13 @@
     return loads
 
 
+@behave.when(
+    "the capacity of {owner:w} becomes {capacity:g} requests per second"
+)
+def set_capacity(context: runner.Context, owner: str, capacity: float) -> None:
+    context.capacities[owner] = capacity
+
+
 @behave.when("all servers plan {count:d} rounds")
 def plan_rounds(context: runner.Context, count: int) -> None:
     context.moved = []
