See what saturates a node: bytes by kind of message, and late timers

New: link_bytes_total by kind and direction (the store's responses too), LINK_BUSY when messages use over half of the instance's link for a second, LOOP_BLOCKED and longest_timer_delay_ms for late timers, and took_ms in CONFIG_IN_FORCE.

--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -543,8 +543,9 @@
     CONFIG_IN_FORCE = _define(
         3100,
         _INFO,
-        "version previous_version source route_count",
-        "This node applied a version of the configuration.",
+        "version previous_version source route_count took_ms",
+        "This node applied a version of the configuration; `took_ms` is the"
+        " time that decoding it took.",
     )
     CONFIG_UNUSABLE = _define(
         3101,
@@ -676,6 +677,22 @@
         "A message from another node could not be decoded, or a message could"
         " not be sent.",
     )
+    LINK_BUSY = _define(
+        3403,
+        _WARNING,
+        "direction used_per_mille largest_kind largest_bytes",
+        "Messages to or from other nodes and the store have used over half of"
+        " the instance's link for a second. `largest_kind` is the kind of"
+        " message with the most bytes.",
+        "See link_bytes_total; requests wait behind large messages.",
+    )
+    LOOP_BLOCKED = _define(
+        3404,
+        _WARNING,
+        "delay_ms",
+        "A timer of this node was late; it handled nothing else meanwhile, or"
+        " had no processor.",
+    )
     ANSWER_RETURNED = _define(
         3500,
         _INFO,
--- a/src/rhubarblead/router/config_feed.py
+++ b/src/rhubarblead/router/config_feed.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import time
 
 from rhubarblead import routing_table
 from rhubarblead.events import catalog
@@ -59,6 +60,7 @@
             content: The configuration as the operator wrote it.
             source: Where the configuration comes from, for the log.
         """
+        started_at_s = time.monotonic()
         try:
             table = configuration.decode(content)
         except configuration.CannotDecode as error:
@@ -74,6 +76,7 @@
             previous_version=self.version,
             source=source,
             route_count=len(table.routes),
+            took_ms=int((time.monotonic() - started_at_s) * 1_000),
         )
         self.content = content
         self.table = table
--- a/src/rhubarblead/router/metrics_exporter.py
+++ b/src/rhubarblead/router/metrics_exporter.py
@@ -9,6 +9,7 @@
 
 from rhubarblead.router import event_log
 from rhubarblead.router import http_server
+from rhubarblead.router import link_traffic
 
 PATH = "/metrics"
 PREFIX = "rhubarblead_"
@@ -30,6 +31,7 @@
     HELD_KEYS = "held_keys"
     LEASE_LEFT = "right_left_ms"
     KNOWN_NODES = "known_nodes"
+    LONGEST_DELAY = "longest_timer_delay_ms"
 
 
 GAUGE_DESCRIPTIONS = {
@@ -51,6 +53,7 @@
     Gauge.HELD_KEYS: "keys in the latest grant to the local server",
     Gauge.LEASE_LEFT: "time for which this node may still grant keys",
     Gauge.KNOWN_NODES: "nodes known to this one, including itself",
+    Gauge.LONGEST_DELAY: "longest delay of a timer since the process started",
 }
 SERIES_DESCRIPTIONS = {
     'answers_total{route="NAME",status="CODE"}': "answers to callers",
@@ -66,6 +69,10 @@
         " without the time that it waited or ran there"
     ),
     'events_total{event="NAME"}': "events, including those not logged",
+    'link_bytes_total{kind="NAME",direction="NAME"}': (
+        "bytes sent to and received from other nodes and the store, by kind of"
+        " message"
+    ),
 }
 """Series that accumulate from the start of the process."""
 
@@ -82,20 +89,23 @@
     Events are counted by the event log.
     """
 
-    __slots__ = ("_events", "_gauges", "_histograms", "_statuses")
+    __slots__ = ("_events", "_gauges", "_histograms", "_statuses", "_traffic")
 
     def __init__(
         self,
         *,
         events: event_log.EventLog,
         gauges: Callable[[], dict[Gauge, float]],
+        traffic: link_traffic.LinkTraffic | None = None,
     ) -> None:
         """Initializes the exporter without observations.
 
         Args:
             events: The event log, which counts events by name.
             gauges: Returns the current values of the gauges.
+            traffic: Counts the bytes on the links.
         """
+        self._traffic = traffic or link_traffic.LinkTraffic()
         self._events = events
         self._gauges = gauges
         self._histograms: dict[tuple[str, str], Any] = {}
@@ -157,6 +167,15 @@
             f'{PREFIX}events_total{{event="{name}"}} {count}'
             for name, count in sorted(self._events.counts.items())
         )
+        for direction, bytes_by_kind in (
+            ("sent", self._traffic.sent_bytes),
+            ("received", self._traffic.received_bytes),
+        ):
+            lines.extend(
+                f'{PREFIX}link_bytes_total{{kind="{kind}",'
+                f'direction="{direction}"}} {count}'
+                for kind, count in sorted(bytes_by_kind.items())
+            )
         lines.extend(
             f"{PREFIX}{name} {value:g}"
             for name, value in sorted(self._gauges().items())
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -33,6 +33,7 @@
 from rhubarblead.router import relay
 from rhubarblead.router import remote_jobs
 from rhubarblead.router import response_sender
+from rhubarblead.router import saturation_monitor
 from rhubarblead.router import server_notices
 from rhubarblead.router import shutdown
 from rhubarblead.router import state_broadcaster
@@ -76,6 +77,7 @@
         "_relay",
         "_remote_jobs",
         "_response_sender",
+        "_saturation",
         "_chunks",
         "_server_notices",
         "_servers",
@@ -135,6 +137,15 @@
             ip=deployment.callers.ip,
             port=deployment.peers_port,
         )
+        self._saturation = saturation_monitor.SaturationMonitor(
+            traffic=self._links.traffic,
+            link_bytes_per_ms=deployment.link_bytes_per_ms,
+            events=self._events,
+            now_ms=read_now_ms,
+        )
+        self._store.on_received = lambda size_bytes: (
+            self._links.traffic.record_received("store", size_bytes)
+        )
         self._server_notices = server_notices.ServerNotices(links=self._links)
         self._crash_sync = crash_sync.CrashSync(
             crash_detector=self._upstream.crashes, links=self._links
@@ -195,7 +206,9 @@
             self._heartbeat_handler.handle_stated_leaving
         )
         self._metrics = metrics_exporter.MetricsExporter(
-            events=self._events, gauges=self._read_gauges
+            events=self._events,
+            gauges=self._read_gauges,
+            traffic=self._links.traffic,
         )
         self._dispatcher.responder.observe = self._metrics.observe
         self._dispatcher.responder.observe_delays = self._metrics.observe_delays
@@ -508,7 +521,11 @@
     async def _run_watchdog(self) -> None:
         while True:
             self._check_server()
+            due_at_s = self._loop.time() + WATCH_INTERVAL_S
             await asyncio.sleep(WATCH_INTERVAL_S)
+            self._saturation.record_timer(
+                int((self._loop.time() - due_at_s) * 1_000)
+            )
 
     def _read_gauges(self) -> dict[metrics_exporter.Gauge, float]:
         """Returns the current values of the gauges."""
@@ -539,6 +556,9 @@
                 self._ownership.find_effective_lease_ms()
             ),
             metrics_exporter.Gauge.KNOWN_NODES: self._directory.count_nodes(),
+            metrics_exporter.Gauge.LONGEST_DELAY: (
+                self._saturation.longest_delay_ms
+            ),
         }
 
     def _broadcast_state(self) -> None:
--- a/src/rhubarblead/router/peers.py
+++ b/src/rhubarblead/router/peers.py
@@ -13,6 +13,7 @@
 import zmq
 from zmq.utils import monitor
 
+from rhubarblead.router import link_traffic
 from rhubarblead.router import wire
 
 HEARTBEAT_INTERVAL_MS = 1_000
@@ -73,6 +74,7 @@
         "_loop",
         "_receiver",
         "_router",
+        "traffic",
     )
 
     def __init__(self, *, receiver: Receiver, ip: str, port: int) -> None:
@@ -84,6 +86,7 @@
             port: Port that other nodes connect to.
         """
         self._receiver = receiver
+        self.traffic = link_traffic.LinkTraffic()
         self._loop = asyncio.get_running_loop()
         self._context = zmq.Context(io_threads=1)
         self._router = self._context.socket(zmq.ROUTER)
@@ -106,6 +109,7 @@
             address=address,
             context=self._context,
             receiver=self._receiver,
+            traffic=self.traffic,
         )
 
     def drop(self, node_id: str) -> None:
@@ -127,13 +131,24 @@
             certain not to reach the node.
         """
         found = self._links.get(node_id)
-        return found is not None and found.send(wire.encode(message))
+        return found is not None and self._send(found, message)
 
     def broadcast(self, message: wire.Message) -> None:
         """Sends a message over all connected links."""
         content = wire.encode(message)
         for link in self._links.values():
-            link.send(content)
+            if link.send(content):
+                self._record_sent(message, content)
+
+    def _send(self, link: "_Link", message: wire.Message) -> bool:
+        content = wire.encode(message)
+        is_queued = link.send(content)
+        if is_queued:
+            self._record_sent(message, content)
+        return is_queued
+
+    def _record_sent(self, message: wire.Message, content: bytes) -> None:
+        self.traffic.record_sent(type(message).__name__, len(content))
 
     def close(self) -> None:
         """Closes all sockets."""
@@ -158,14 +173,15 @@
             except wire.CannotDecode as error:
                 self._receiver.refuse_message("message", str(error))
                 continue
+            self.traffic.record_received(type(message).__name__, len(content))
             self._receiver.handle_request(message, self._make_reply(identity))
 
     def _make_reply(self, identity: bytes) -> Callable[[wire.Message], None]:
         def reply(message: wire.Message) -> None:
+            content = wire.encode(message)
             try:
-                self._router.send_multipart(
-                    [identity, wire.encode(message)], zmq.NOBLOCK
-                )
+                self._router.send_multipart([identity, content], zmq.NOBLOCK)
+                self._record_sent(message, content)
             except zmq.ZMQError as error:
                 self._receiver.refuse_message("reply", str(error))
             self._loop.call_soon(self._read)
@@ -182,6 +198,7 @@
         "_node_id",
         "_receiver",
         "_socket",
+        "_traffic",
         "address",
         "is_up",
     )
@@ -193,8 +210,10 @@
         address: str,
         context: zmq.Context[zmq.Socket[bytes]],
         receiver: Receiver,
+        traffic: link_traffic.LinkTraffic,
     ) -> None:
         self._loop = asyncio.get_running_loop()
+        self._traffic = traffic
         self._node_id = node_id
         self._receiver = receiver
         self.address = address
@@ -248,6 +267,7 @@
             except wire.CannotDecode as error:
                 self._receiver.refuse_message(self._node_id, str(error))
                 continue
+            self._traffic.record_received(type(message).__name__, len(content))
             self._receiver.handle_reply(self._node_id, message)
             if self._socket.closed:
                 return
--- a/src/rhubarblead/router/store_client.py
+++ b/src/rhubarblead/router/store_client.py
@@ -43,6 +43,7 @@
         "_pool",
         "_refused_eras",
         "era",
+        "on_received",
         "relay",
     )
 
@@ -70,6 +71,8 @@
         self._failed_at_ms: int | None = None
         # Calls the store through another node; None if there is no relay.
         self.relay: Relay | None = None
+        # Called with the size of each response's body.
+        self.on_received: Callable[[int], None] | None = None
         self._pool = http_client.Pool(
             ip=address.ip,
             port=address.port,
@@ -249,6 +252,10 @@
         )
 
         def finish(result: http_client.Result) -> None:
+            if self.on_received is not None and isinstance(
+                result, http_client.Response
+            ):
+                self.on_received(len(result.body))
             if not done.done():
                 done.set_result(result)
 
