Failing test: nodes ask each other for each version of the configuration

A node that is 600 ms behind in a storm of versions, as a healthy one is, asks other nodes 140 times in 6 s for the whole configuration, and one that has missed a change of an assignment asks 20 times in 100 ms. With 1,500 routes a configuration has 128 KB: 24 Mbit/s over a link of 10 Mbit/s.

--- a/tests/steps/router_state_sync.py
+++ b/tests/steps/router_state_sync.py
@@ -17,6 +17,7 @@
 
     def __init__(self) -> None:
         self.requested: list[str] = []
+        self.sent: list[wire.Message] = []
 
     def connect(self, node_id: str, address: str) -> None:
         """Records a requested link."""
@@ -29,15 +30,29 @@
         return False
 
     def send(self, node_id: str, message: wire.Message) -> bool:
-        """Returns that the message wasn't sent."""
-        del node_id, message
+        """Records the message, and returns that it wasn't sent."""
+        del node_id
+        self.sent.append(message)
         return False
 
 
 class _Config:
-    """A configuration newer than that of any other node."""
+    """A configuration, at first newer than that of any other node."""
+
+    def __init__(self) -> None:
+        self.version = 1_000
+
+
+class _Ownership:
+    """Ownership whose assignment fits no change."""
 
-    version = 1_000
+    def __init__(self) -> None:
+        self.assignments = self
+
+    def apply_change(self, change: wire.AssignmentChange) -> bool:
+        """Returns that the change couldn't be applied."""
+        del change
+        return False
 
 
 def _make_state(node_id: str) -> wire.State:
@@ -56,12 +71,15 @@
 async def _open(context: runner.Context) -> None:
     unused: Any = None
     links: Any = context.links
-    config: Any = _Config()
+    context.own_config = _Config()
+    config: Any = context.own_config
+    key_ownership: Any = _Ownership()
+    context.is_store_working = True
     context.state_sync = state_sync.StateSync(
         cluster_directory=context.cluster_directory,
         links=links,
         config=config,
-        key_ownership=unused,
+        key_ownership=key_ownership,
         events=unused,
         now_ms=lambda: 0,
         on_peer_state=lambda node_id: None,
@@ -84,6 +102,77 @@
     context.cluster_directory.mark_linked(name, 0)
 
 
+@behave.given(
+    "its store {works}, so that it is {lag:d} ms behind the configuration"
+)
+def set_lag(context: runner.Context, works: str, lag: int) -> None:
+    context.is_store_working = works == "answers"
+    context.lag_ms = lag
+
+
+@behave.when("61 nodes report a new version each {gap:d} ms for {length:d} s")
+def report_versions(context: runner.Context, gap: int, length: int) -> None:
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        started_at_s = loop.time()
+        context.own_config.version = 0
+        for number in range(61):
+            context.state_sync.handle_state(_make_state(f"p{number}"))
+        while (elapsed_ms := (loop.time() - started_at_s) * 1_000) < (
+            length * 1_000
+        ):
+            version = 1 + int(elapsed_ms / gap)
+            behind = 1 + int((elapsed_ms - context.lag_ms) / gap)
+            context.own_config.version = max(0, behind)
+            # Each node reports its load every 1.5 s.
+            for number in range(61):
+                if int(elapsed_ms / 25) % 60 == number % 60:
+                    context.state_sync.handle_load(
+                        wire.Load(
+                            incarnation=f"p{number}-b",
+                            load=wire.ServerLoad(config_version=version),
+                        )
+                    )
+            await asyncio.sleep(0.025)
+
+    context.loop.run_until_complete(run())
+
+
+@behave.then("it has asked for a configuration {least:d} to {most:d} times")
+def check_config_requests(
+    context: runner.Context, least: int, most: int
+) -> None:
+    found = context.links.sent.count(wire.SnapshotRequest(service=""))
+    assert least <= found <= most, found
+
+
+@behave.when(
+    "{count:d} changes of an assignment arrive within {length:d} ms that don't"
+    " fit its own"
+)
+def receive_changes(context: runner.Context, count: int, length: int) -> None:
+    async def run() -> None:
+        for number in range(count):
+            context.state_sync.handle(
+                wire.AssignmentChange(
+                    service="s",
+                    base_revision=number + 5,
+                    revision=number + 6,
+                    transfers=wire.RangeTransfers(owners=[], rows=[]),
+                ),
+                context.links.sent.append,
+            )
+            await asyncio.sleep(length / count / 1_000)
+
+    context.loop.run_until_complete(run())
+
+
+@behave.then("it has asked for an assignment {count:d} times")
+def check_requests(context: runner.Context, count: int) -> None:
+    found = context.links.sent.count(wire.SnapshotRequest(service="s"))
+    assert found == count, found
+
+
 @behave.then("node {name:w} is not known")
 def check_unknown(context: runner.Context, name: str) -> None:
     assert context.cluster_directory.find_state(name) is None
