Handle a stop signal that another thread has received

The stand-in reported "serving" for over a second after SIGTERM.

Cause: the main thread waits for an event without timeout. The kernel may deliver a signal to any thread; Python runs handlers in the main thread only, which such a wait doesn't leave until the next signal. The product's node waits in the same way, so that a planned stop could be ignored until the process was killed: requests that had just been accepted would be cut off.

--- a/src/rhubarblead/node/daemon.py
+++ b/src/rhubarblead/node/daemon.py
@@ -16,6 +16,7 @@
 from rhubarblead import messages
 from rhubarblead import metrics
 from rhubarblead import settings
+from rhubarblead import signals
 from rhubarblead.events import catalog
 from rhubarblead.events import log
 from rhubarblead.node import admin
@@ -284,7 +285,7 @@
         with self._stack:
             self._start()
             self._events.emit(catalog.Event.NODE_STARTED)
-            self._stopping.wait()
+            signals.wait_for(self._stopping)
             self._shut_down()
         exit_code = _FAILURE_EXIT_CODE if self._has_failed else 0
         self._events.emit(catalog.Event.NODE_STOPPED, exit_code=exit_code)
--- a/tools/standins/keyed.py
+++ b/tools/standins/keyed.py
@@ -29,6 +29,7 @@
 import time
 from typing import Any
 
+from rhubarblead import signals
 from tools.standins import held_keys
 
 HEARTBEAT_INTERVAL_S = 0.5
@@ -354,7 +355,7 @@
             target=send_heartbeats, args=(state, ended)
         )
         heartbeat_thread.start()
-        state.is_draining.wait()
+        signals.wait_for(state.is_draining)
         time.sleep(DRAIN_S)
         ended.set()
         heartbeat_thread.join()
--- a/tools/standins/platform.py
+++ b/tools/standins/platform.py
@@ -27,6 +27,7 @@
 from waitress import channel
 from waitress import wasyncore
 
+from rhubarblead import signals
 from tools.standins import conditions
 from tools.standins import exchange
 from tools.standins import row_calls
@@ -279,7 +280,7 @@
         budget=budget,
         era=options.era,
     ):
-        is_stopping.wait()
+        signals.wait_for(is_stopping)
 
 
 if __name__ == "__main__":
--- a/tools/standins/upstream.py
+++ b/tools/standins/upstream.py
@@ -29,6 +29,7 @@
 import msgspec
 import xxhash
 
+from rhubarblead import signals
 from tools.standins import upstream_state
 
 ANNOUNCE_INTERVAL_S = 0.5
@@ -416,7 +417,7 @@
             target=_announce_repeatedly, args=(state, node, ended), daemon=True
         ).start()
     logging.info("upstream %s is serving", state.options.server)
-    state.is_draining.wait()
+    signals.wait_for(state.is_draining)
     time.sleep(DRAIN_LINGER_S)
     state.wait_until_idle(DRAIN_TIMEOUT_S)
     ended.set()
