--- a/src/rhubarblead/requests/waiting.py
+++ b/src/rhubarblead/requests/waiting.py
@@ -18,8 +18,6 @@
 FINISH_SHARE = 0.8
 """Share of the mean service time that must fit before the deadline."""
 
-DEVIATIONS = 1.3
-"""Standard deviations above the mean; nine in ten waits are shorter."""
 
 MAX_LATE_PER_SLOT = 0.5
 """Limit per slot of waiting requests that will miss their target."""
@@ -440,7 +438,9 @@
         deviation_ms = self._times.estimate_queue_deviation_ms(
             wait_ms, stretch, self._slot_count
         )
-        return max(limit_ms, wait_ms * stretch + DEVIATIONS * deviation_ms)
+        return max(
+            limit_ms, wait_ms * stretch + rate_limit.DEVIATIONS * deviation_ms
+        )
 
     def _find_longest_limit_wait_ms(
         self, ticket: Ticket, wait_ms: float, now_ms: int
