--- a/tests/rhubarblead/requests/admission.feature
+++ b/tests/rhubarblead/requests/admission.feature
@@ -51,8 +51,8 @@
     Then the admission decided "s s s s"
 
   Scenario: Threads that wait for slots notice a limit that is stated later
-    When 12 threads run requests of 20 ms through 4 slots with a limit of 10 per second from 10 ms on
-    Then at most 9 of them had run after 600 ms
+    When 12 threads use 4 slots, and a limit of 10 per second is stated before the first run ends
+    Then at most 6 of the others have run 500 ms later
     And each thread ran or was refused
 
   Scenario: A suspect runs in isolation, and the next one only after a gap
--- a/tests/rhubarblead/router/server_statements.feature
+++ b/tests/rhubarblead/router/server_statements.feature
@@ -8,7 +8,7 @@
   Scenario: A server that states that it leaves gets no more requests
     Given servers that state that they leave
     When each gets 60 requests per second for 1 s
-    Then none gets a request after its first response
+    Then none gets a request that arrived after its first response
 
   Scenario Outline: A response that doesn't end is given up, and may have run
     Given a server that sends <bytes> without end
--- a/tests/stating_server.py
+++ b/tests/stating_server.py
@@ -16,12 +16,14 @@
 class StatingServer:
     """Answers each request after a run, with the fields that `state` returns.
 
-    `arrived_at_s` and `answered_at_s` are times of the event loop.
+    `request_ids` are those of the requests in their order; `arrived_at_s` and
+    `answered_at_s` are times of the event loop.
     """
 
     def __init__(self, *, state: State, run_s: float = 0.2) -> None:
         self._state = state
         self._run_s = run_s
+        self.request_ids: list[bytes] = []
         self.arrived_at_s: list[float] = []
         self.answered_at_s: list[float] = []
 
@@ -43,11 +45,12 @@
         ):
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
+                found = _REQUEST_ID.search(head)
+                assert found is not None
                 self.arrived_at_s.append(loop.time())
+                self.request_ids.append(found[1])
                 number = len(self.arrived_at_s)
                 await asyncio.sleep(self._run_s)
-                found = _REQUEST_ID.search(head)
-                assert found is not None
                 writer.write(make_response(found[1], self._state(number)))
                 self.answered_at_s.append(loop.time())
         writer.close()
--- a/tests/steps/admission.py
+++ b/tests/steps/admission.py
@@ -188,48 +188,49 @@
 
 
 @behave.when(
-    "{count:d} threads run requests of {length:d} ms through {slot_count:d}"
-    " slots with a limit of {limit:d} per second from {start:d} ms on"
+    "{count:d} threads use {slot_count:d} slots, and a limit of {limit:d} per"
+    " second is stated before the first run ends"
 )
 def run_limited_threads(
-    context: runner.Context,
-    count: int,
-    length: int,
-    slot_count: int,
-    limit: int,
-    start: int,
+    context: runner.Context, count: int, slot_count: int, limit: int
 ) -> None:
     queue = slots.SlotQueue(
         decisions=admission.Admission(
             slots=slot_count, queue_length=count, key_share_per_mille=1_000
         )
     )
-    started_ms = clock.read_monotonic_ms()
+    is_stated = threading.Event()
     context.ran_at_ms = []
 
     def run_request(number: int) -> bool:
         ticket = admission.Ticket(
-            request_id=f"{number}", key="", deadline_ms=started_ms + 5_000
+            request_id=f"{number}",
+            key="",
+            deadline_ms=clock.read_monotonic_ms() + 20_000,
         )
         if queue.acquire(ticket).is_err():
-            return True
+            return False
         with queue.releasing(ticket.request_id):
-            context.ran_at_ms.append(clock.read_monotonic_ms() - started_ms)
-            time.sleep(length / 1_000)
-        return True
+            if is_stated.is_set():
+                context.ran_at_ms.append(clock.read_monotonic_ms())
+            return is_stated.wait()
 
     with futures.ThreadPoolExecutor(count) as executor:
         running = [executor.submit(run_request, n) for n in range(count)]
-        time.sleep(start / 1_000)
+        while queue.count_running() + queue.count_waiting() < count:
+            time.sleep(0.001)
         assert queue.record_limit(float(limit))
+        context.stated_at_ms = clock.read_monotonic_ms()
+        is_stated.set()
         context.outcomes = [item.result() for item in running]
     context.queue = queue
 
 
-@behave.then("at most {most:d} of them had run after {length:d} ms")
+@behave.then("at most {most:d} of the others have run {length:d} ms later")
 def check_paced(context: runner.Context, most: int, length: int) -> None:
-    found = sum(at_ms <= length for at_ms in context.ran_at_ms)
-    assert found <= most, context.ran_at_ms
+    end_ms = context.stated_at_ms + length
+    found = sum(at_ms <= end_ms for at_ms in context.ran_at_ms)
+    assert found <= most, (context.stated_at_ms, context.ran_at_ms)
 
 
 @behave.then("never more than {count:d} ran concurrently")
--- a/tests/steps/router_server_statements.py
+++ b/tests/steps/router_server_statements.py
@@ -45,7 +45,6 @@
     )
     made.set_server("i-1", _SLOTS, born_ms=1)
     made.is_serving = True
-    made.statements.on_leaving = lambda: made.refuse_all(wire.Reason.LEAVING)
     return made
 
 
@@ -85,11 +84,20 @@
 
 async def _drive(
     server: stating_server.StatingServer, rate: int, length_s: float
-) -> list[wire.Outcome]:
-    """Sends requests at random times; returns their outcomes."""
+) -> set[bytes]:
+    """Sends requests at random times.
+
+    Returns:
+        The ids of those that were submitted after the server had left.
+    """
     random_source = random.Random(1)
-    outcomes: list[wire.Outcome] = []
+    late_ids: set[bytes] = set()
     async with _serving(server) as made:
+
+        def leave() -> None:
+            made.refuse_all(wire.Reason.LEAVING)
+
+        made.statements.on_leaving = leave
         loop = asyncio.get_running_loop()
         at_s = loop.time()
         end_s = at_s + length_s
@@ -98,8 +106,10 @@
             at_s += random_source.expovariate(rate)
             await asyncio.sleep(max(0.0, at_s - loop.time()))
             number += 1
-            made.submit(_make_work(number), outcomes.append)
-    return outcomes
+            if not made.is_serving:
+                late_ids.add(b"r%d" % number)
+            made.submit(_make_work(number), lambda outcome: None)
+    return late_ids
 
 
 @behave.given('servers that state limits of "{limits}" requests per second')
@@ -128,7 +138,7 @@
 @behave.when("each gets {rate:d} requests per second for {length:d} s")
 def drive(context: runner.Context, rate: int, length: int) -> None:
     async def run() -> None:
-        await asyncio.gather(
+        context.late_ids = await asyncio.gather(
             *(_drive(server, rate, length) for server in context.servers)
         )
 
@@ -156,15 +166,11 @@
     assert all(count <= allowed for _, count, allowed in found), found
 
 
-@behave.then("none gets a request after its first response")
+@behave.then("none gets a request that arrived after its first response")
 def check_left(context: runner.Context) -> None:
-    for server in context.servers:
-        late = [
-            at
-            for at in server.arrived_at_s
-            if at > server.answered_at_s[0] + 0.05
-        ]
-        assert not late, len(late)
+    for server, late_ids in zip(context.servers, context.late_ids, strict=True):
+        assert late_ids, "the server was never taken out"
+        assert not late_ids & set(server.request_ids), late_ids
 
 
 @behave.given("a server that sends {kind} without end")
--- a/tests/steps/router_state_sync.py
+++ b/tests/steps/router_state_sync.py
@@ -10,6 +10,7 @@
 from rhubarblead.router import state_sync
 from rhubarblead.router import wire
 from tests import router_doubles
+from tools import config_storm
 
 
 class _Links:
@@ -61,7 +62,7 @@
 
 @behave.given("a node that receives states of other nodes")
 def make(context: runner.Context) -> None:
-    context.loop = asyncio.new_event_loop()
+    context.loop = config_storm.VirtualTimeLoop()
     context.add_cleanup(context.loop.close)
     context.links = _Links()
     context.cluster_directory = directory.Directory(own_state=_make_state("n1"))
