--- a/tests/steps/router_server_statements.py
+++ b/tests/steps/router_server_statements.py
@@ -11,12 +11,17 @@
 import behave
 from behave import runner
 
+from rhubarblead.events import catalog
+from rhubarblead.platform import headers
 from rhubarblead.platform import settings
 from rhubarblead.requests import link_load
+from rhubarblead.requests import rate_limit
+from rhubarblead.router import server_statements
 from rhubarblead.router import upstream
 from rhubarblead.router import wire
 from tests import router_doubles
 from tests import stating_server
+from tests.rhubarblead.router import simulated_cluster
 
 _IP = "127.0.0.1"
 _SLOTS = 18
@@ -173,6 +178,63 @@
         assert not late_ids & set(server.request_ids), late_ids
 
 
+@behave.given("a server whose limit of {limit:g} is known")
+def make_limited(context: runner.Context, limit: float) -> None:
+    context.now_ms = 10_000
+    context.events = simulated_cluster.RecordingEventLog()
+    context.limit = rate_limit.RateLimit()
+    event_log: Any = context.events
+    context.statements = server_statements.ServerStatements(
+        limit=context.limit, events=event_log, now_ms=lambda: context.now_ms
+    )
+    context.statements.set_server("i-1@2")
+    context.limit.set(limit, context.now_ms)
+
+
+@behave.when('a response {kind} states "{fields}"')
+def receive_response(context: runner.Context, kind: str, fields: str) -> None:
+    context.fields = [
+        (name.encode(), value.encode())
+        for name, value in (part.split(": ") for part in fields.split("; "))
+    ]
+    own = [(headers.REQUEST_ID, b"r1"), (headers.SIGNATURE, b"s")]
+    match kind:
+        case "without a seal":
+            own.pop()
+        case "without an id":
+            own.pop(0)
+    head = headers.read_response(own + context.fields)
+    server = "i-1@1" if kind == "of an earlier process" else "i-1@2"
+    for _ in range(9 if kind.endswith("times") else 1):
+        context.statements.record_response(server, head)
+        context.now_ms += 100
+
+
+@behave.when("it starts again")
+def start_again(context: runner.Context) -> None:
+    context.statements.set_server("i-1@3")
+
+
+@behave.then("the limit is {limit}")
+def check_limit_value(context: runner.Context, limit: str) -> None:
+    expected = None if limit == "none" else float(limit)
+    found = context.limit.limit_per_s
+    assert found == expected, found
+
+
+@behave.then("the response goes to the caller with the same fields")
+def check_forwarded(context: runner.Context) -> None:
+    expected = b"".join(b"%b: %b\r\n" % field for field in context.fields)
+    assert headers.encode_response(context.fields) == expected
+
+
+@behave.then("{count:d} malformed limits are reported")
+def check_reported(context: runner.Context, count: int) -> None:
+    name = catalog.Event.SERVER_LIMIT_MALFORMED.name
+    found = [event for event, _ in context.events.events if event == name]
+    assert len(found) == count, found
+
+
 @behave.given("a server that sends {kind} without end")
 def state_endless(context: runner.Context, kind: str) -> None:
     context.kind = kind
