Refuse late requests that will be overtaken until their deadline

Cause: a request that can no longer meet its target ranks behind all that can. Change: while more urgent requests use nine tenths of the slots or more, a late request whose stretched wait goes past its deadline is refused in the next check of the queue.

--- a/src/rhubarblead/requests/waiting.py
+++ b/src/rhubarblead/requests/waiting.py
@@ -22,6 +22,12 @@
 MAX_LATE_PER_SLOT = 0.5
 """Limit per slot of waiting requests that will miss their target."""
 
+MIN_HOPELESS_STRETCH = 10.0
+"""More urgent requests leave a tenth of the slots to late ones, or less.
+
+In a short burst they leave more, and late requests are served after it.
+"""
+
 MAX_PARKED_PER_SLOT = 3
 """Limit per slot of requests that wait for keys; more are rarely served."""
 
@@ -259,6 +265,7 @@
         for ticket in expired:
             self.withdraw(ticket.number)
         expired += self._withdraw_over_limit(now_ms)
+        expired += self._withdraw_hopeless(now_ms)
         if self._rate_limit.find_wait_ms(0, now_ms) > 0:
             return None, expired
         open_to = {
@@ -355,6 +362,31 @@
                 kept.append(ticket)
         return withdrawn
 
+    def _withdraw_hopeless(self, now_ms: int) -> list[Ticket]:
+        """Withdraws late requests that others will overtake until too late.
+
+        Answers an overload that lasts: slots go to requests that can still
+        meet their target, so that one that no longer can would only wait for
+        its deadline.
+        """
+        late = [
+            ticket
+            for ticket in self._tickets.values()
+            if not ticket.is_call and self._is_late(ticket, now_ms)
+        ]
+        withdrawn = []
+        for ticket in sorted(late, key=lambda item: self._rank(item, now_ms)):
+            stretch = self._slot_use.find_stretch(
+                self._rank(ticket, now_ms)[:3], self._slot_count, now_ms
+            )
+            if stretch < MIN_HOPELESS_STRETCH:
+                continue
+            start_ms = now_ms + int(self.find_wait_ms(ticket, now_ms) * stretch)
+            if self._is_too_late(ticket, start_ms):
+                withdrawn.append(ticket)
+                del self._tickets[ticket.number]
+        return withdrawn
+
     def _park(self, ticket: Ticket) -> Offer:
         """Queues a request apart until the server holds its key."""
         if len(self._parked) >= MAX_PARKED_PER_SLOT * self._slot_count:
@@ -411,15 +443,18 @@
         ]
 
     def _rank(self, ticket: Ticket, now_ms: int) -> tuple[bool, bool, int, int]:
-        service_ms = self._times.find_ms(ticket.route)
-        is_late = now_ms + service_ms > ticket.target_at_ms
         return (
             not ticket.is_call,
-            is_late,
+            self._is_late(ticket, now_ms),
             ticket.priority,
             ticket.target_at_ms,
         )
 
+    def _is_late(self, ticket: Ticket, now_ms: int) -> bool:
+        """Returns whether a request misses its target even if sent now."""
+        service_ms = self._times.find_ms(ticket.route)
+        return now_ms + service_ms > ticket.target_at_ms
+
     def _find_longest_wait_ms(
         self, ticket: Ticket, wait_ms: float, now_ms: int
     ) -> float:
