--- a/src/rhubarblead/router/dispatcher.py
+++ b/src/rhubarblead/router/dispatcher.py
@@ -11,6 +11,7 @@
 from rhubarblead.requests import calls
 from rhubarblead.requests import cluster_retry_budget
 from rhubarblead.requests import placement
+from rhubarblead.requests import returns
 from rhubarblead.router import directory
 from rhubarblead.router import event_log
 from rhubarblead.router import http_server
@@ -51,6 +52,7 @@
 
     __slots__ = (
         "_retry_budget",
+        "_returning_callers",
         "_directory",
         "_responder",
         "_links",
@@ -86,6 +88,7 @@
         self._links = links
         self._upstream = local_upstream
         self._retry_budget = retry_budget
+        self._returning_callers = returns.ReturningCallers()
         self._responder = responder.Responder(
             cluster_directory=cluster_directory, events=events, now_ms=now_ms
         )
@@ -139,6 +142,7 @@
             is_keyed=table.is_keyed(service),
             may_be_call=self._may_be_call(exchange, head.deadline_ms),
             started_at_ms=now_ms,
+            first_at_ms=now_ms,
             deadline_at_ms=now_ms
             + min(head.deadline_ms - RESPONSE_MARGIN_MS, route.timeout_ms),
             forwarded=headers.encode_forwarded(
@@ -150,6 +154,7 @@
                 exchange, 400, head.request_id, "no key"
             )
             return
+        self._recognize_return(request)
         self._retry_budget.record_request(service, now_ms)
         exchange.on_disconnect = lambda: self._handle_disconnect(request)
         request.timer = self._loop.call_later(
@@ -159,6 +164,18 @@
         )
         self._dispatch(request)
 
+    def _recognize_return(
+        self, request: pending_request.PendingRequest
+    ) -> None:
+        """Finds the first attempt of a caller that was refused before."""
+        if self._returning_callers.is_empty:
+            return
+        first_at_ms = self._returning_callers.claim(
+            request.compute_fingerprint(), request.started_at_ms
+        )
+        if first_at_ms is not None:
+            request.first_at_ms = first_at_ms
+
     def handle_outcome(self, node_id: str, outcome: wire.Outcome) -> None:
         """Handles the outcome that a node reports for a request."""
         request = self._outstanding.get(outcome.number)
@@ -356,7 +373,7 @@
         now_ms = self._now_ms()
         exchange = request.exchange
         key = request.head.key if request.is_keyed else None
-        target_at_ms = request.started_at_ms + request.route.target_ms
+        target_at_ms = request.first_at_ms + request.route.target_ms
         return wire.Work(
             origin=self._directory.own_state.incarnation,
             number=number,
@@ -377,6 +394,7 @@
             body=exchange.body,
             accepts_chunks=True,
             host=request.head.host,
+            is_return=request.is_return,
         )
 
     def _handle_local_outcome(
@@ -573,6 +591,11 @@
         if request.may_have_run:
             self._responder.fail(request, http.HTTPStatus.BAD_GATEWAY, cause)
             return
+        self._returning_callers.record_refusal(
+            request.compute_fingerprint(),
+            first_at_ms=request.first_at_ms,
+            deadline_at_ms=request.deadline_at_ms,
+        )
         # Jitter, so that callers refused together do not retry together.
         jitter = 0.75 + 0.5 * self._random.random()
         after_ms = max(MIN_RETRY_AFTER_MS, retry_after_ms) * jitter
--- a/src/rhubarblead/router/pending_request.py
+++ b/src/rhubarblead/router/pending_request.py
@@ -5,6 +5,7 @@
 
 from rhubarblead import routing_table
 from rhubarblead.platform import headers
+from rhubarblead.requests import poison
 from rhubarblead.router import http_server
 from rhubarblead.router import upstream
 from rhubarblead.router import wire
@@ -15,6 +16,8 @@
     """One caller's request until it has its response.
 
     `may_be_call` is set if the local server may have sent it.
+    `first_at_ms` is the time of the caller's first attempt, before
+    `started_at_ms` if it was refused before.
     `number` identifies the outstanding send, and is 0 while there is none.
     `sent_count` counts the sends that reached a server. `sent_at_ms` is the
     time of the last send; `queued_ms`, `ran_ms` and `transit_ms` say where the
@@ -32,6 +35,7 @@
     is_keyed: bool
     may_be_call: bool
     started_at_ms: int
+    first_at_ms: int
     deadline_at_ms: int
     forwarded: bytes
     number: int = 0
@@ -51,6 +55,20 @@
     refused_waits: dict[str, int] = dataclasses.field(default_factory=dict)
     excluded: set[str] = dataclasses.field(default_factory=set)
 
+    @property
+    def is_return(self) -> bool:
+        """Whether the caller has come back after a refusal."""
+        return self.first_at_ms < self.started_at_ms
+
+    def compute_fingerprint(self) -> int:
+        """Computes a hash that the caller's next attempt has, too."""
+        return poison.compute_fingerprints(
+            method=self.exchange.method.decode("latin-1"),
+            scope=self.head.host,
+            target=self.exchange.target.decode("latin-1"),
+            body=self.exchange.body,
+        )[0]
+
     def record_times(self, outcome: wire.Outcome, now_ms: int) -> None:
         """Records where the time from the last send to its outcome went."""
         self.queued_ms = outcome.queued_ms
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -243,7 +243,7 @@
             reply(self._refuse(work, wire.Reason.NOT_OWNER))
             return None
         now_ms = self._now_ms()
-        if work.key != wire.NO_KEY:
+        if work.key != wire.NO_KEY and not work.is_return:
             self._traffic.add(work.key, now_ms)
         self._next_number += 1
         ticket = waiting.Ticket(
--- a/src/rhubarblead/router/wire.py
+++ b/src/rhubarblead/router/wire.py
@@ -48,7 +48,8 @@
     server of the service may run the request. `is_once` is set if it must not
     run twice. `head` holds the forwarded header fields. `accepts_chunks` is
     set if the sender assembles outcomes that arrive as `Chunk` messages.
-    `host` is the host that the caller addressed.
+    `host` is the host that the caller addressed. `is_return` is set if the
+    caller was refused before, so that the request was counted already.
     """
 
     origin: str
@@ -70,6 +71,7 @@
     body: bytes
     accepts_chunks: bool = False
     host: str = ""
+    is_return: bool = False
 
 
 class ServerStatement(
--- a/tests/rhubarblead/router/dispatcher.feature
+++ b/tests/rhubarblead/router/dispatcher.feature
@@ -86,3 +86,16 @@
       | 1200 | 2200     | no call   |
       | 1200 | 900      | a call    |
       | 1200 | 1200     | a call    |
+
+  # Returning callers counted as new ones, and their targets began anew.
+  Scenario Outline: A caller that comes back after a refusal keeps its target
+    Given a dispatcher whose keys are owned by node n2
+    When a repeatable request arrives and its sends end with "<outcome>"
+    And 200 ms later a request for <target> arrives
+    Then it is sent as <kind>, with <left> ms to its target
+
+    Examples: the target is 600 ms
+      | outcome | target        | kind      | left |
+      | full    | /repeatable/x | a return  | 400  |
+      | full    | /repeatable/y | a new one | 600  |
+      | ran     | /repeatable/x | a new one | 600  |
--- a/tests/steps/keyspace_planning.py
+++ b/tests/steps/keyspace_planning.py
@@ -87,6 +87,14 @@
     context.assignment = context.assignment.apply(transfers)
 
 
+@behave.given("{count:d} servers of {capacity:d} requests per second")
+def make_equal_servers(
+    context: runner.Context, count: int, capacity: int
+) -> None:
+    context.capacities = {f"s{n}": float(capacity) for n in range(count)}
+    plan_initial(context, count)
+
+
 @behave.given(
     "{total:d} requests per second, {share:d} per cent of them for 200"
     " adjacent keys"
--- /dev/null
+++ b/tools/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Simulates one service under a recorded load, with the router's decisions."""
