Grant keys with the reply to a restarted server's first heartbeat

Cause: a new server process holds nothing. Its first heartbeat tells the node of it; the keys are then assigned to the process, and were granted with the second heartbeat, 0.87 s later. Evidence: server_restart.feature, failing before. Change: the reply to the first heartbeat of a process waits up to 0.6 s for the assignment (a heartbeat without a reply within 1 s counts as lost). The hold counts from when the heartbeat was sent, so that a later reply only shortens it.

--- a/src/rhubarblead/router/heartbeat_handler.py
+++ b/src/rhubarblead/router/heartbeat_handler.py
@@ -1,5 +1,6 @@
 """Handles the heartbeats and the deregistration of the local server."""
 
+import asyncio
 from collections.abc import Callable
 import http
 
@@ -14,6 +15,15 @@
 MAX_DEPARTED_COUNT = 64
 """Servers remembered as gone; an instance has one server at a time."""
 
+MAX_REPLY_DELAY_S = 0.6
+"""How long the first heartbeat of a server process waits for its keys.
+
+Else they would wait for the second one, 0.9 s later. Replies that take longer
+than 1 s count as lost.
+"""
+
+_CHECK_INTERVAL_S = 0.025
+
 _JSON = b"content-type: application/json\r\n"
 
 
@@ -92,6 +102,7 @@
         local_upstream = self._upstream
         was_serving = local_upstream.is_serving
         is_new = heartbeat.server_id != local_upstream.server_id
+        is_first = self._ownership.is_first_heartbeat
         local_upstream.set_server(
             heartbeat.server_id, heartbeat.slots, born_ms=heartbeat.born_ms
         )
@@ -102,12 +113,21 @@
             )
         is_leaving = self._ownership.is_server_leaving
         local_upstream.is_serving = not is_leaving and not self.is_stopping
-        self._finish(exchange, self._ownership.make_reply())
+        delay_s = MAX_REPLY_DELAY_S if is_first else 0.0
+        self._reply(exchange, asyncio.get_running_loop().time() + delay_s)
         if is_leaving and was_serving:
             self._begin_leaving(heartbeat.server_id, has_deregistered=False)
         elif is_new or was_serving != local_upstream.is_serving:
             self._on_change()
-        local_upstream.start_waiting()
+
+    def _reply(self, exchange: http_server.Exchange, due_at_s: float) -> None:
+        """Replies with the keys to hold, once they are known or it is due."""
+        loop = asyncio.get_running_loop()
+        if loop.time() < due_at_s and self._ownership.is_grant_pending():
+            loop.call_later(_CHECK_INTERVAL_S, self._reply, exchange, due_at_s)
+            return
+        self._finish(exchange, self._ownership.make_reply())
+        self._upstream.start_waiting()
 
     def _handle_deregistration(
         self,
--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -49,6 +49,7 @@
     last_heartbeat_at_ms: int
     is_leaving: bool = False
     is_silent: bool = False
+    heartbeat_count: int = 0
 
     @property
     def may_hold(self) -> bool:
@@ -251,6 +252,7 @@
         server.sequence = heartbeat.sequence
         server.last_heartbeat_at_ms = now_ms
         server.is_silent = False
+        server.heartbeat_count += 1
         server.is_leaving = server.is_leaving or heartbeat.is_draining
         held = [(g.first, g.last, g.fence) for g in heartbeat.held or ()]
         self._recovery.record_heartbeat([(h[0], h[1]) for h in held])
@@ -287,6 +289,21 @@
         """Whether the server process has begun to shut down."""
         return self.server is not None and self.server.is_leaving
 
+    @property
+    def is_first_heartbeat(self) -> bool:
+        """Whether the newest heartbeat is the first of its server process."""
+        return self.server is not None and self.server.heartbeat_count == 1
+
+    def is_grant_pending(self) -> bool:
+        """Tells whether the server will probably be granted keys soon."""
+        server = self.server
+        if server is None or not server.may_hold or not self._is_keyed():
+            return False
+        if not (self._registration.is_registered and self._is_loaded):
+            return True
+        own_owner = self._make_owner_name(server)
+        return any(item.owner != own_owner for item in self._list_owned())
+
     def make_reply(self) -> bytes:
         """Returns the encoded reply to the latest heartbeat."""
         if not self._assignments.get()[1] or self._is_assignment_stale:
--- a/tests/steps/router_server_leaving.py
+++ b/tests/steps/router_server_leaving.py
@@ -11,6 +11,7 @@
 from rhubarblead.platform import settings
 from rhubarblead.requests import link_load
 from rhubarblead.router import heartbeat_handler
+from rhubarblead.router import http_server
 from rhubarblead.router import server_notices
 from rhubarblead.router import upstream
 from rhubarblead.router import wire
@@ -20,6 +21,7 @@
 _SERVER_ID = "i-1"
 _BORN_MS = 100
 _LATER_BORN_MS = 200
+_SETTLE_MS = 9_000
 _SERVICE = simulated_cluster.SERVICE
 
 
@@ -30,8 +32,11 @@
         self.target = f"/rpc?call=instances.{call}&of={_SERVER_ID}".encode()
         self.body = json.dumps(body).encode()
 
-    def finish(self, response: object) -> None:
-        """Discards the reply."""
+        self.reply: dict[str, Any] | None = None
+
+    def finish(self, response: http_server.Response) -> None:
+        """Records the reply."""
+        self.reply = json.loads(response.body)
 
 
 class _Node:
@@ -70,6 +75,7 @@
     def call(self, name: str, body: dict[str, Any]) -> None:
         """Handles a call of the server."""
         exchange: Any = _Exchange(name, body)
+        self.exchange = exchange
 
         async def handle() -> None:
             self.handler.handle(exchange)
@@ -104,6 +110,37 @@
     context.add_cleanup(context.node.cluster.close)
 
 
+@behave.given("a node whose server has held keys, and restarts")
+def restart_server(context: runner.Context) -> None:
+    make_unknown(context)
+    node = context.node
+    node.cluster.run(_SETTLE_MS)
+    node.cluster.nodes["n1"].server.is_up = False
+    node.born_ms = node.cluster.now_ms
+    node.cluster.run(500)
+
+
+@behave.given("the store answers none of its calls")
+def stop_store(context: runner.Context) -> None:
+    context.node.cluster.is_store_up = False
+
+
+@behave.when("the new process sends its first heartbeat")
+def send_first(context: runner.Context) -> None:
+    context.node.send_heartbeat("ready")
+    context.sent_at_ms = context.node.cluster.now_ms
+
+
+@behave.then("the reply comes within {most:d} ms and grants {what} keys")
+def check_reply(context: runner.Context, most: int, what: str) -> None:
+    node = context.node
+    while node.exchange.reply is None:
+        node.cluster.run(simulated_cluster.TICK_MS)
+        assert node.cluster.now_ms - context.sent_at_ms <= most
+    has_keys = bool(node.exchange.reply.get("holds"))
+    assert has_keys == (what == "its"), node.exchange.reply
+
+
 @behave.when("a heartbeat says that it drains")
 def send_draining(context: runner.Context) -> None:
     context.node.send_heartbeat("draining")
