--- a/src/rhubarblead/router/peers.py
+++ b/src/rhubarblead/router/peers.py
@@ -22,6 +22,10 @@
 HEARTBEAT_TIMEOUT_MS = 2_500
 """Silence after which a link is lost; tolerates the loss of two heartbeats."""
 
+KEEPALIVE_INTERVAL_S = 5
+KEEPALIVE_PROBE_COUNT = 2
+"""Silent connections on which no heartbeat ever came end after 15 s."""
+
 MIN_RECONNECT_MS = 100
 MAX_RECONNECT_MS = 800
 """Range of the reconnect interval; a node restarts in about a second."""
@@ -91,6 +95,11 @@
         self._context = zmq.Context(io_threads=1)
         self._router = self._context.socket(zmq.ROUTER)
         _set_options(self._router)
+        # For connections that go silent before their first heartbeat.
+        self._router.setsockopt(zmq.TCP_KEEPALIVE, 1)
+        self._router.setsockopt(zmq.TCP_KEEPALIVE_IDLE, KEEPALIVE_INTERVAL_S)
+        self._router.setsockopt(zmq.TCP_KEEPALIVE_INTVL, KEEPALIVE_INTERVAL_S)
+        self._router.setsockopt(zmq.TCP_KEEPALIVE_CNT, KEEPALIVE_PROBE_COUNT)
         self._router.setsockopt(zmq.ROUTER_MANDATORY, 1)
         self._router.bind(f"tcp://{ip}:{port}")
         self._links: dict[str, _Link] = {}
@@ -220,6 +229,11 @@
         self.is_up = False
         self._socket = context.socket(zmq.DEALER)
         _set_options(self._socket)
+        # Only this end sends heartbeats; they tell the other one when to give
+        # the connection up.
+        self._socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
+        self._socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
+        self._socket.setsockopt(zmq.HEARTBEAT_TTL, HEARTBEAT_TIMEOUT_MS)
         # Messages are queued only on established connections, so that a
         # message whose sending fails is certain not to be delivered.
         self._socket.setsockopt(zmq.IMMEDIATE, 1)
@@ -301,7 +315,5 @@
     # fails if the connection breaks then. Requests are limited elsewhere.
     socket.setsockopt(zmq.RCVHWM, 0)
     socket.setsockopt(zmq.SNDHWM, 0)
-    socket.setsockopt(zmq.HEARTBEAT_IVL, HEARTBEAT_INTERVAL_MS)
-    socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, HEARTBEAT_TIMEOUT_MS)
     with contextlib.suppress(zmq.ZMQError):
         socket.setsockopt(zmq.TCP_MAXRT, HEARTBEAT_TIMEOUT_MS)
