--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -11,6 +11,7 @@
 from rhubarblead.keyspace import assignment
 from rhubarblead.keyspace import eras
 from rhubarblead.keyspace import holdings
+from rhubarblead.keyspace import load_shifts
 from rhubarblead.keyspace import members
 from rhubarblead.keyspace import planning
 from rhubarblead.platform import heartbeats
@@ -709,7 +710,7 @@
         )
         cause = "other servers have too few keys"
         if not transfers:
-            transfers = planning.plan_shift(
+            transfers = load_shifts.plan_shift(
                 current=key_assignment,
                 own_owner=own,
                 rates=self._find_rates(),
--- a/tests/steps/keyspace_planning.py
+++ b/tests/steps/keyspace_planning.py
@@ -9,6 +9,7 @@
 
 from rhubarblead.keyspace import assignment
 from rhubarblead.keyspace import holdings
+from rhubarblead.keyspace import load_shifts
 from rhubarblead.keyspace import planning
 from tests.steps import keyspace_assignment
 
@@ -69,7 +70,7 @@
 
 @behave.when("{own:w} plans a load shift")
 def plan_shift(context: runner.Context, own: str) -> None:
-    context.transfers = planning.plan_shift(
+    context.transfers = load_shifts.plan_shift(
         current=context.assignment,
         own_owner=own,
         rates=context.rates,
@@ -146,7 +147,7 @@
             rates[context.assignment.find(key).owner][key] = rate
         transfers = []
         for own in loads:
-            transfers += planning.plan_shift(
+            transfers += load_shifts.plan_shift(
                 current=context.assignment,
                 own_owner=own,
                 rates=rates[own],
--- a/tools/overload/simulation.py
+++ b/tools/overload/simulation.py
@@ -13,6 +13,7 @@
 import random
 
 from rhubarblead.keyspace import assignment
+from rhubarblead.keyspace import load_shifts
 from rhubarblead.keyspace import planning
 from rhubarblead.keyspace import traffic
 from rhubarblead.requests import placement
@@ -380,7 +381,7 @@
             others = [r for r in self._reports if r.owner != own.owner]
             if not others:
                 continue
-            transfers = planning.plan_shift(
+            transfers = load_shifts.plan_shift(
                 current=self._assignment,
                 own_owner=own.owner,
                 rates=server.find_rates(now_ms),
