Stand-in servers that are full in each of the platform's ways; soak with them

Cause: Maji Shambani's servers never answer what they can't queue, nor what follows on the connection; the soak's servers only reset it. The audit reports requests above the slots as before.

--- a/tools/soak/cluster.py
+++ b/tools/soak/cluster.py
@@ -11,6 +11,7 @@
 
 from tools import processes
 from tools.soak import proxy
+from tools.standins import keyed
 
 SERVICE = "s"
 HOST = "one.example"
@@ -112,6 +113,9 @@
     def _make_server(self) -> processes.Process:
         self._server_count += 1
         server_id = f"{self.name}-{self._server_count}"
+        when_full = keyed.WAYS_WHEN_FULL[
+            self._server_count % len(keyed.WAYS_WHEN_FULL)
+        ]
         record_path = self._folder / f"records-{server_id}.jsonl"
         self.record_paths.append(record_path)
         return processes.Process(
@@ -124,6 +128,7 @@
                 *("--control", f"{self.ip}:{self.ports['control']}"),
                 *("--service", SERVICE, "--zone", self.failure_domain),
                 *("--slots", str(SLOT_COUNT), "--records", str(record_path)),
+                *("--when-full", when_full),
             ),
             folder=self._folder,
         )
--- a/tools/standins/keyed.py
+++ b/tools/standins/keyed.py
@@ -5,9 +5,9 @@
     --records runs.jsonl
 
 It writes a record for each run, each heartbeat reply with its grants and each
-request above its slots, whose connection it resets, as the platform's servers
-do. SIGTERM drains it. A request whose id begins with `poison-` ends it. PUT
-/-/statement with `{"limit": "2.5", "is_leaving": false}` sets what it states
+request above its slots, which it ends as `--when-full` says: the platform's
+servers have three ways. SIGTERM drains it. A request whose id begins with
+`poison-` ends it. PUT /-/statement with `{"limit": "2.5", "is_leaving": false}` sets what it states
 about itself in its responses.
 """
 
@@ -52,6 +52,9 @@
 LARGE_BODY_DIGESTS = 600
 """Length of a large body in digests of 64 bytes."""
 
+WAYS_WHEN_FULL = ("reset", "hang", "refuse")
+"""What a full server does: reset the connection, never answer, or say so."""
+
 _LINGER_RESET = struct.pack("ii", 1, 0)
 
 
@@ -237,7 +240,7 @@
                 state.keys.begin(request_id, key)
         if is_full:
             state.records.write("overfull", request_id=request_id)
-            self._reset()
+            self._turn_away()
             return
         state.records.write(
             "run",
@@ -279,6 +282,20 @@
         self.end_headers()
         self.wfile.write(body)
 
+    def _turn_away(self) -> None:
+        """Ends a request above the slots as this server does."""
+        match self.server.state.options.when_full:
+            case "refuse":
+                self._respond(
+                    http.HTTPStatus.SERVICE_UNAVAILABLE, b"", not_executed=True
+                )
+            case "hang":
+                # Nothing that follows on the connection is answered, either.
+                self.rfile.read()
+                self.close_connection = True
+            case _:
+                self._reset()
+
     def _reset(self) -> None:
         self.close_connection = True
         self.connection.setsockopt(
@@ -345,6 +362,9 @@
         parser.add_argument(f"--{name}", required=True)
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--slots", type=int, default=4)
+    parser.add_argument(
+        "--when-full", choices=WAYS_WHEN_FULL, default=WAYS_WHEN_FULL[0]
+    )
     parser.add_argument("--records", type=pathlib.Path, required=True)
     state = State(options=parser.parse_args(arguments))
     ended = threading.Event()
