--- a/tests/steps/keyed_server.py
+++ b/tests/steps/keyed_server.py
@@ -12,9 +12,7 @@
 
 _IP = "127.0.0.1"
 _START_TIMEOUT_S = 20.0
-_REQUEST = (
-    b"GET /x HTTP/1.1\r\nHost: h\r\nX-Rhubarblead-Request-Id: r%d\r\n\r\n"
-)
+_REQUEST = b"GET /x HTTP/1.1\r\nX-Rhubarblead-Request-Id: r%d\r\n\r\n"
 _END_OF_HEAD = b"\r\n\r\n"
 
 
--- a/tools/standins/keyed.py
+++ b/tools/standins/keyed.py
@@ -7,8 +7,8 @@
 It writes a record for each run, each heartbeat reply with its grants and each
 request above its slots, which it ends as `--when-full` says: the platform's
 servers have three ways. SIGTERM drains it. A request whose id begins with
-`poison-` ends it. PUT /-/statement with `{"limit": "2.5", "is_leaving": false}` sets what it states
-about itself in its responses.
+`poison-` ends it. PUT /-/statement with `{"limit": "2.5", "is_leaving": false}`
+sets what it states about itself in its responses.
 """
 
 import argparse
