After a crash, send only one of equal requests until one is answered

The second crash took four of them along and the third one eight, of which all were sent more than 3 s after three servers had ended. It was blocked in the millisecond of the third crash, as designed. 'Of equal requests only one is sent' fails before (9 of at most 7).

--- a/src/rhubarblead/router/crashes.py
+++ b/src/rhubarblead/router/crashes.py
@@ -153,6 +153,24 @@
         )
         return True
 
+    def must_run_alone(self, work: wire.Work) -> bool:
+        """Returns whether an equal request must end before this one may run.
+
+        Answers a request that ends its server and comes again several times at
+        once: until an equal request has had a response since the crash, only
+        one of them is sent, so that the next crash takes no more along.
+        """
+        if not self._poison_detector.has_suspects():
+            return False
+        fingerprints = compute_fingerprints(work)
+        if not any(
+            set(fingerprints) & set(run.fingerprints)
+            for run in self._runs.values()
+        ):
+            return False
+        run_mode = self._poison_detector.classify(fingerprints, self._now_ms())
+        return run_mode is poison.RunMode.ISOLATED
+
     def begin(self, number: int, work: wire.Work) -> None:
         """Records that a request is sent to the server.
 
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -464,6 +464,13 @@
             self._pool.release(connection)
             self._finish(job, self._refuse(work, wire.Reason.POISON))
             return
+        if self.crashes.must_run_alone(work):
+            self._pool.release(connection)
+            outcome = self._refuse(
+                work, wire.Reason.OVERLOADED, EXPIRED_RETRY_MS
+            )
+            self._finish(job, outcome)
+            return
         fields = headers.encode_server_fields(
             deadline_ms=remaining_ms,
             server_id=self.server_id,
--- a/tests/rhubarblead/router/crashes.feature
+++ b/tests/rhubarblead/router/crashes.feature
@@ -19,6 +19,12 @@
     Then it has crashed at most 3 servers
     And no other request was refused as poison
 
+  # BUDGET: the second crash took four equal requests along, the third one eight.
+  Scenario: Of equal requests only one is sent after a crash, until one is answered
+    When it is sent 6 times beside other requests, five of its kind at once
+    Then servers got it at most 7 times
+    And no other request was refused as poison
+
   Scenario Outline: A node learns of the crashes that it has missed
     When it is sent 6 times beside other requests, while <trouble>
     Then it has crashed at most 3 servers
--- a/tests/steps/router_crashes.py
+++ b/tests/steps/router_crashes.py
@@ -45,6 +45,7 @@
         self.falls_silent = False
         self.port = 0
         self.crash_count = 0
+        self.poison_count = 0
         self.life_count = 0
 
     async def start(self) -> None:
@@ -93,6 +94,7 @@
         name = headers.REQUEST_ID
         request_id = head.partition(name + b": ")[2].partition(b"\r\n")[0]
         is_crashing = request_id.startswith(_CRASHING.encode())
+        self.poison_count += is_crashing
         is_slow = request_id.startswith(_SLOW.encode())
         run_s = _SLOW_RUN_S if is_slow else _RUN_S
         await asyncio.sleep(_CRASH_DELAY_S if is_crashing else run_s)
@@ -365,6 +367,13 @@
     node.see_server()
 
 
+async def _send_five(cluster: _Cluster, number: int, node: _Node) -> None:
+    cluster.submit_companions(node, f"s{number}")
+    for copy in range(5):
+        cluster.submit(node, f"{_CRASHING}-{number}-{copy}", "/report/7")
+    await asyncio.sleep(_PAUSE_S)
+
+
 async def _send_and_leave(cluster: _Cluster, number: int, node: _Node) -> None:
     cluster.submit_companions(node, f"s{number}")
     job = cluster.submit(node, f"{_CRASHING}-{number}", "/report/7")
@@ -399,6 +408,7 @@
     ", and its caller leaves before the server closes connections": (
         _send_and_leave
     ),
+    ", five of its kind at once": _send_five,
     ", and waits while the third crash is reported": _send_to_queue,
 }
 
@@ -481,6 +491,12 @@
     assert all(known == crashed for crashed, known in found), found
 
 
+@behave.then("servers got it at most {count:d} times")
+def check_poison_count(context: runner.Context, count: int) -> None:
+    found = sum(node.server.poison_count for node in context.cluster.nodes)
+    assert found <= count, found
+
+
 @behave.then("no other request was refused as poison")
 def check_refused(context: runner.Context) -> None:
     refused = context.cluster.list_refused()
