--- /dev/null
+++ b/tests/steps/bench.py
@@ -0,0 +1,91 @@
+"""Steps for reading the journal and the logs of the users' bench."""
+
+import pathlib
+import tempfile
+
+import behave
+from behave import runner
+import msgspec
+
+from tools.bench import comparison
+from tools.bench import entries
+from tools.bench import losses
+from tools.bench import slot_use
+
+_MACHINES_COST = 0.1
+
+
+def _write_entry(folder: str, number: int, word: str) -> None:
+    name, seed, worth = word.split(":")
+    day = {
+        "name": name,
+        "seed": int(seed),
+        "G": float(worth),
+        "gate": True,
+        "parts": [["whole day", 1.0, float(worth)]],
+        "prices": [["machines", 3.0, _MACHINES_COST]],
+        "other": "is passed over",
+    }
+    entry = {"id": str(number), "why": "round 1", "site": "s", "days": [day]}
+    path = pathlib.Path(folder) / f"{number}.json"
+    path.write_bytes(msgspec.json.encode(entry))
+
+
+def _read(text: str) -> comparison.Plays:
+    with tempfile.TemporaryDirectory() as folder:
+        for number, word in enumerate(text.split()):
+            _write_entry(folder, number, word)
+        return entries.find_plays(pathlib.Path(folder).iterdir(), "round 1")
+
+
+@behave.given('plays of one version "{plays}"')
+def read_before(context: runner.Context, plays: str) -> None:
+    context.before = _read(plays)
+
+
+@behave.given('plays of another version "{plays}"')
+def read_after(context: runner.Context, plays: str) -> None:
+    context.after = _read(plays)
+
+
+@behave.when("they are compared")
+def compare(context: runner.Context) -> None:
+    context.found = comparison.compare(context.before, context.after)
+
+
+@behave.then(
+    "the mean difference of {count:d} pairs is {mean:g}, {certainty:w}"
+)
+def check_difference(
+    context: runner.Context, count: int, mean: float, certainty: str
+) -> None:
+    if not count:
+        assert not context.found, context.found
+        return
+    worth = context.found[0]
+    assert worth.name == "worth"
+    assert worth.count == count, worth
+    assert abs(worth.mean - mean) < 1e-9, worth
+    assert worth.is_certain == (certainty == "certain"), worth
+
+
+@behave.then('the mean losses are "{wanted}"')
+def check_losses(context: runner.Context, wanted: str) -> None:
+    days = [day for found in context.before.values() for day in found]
+    found = [f"{name}:{loss:.1f}" for name, loss in losses.find_losses(days)]
+    assert found == [word.replace("_", " ") for word in _split(wanted)], found
+
+
+def _split(text: str) -> list[str]:
+    return text.replace("whole day", "whole_day").split()
+
+
+@behave.given("the log lines")
+def read_log(context: runner.Context) -> None:
+    context.usage = slot_use.read(context.text.splitlines())
+
+
+@behave.then("the table of service {service:w} is")
+def check_table(context: runner.Context, service: str) -> None:
+    found = slot_use.format_service(context.usage, service)
+    assert found == context.text.splitlines(), found
--- /dev/null
+++ b/tests/tools/bench.feature
@@ -0,0 +1,35 @@
+Feature: Reading the journal and the logs of the users' bench
+
+  Scenario Outline: Plays are compared in pairs of the same day and seed
+    Given plays of one version "<before>"
+    And plays of another version "<after>"
+    When they are compared
+    Then the mean difference of <count> pairs is <mean>, <certainty>
+
+    Examples: day:seed:worth
+      | before                     | after                      | count | mean | certainty |
+      | a:1:0.5 a:2:0.6 b:1:0.4    | a:1:0.6 a:2:0.7 b:1:0.5    | 3     | 0.1  | certain   |
+      | a:1:0.5 a:2:0.6 b:1:0.4    | a:1:0.9 a:2:0.4 b:1:0.2    | 3     | 0    | uncertain |
+      | a:1:0.5 a:2:0.6            | a:1:0.6 c:9:0.9            | 1     | 0.1  | certain   |
+      | a:1:0.4 a:1:0.6            | a:1:0.6                    | 1     | 0.1  | certain   |
+      | a:1:0.5                    | b:1:0.5                    | 0     | 0    | uncertain |
+
+  Scenario: Losses are what parts lack, and what is charged
+    Given plays of one version "a:1:0.5 a:2:0.7"
+    Then the mean losses are "whole day:0.4 machines:0.1"
+
+  Scenario: The use of slots is read from the logs of a day
+    Given the log lines
+      """
+        -9.5 node-1 {"event":"ROUTER_STARTED","instance":"node-1","service":"s"}
+      something else
+         2.5 node-2 {"event":"ANSWER_RETURNED","node_id":"node-1@10.0.0.1","ran_ms":1000}
+         2.6 node-2 {"event":"ANSWER_OWN","node_id":"node-1@10.0.0.1","status":503}
+         2.7 node-2 {"event":"ANSWER_OWN","node_id":"node-1@10.0.0.1","status":504}
+      """
+    Then the table of service s is
+      """
+      second | node-1  (slots in use, runs, refused)
+           0 |  0.25    0    0
+           2 |  0.25    1    1
+      """
--- /dev/null
+++ b/tools/bench/__main__.py
@@ -0,0 +1,91 @@
+"""Reads the journal and the logs of the users' bench.
+
+Usage: ./run python -m tools.bench compare BEFORE AFTER [--journal FOLDER]
+       ./run python -m tools.bench losses REASON [--journal FOLDER]
+       ./run python -m tools.bench slots LOG SERVICE
+
+BEFORE, AFTER and REASON are text in the reason that was given for the plays.
+"""
+
+import pathlib
+
+import fire
+
+from tools.bench import comparison
+from tools.bench import entries
+from tools.bench import losses
+from tools.bench import slot_use
+
+MIN_COST = 0.0005
+
+
+def _list_journal(folder: str) -> list[pathlib.Path]:
+    return sorted(pathlib.Path(folder).glob("*.json"))
+
+
+def compare(before: str, after: str, *, journal: str = "journal") -> None:
+    """Prints the paired differences between two sets of plays.
+
+    Args:
+        before: Text in the reason of the plays of one version.
+        after: Text in the reason of the plays of the other.
+        journal: Folder with the entries.
+    """
+    paths = _list_journal(journal)
+    old = entries.find_plays(paths, before)
+    new = entries.find_plays(paths, after)
+    for (site, day, seed), worth, other in comparison.list_pairs(old, new):
+        print(
+            f"{site} {day} {seed}: {worth:.3f} {other:.3f} {other - worth:+.3f}"
+        )
+    for item in comparison.compare(old, new):
+        if item.name != "worth" and abs(item.mean) < MIN_COST:
+            continue
+        mark = "" if item.is_certain else " (holds 0)"
+        print(
+            f"{item.name}: {item.mean:+.4f}, 90 % from {item.low:+.4f} to"
+            f" {item.high:+.4f}, {item.count} pairs{mark}"
+        )
+
+
+def print_losses(reason: str, *, journal: str = "journal") -> None:
+    """Prints where plays lose worth.
+
+    Args:
+        reason: Text in the reason of the plays.
+        journal: Folder with the entries.
+    """
+    plays = entries.find_plays(_list_journal(journal), reason)
+    days = [day for found in plays.values() for day in found]
+    if not days:
+        print("no plays")
+        return
+    print(f"{len(days)} plays, mean worth {_average_worth(days):.3f}")
+    for name, loss in losses.find_losses(days):
+        if loss >= MIN_COST:
+            print(f"{loss:.4f} {name}")
+    for day in days:
+        if day.broken_rules:
+            print(f"{day.name} {day.seed}: {', '.join(day.broken_rules)}")
+
+
+def print_slots(log: str, service: str) -> None:
+    """Prints how the slots of a service's servers were used.
+
+    Args:
+        log: File with the printed logs of all nodes of a day.
+        service: The service's name in these logs.
+    """
+    with open(log, encoding="utf-8") as lines:
+        usage = slot_use.read(lines)
+    print("\n".join(slot_use.format_service(usage, service)))
+
+
+def _average_worth(days: list[entries.Day]) -> float:
+    return sum(day.worth for day in days) / len(days)
+
+
+if __name__ == "__main__":
+    fire.Fire(
+        {"compare": compare, "losses": print_losses, "slots": print_slots}
+    )
