Measure the rates of the keys a server has now, and remember moves

Cause: requests were counted over 1.5 to 3 s whatever a server owned. Keys that had left still counted, keys that had come hardly did, and for up to 1.5 s a report hid what its server had got. Owners gave more keys than were in excess.

Change: keys count while they are owned, new ranges from their arrival on; a source adds what it has given lately to the load of the new owner, until a report shows it.

Without it the load tool counts keys that a server has given away.

--- a/src/rhubarblead/keyspace/planning.py
+++ b/src/rhubarblead/keyspace/planning.py
@@ -35,12 +35,13 @@
 
     `load` is the fraction of its slots that the requests for its keys would
     use, and may exceed 1. `capacity_per_s` is its capacity in requests per
-    second.
+    second. `report_age_ms` is the age of the report of both.
     """
 
     owner: str
     load: float = 0.0
     capacity_per_s: float = 0.0
+    report_age_ms: int = 0
 
 
 def plan_initial(candidates: Iterable[Candidate]) -> list[assignment.Transfer]:
--- a/src/rhubarblead/router/directory.py
+++ b/src/rhubarblead/router/directory.py
@@ -132,8 +132,9 @@
                 owner=assignment.format_owner(state.node_id, state.born_ms),
                 load=state.load.load_per_mille / 1_000,
                 capacity_per_s=state.load.capacity_per_s,
+                report_age_ms=age_ms,
             )
-            for state, _ in self.list_servers(service, now_ms)
+            for state, age_ms in self.list_servers(service, now_ms)
             if state.born_ms and not state.is_stopping
         ]
 
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -500,6 +500,7 @@
         if server is not None and server.is_silent:
             self._upstream.is_serving = False
             self._broadcast_state()
+        self._upstream.set_owned(self._ownership.list_spans())
         self._upstream.refuse_unowned()
         self._upstream.start_waiting()
         self._dispatcher.retry_parked()
--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -14,6 +14,7 @@
 from rhubarblead.keyspace import load_shifts
 from rhubarblead.keyspace import members
 from rhubarblead.keyspace import planning
+from rhubarblead.keyspace import recent_shifts
 from rhubarblead.platform import heartbeats
 from rhubarblead.platform import store
 from rhubarblead.router import assignment_repository
@@ -83,6 +84,7 @@
         "_recovery",
         "_registration",
         "_rebalance_at_ms",
+        "_recent_shifts",
         "_started_at_ms",
         "_state",
         "_takeover",
@@ -189,6 +191,7 @@
         # Set if other nodes may have taken over keys of this one.
         self._is_assignment_stale = False
         self._rebalance_at_ms = 0
+        self._recent_shifts = recent_shifts.RecentShifts()
         self.is_stopping = False
         self.server: ServerState | None = None
         self.wake = asyncio.Event()
@@ -235,6 +238,12 @@
         owner = key_assignment.find(key).owner
         return assignment.parse_node_id(owner) == self._state.node_id
 
+    def list_spans(self) -> list[tuple[int, int]]:
+        """Lists first and last key of each range assigned to this node."""
+        key_assignment, _ = self._assignments.get()
+        owned = key_assignment.list_owned_by_node(self._state.node_id)
+        return [(item.first, item.last) for item in owned]
+
     # Heartbeats of the server.
 
     def handle_heartbeat(self, heartbeat: heartbeats.Heartbeat) -> bool:
@@ -472,8 +481,12 @@
     async def _write_transfers(
         self, transfers: list[assignment.Transfer], cause: str
     ) -> None:
+        # Once the change is applied, the keys are no longer measured here.
+        rates = self._find_rates()
         outcome = await self._assignments.write(transfers, cause)
         match outcome:
+            case store.Applied():
+                self._record_shifts(transfers, rates)
             case store.Conflict(rows=rows):
                 present = [row for row in rows if row.revision]
                 if not self._assignments.apply_rows(present):
@@ -486,6 +499,21 @@
             case _:
                 pass
 
+    def _record_shifts(
+        self, transfers: list[assignment.Transfer], rates: dict[int, float]
+    ) -> None:
+        """Records which rates other servers have got with their new keys."""
+        now_ms = self._now_ms()
+        own = self._state.node_id
+        for item in transfers:
+            rate_per_s = sum(
+                rate
+                for key, rate in rates.items()
+                if item.first <= key <= item.last
+            )
+            if rate_per_s and assignment.parse_node_id(item.owner) != own:
+                self._recent_shifts.record(item.owner, rate_per_s, now_ms)
+
     def _cancel_releases(self) -> None:
         """Cancels the releases of a server that is not leaving.
 
@@ -704,7 +732,7 @@
         if server is None or not server.may_hold or not revision:
             return
         own = self._make_owner_name(server)
-        candidates = self._list_candidates()
+        candidates = self._recent_shifts.add_to(self._list_candidates(), now_ms)
         transfers = planning.plan_new_servers(
             current=key_assignment, own_owner=own, candidates=candidates
         )
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 
 from rhubarblead.events import catalog
@@ -179,9 +180,13 @@
         return self._wait_queue
 
     def find_rates(self) -> dict[int, float]:
-        """Returns the requests per second by key."""
+        """Returns the requests per second by key, of the keys it owns."""
         return self._traffic.find_rates(self._now_ms())
 
+    def set_owned(self, spans: Iterable[tuple[int, int]]) -> None:
+        """Sets the ranges of keys that the server owns, in ascending order."""
+        self._traffic.set_owned(spans, self._now_ms())
+
     def find_capacity_per_s(self) -> float:
         """Estimates how many requests per second the server can run."""
         wait_queue = self._wait_queue
--- a/tools/overload/simulation.py
+++ b/tools/overload/simulation.py
@@ -15,6 +15,7 @@
 from rhubarblead.keyspace import assignment
 from rhubarblead.keyspace import load_shifts
 from rhubarblead.keyspace import planning
+from rhubarblead.keyspace import recent_shifts
 from rhubarblead.keyspace import traffic
 from rhubarblead.requests import placement
 from rhubarblead.requests import waiting
@@ -85,6 +86,7 @@
         self.speed = speed
         self.queue = waiting.WaitQueue(slot_count=slot_count)
         self.traffic = traffic.KeyTraffic()
+        self.recent_shifts = recent_shifts.RecentShifts()
         self.requests: dict[int, Request] = {}
         self.reported_wait_ms = 0.0
         self.reported_at_ms = 0
@@ -147,12 +149,14 @@
         ]
         self._by_name = {server.name: server for server in self._servers}
         self._reports: list[planning.Candidate] = []
+        self._reported_at_ms = 0
         self._weights = _make_cumulative_weights()
         self._assignment = assignment.make_empty().apply(
             planning.plan_initial(
                 [server.make_candidate(0) for server in self._servers]
             )
         )
+        self._set_owned(0)
         self.requests: list[Request] = []
 
     def run(self) -> None:
@@ -374,11 +378,21 @@
             )
         if self._load.is_keyed:
             self._reports = [s.make_candidate(now_ms) for s in self._servers]
+            self._reported_at_ms = now_ms
 
     def _plan(self, now_ms: int) -> None:
         for server in self._servers:
             own = server.make_candidate(now_ms)
-            others = [r for r in self._reports if r.owner != own.owner]
+            others = server.recent_shifts.add_to(
+                [
+                    dataclasses.replace(
+                        report, report_age_ms=now_ms - self._reported_at_ms
+                    )
+                    for report in self._reports
+                    if report.owner != own.owner
+                ],
+                now_ms,
+            )
             if not others:
                 continue
             transfers = load_shifts.plan_shift(
@@ -405,7 +419,9 @@
                     )
                 )
             ]
+            self._record_shifts(server, valid, now_ms)
             self._assignment = self._assignment.apply(valid)
+            self._set_owned(now_ms)
             for ticket in server.queue.list_waiting():
                 assert ticket.key is not None
                 if self._assignment.find(ticket.key).owner != server.owner:
@@ -416,6 +432,26 @@
         self._schedule(at_ms, move)
 
 
+    def _record_shifts(
+        self, server: _Server, moved: list[assignment.Transfer], now_ms: int
+    ) -> None:
+        rates = server.find_rates(now_ms)
+        for item in moved:
+            rate_per_s = sum(
+                rate
+                for key, rate in rates.items()
+                if item.first <= key <= item.last
+            )
+            server.recent_shifts.record(item.owner, rate_per_s, now_ms)
+
+    def _set_owned(self, now_ms: int) -> None:
+        for server in self._servers:
+            owned = self._assignment.list_owned(server.owner)
+            server.traffic.set_owned(
+                [(item.first, item.last) for item in owned], now_ms + EPOCH_MS
+            )
+
+
 def _make_cumulative_weights() -> list[float]:
     """Makes the weights of keys of which few are much busier than others."""
     weights = (1 / (rank + 1) ** KEY_SKEW for rank in range(BUSY_KEY_COUNT))
