Move keys from overloaded servers whose node has lost only the store

Cause: a node that the store doesn't answer moved no keys, although others write for it.

Change: once direct calls have failed for 3 s and another node of the service still reports that it has the store, keys move through it.

Measured: the scenario failed before.

--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -718,13 +718,19 @@
             return [], ""
         return planning.plan_initial(candidates), "initial assignment"
 
+    def _can_write_soon(self) -> bool:
+        """Tells whether a change would be written soon, by whichever node."""
+        if self._access.is_cut_off:
+            return self._batcher.has_connected_peer
+        return self._access.is_working and not self._access.is_slow
+
     def _rebalance(self) -> None:
         """Starts to hand over keys to servers with few keys or less load."""
         now_ms = self._now_ms()
         server = self.server
         if now_ms < self._rebalance_at_ms or self._holdings.has_releases:
             return
-        if not self._access.is_working or self._access.is_slow:
+        if not self._can_write_soon():
             # Released keys would stay unserved until the store answers.
             return
         self._rebalance_at_ms = now_ms + REBALANCE_INTERVAL_MS
--- a/src/rhubarblead/router/store_access.py
+++ b/src/rhubarblead/router/store_access.py
@@ -25,6 +25,10 @@
 """Pause after a failed call to the store."""
 
 
+OUTAGE_TOLD_MS = 3_000
+"""Two intervals of load reports, by which an outage for all is known."""
+
+
 class StoreAccess:
     """Makes the store calls of the ownership task, one at a time."""
 
@@ -75,9 +79,18 @@
 
     @property
     def is_working(self) -> bool:
-        """Whether the last calls succeeded, whether direct or relayed."""
+        """Whether the last calls succeeded, all of them directly."""
         return self._client.is_working and not self._has_failed
 
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether direct calls fail, for so long that others would tell.
+
+        Their last reports would say so if they couldn't reach the store either.
+        """
+        is_settled = self._client.failing_ms >= OUTAGE_TOLD_MS
+        return is_settled and not self._has_failed
+
     @property
     def is_slow(self) -> bool:
         """Whether the last calls to the store have timed out."""
--- a/src/rhubarblead/router/store_client.py
+++ b/src/rhubarblead/router/store_client.py
@@ -36,6 +36,7 @@
     __slots__ = (
         "_events",
         "_failed_at_ms",
+        "_failing_since_ms",
         "_host",
         "_now_ms",
         "_pool",
@@ -72,6 +73,7 @@
         self._host = str(address).encode()
         self._now_ms = now_ms
         self._failed_at_ms: int | None = None
+        self._failing_since_ms: int | None = None
         # Calls the store through another node; None if there is no relay.
         self.relay: Relay | None = None
         # Called with the size of each response's body.
@@ -171,6 +173,12 @@
         """Whether the store has answered the last direct call of this node."""
         return self._failed_at_ms is None
 
+    @property
+    def failing_ms(self) -> int:
+        """How long all direct calls of this node have failed, in ms."""
+        since_ms = self._failing_since_ms
+        return 0 if since_ms is None else self._now_ms() - since_ms
+
     @property
     def timeout_ms(self) -> int:
         """Timeout of the next call; it is longer while the store is slow."""
@@ -242,8 +250,11 @@
         result = self._check_era(await self._exchange(call, timeout_s))
         if _is_answered(result):
             self._failed_at_ms = None
+            self._failing_since_ms = None
         else:
             self._failed_at_ms = self._now_ms()
+            if self._failing_since_ms is None:
+                self._failing_since_ms = self._failed_at_ms
         return result
 
     def _check_era(self, result: http_client.Result) -> http_client.Result:
--- a/src/rhubarblead/router/write_batching.py
+++ b/src/rhubarblead/router/write_batching.py
@@ -115,6 +115,17 @@
         )
         return first_id if first_id < own_id else ""
 
+    @property
+    def has_connected_peer(self) -> bool:
+        """Whether another node of the service says that it has the store."""
+        own_id = self._directory.own_state.node_id
+        return any(
+            state.load.has_store and state.node_id != own_id
+            for state, _ in self._directory.list_servers(
+                self._service, self._now_ms()
+            )
+        )
+
     async def send(
         self,
         writer_id: str,
--- a/tests/rhubarblead/router/ownership.feature
+++ b/tests/rhubarblead/router/ownership.feature
@@ -55,6 +55,25 @@
     And n1's server holds keys
     And no key had two holders
 
+  # It kept them while its server refused requests and others were idle.
+  Scenario: An overloaded server's keys move although its node has lost the store
+    Given a settled simulated cluster of 6 nodes
+    When node n4 reaches the store through other nodes only
+    And the server of n4 is overloaded
+    And 7000 ms pass in the simulation
+    Then n4 has given keys away
+    And all keys are held
+    And no key had two holders
+
+  Scenario: An overloaded server keeps its keys while no node has the store
+    Given a settled simulated cluster of 6 nodes
+    When the store is down in the simulation
+    And 800 ms pass in the simulation
+    And the server of n4 is overloaded
+    And 6000 ms pass in the simulation
+    Then n4 has kept its keys
+    And all keys are held
+
   Scenario: An isolated node loses its keys to other nodes
     Given a settled simulated cluster of 6 nodes
     When node n1 loses its connection to the store
--- a/tests/rhubarblead/router/simulated_cluster.py
+++ b/tests/rhubarblead/router/simulated_cluster.py
@@ -201,6 +201,7 @@
         # The configuration is read before anything is written.
         self.era: int | None = node.cluster.era
         self.timeout = adaptive_timeout.AdaptiveTimeout()
+        self._failing_since_ms: int | None = None
         self.clock_reading: lease.ClockReading | None = lease.ClockReading(
             sent_at_ms=node.cluster.now_ms,
             store_ms=node.cluster.read_store_clock_ms(),
@@ -216,6 +217,20 @@
         """Whether the store responds to this node."""
         return self._cluster.is_store_up and self._node.has_store
 
+    @property
+    def _is_reachable(self) -> bool:
+        return self._node.has_store or self._node.has_relay
+
+    @property
+    def failing_ms(self) -> int:
+        """How long the store has not responded to this node."""
+        if self.is_working:
+            self._failing_since_ms = None
+            return 0
+        if self._failing_since_ms is None:
+            self._failing_since_ms = self._cluster.now_ms
+        return self._cluster.now_ms - self._failing_since_ms
+
     async def write(
         self,
         *,
@@ -228,7 +243,7 @@
         A lost one takes effect at once or later, but its answer never arrives.
         """
         cluster = self._cluster
-        if not cluster.is_store_up or not self._node.has_store:
+        if not cluster.is_store_up or not self._is_reachable:
             return store.NotDone(reason="status 503")
         if not store_client.are_current(expected, self.era):
             return store.NotDone(reason="a revision of another era")
@@ -289,7 +304,7 @@
         """Reads all rows."""
         del table
         cluster = self._cluster
-        if not cluster.is_store_up or not self._node.has_store:
+        if not cluster.is_store_up or not self._is_reachable:
             return store.NotDone(reason="status 503")
         self._observe_era()
         return store.Rows(
@@ -461,6 +476,9 @@
         self.is_frozen = False
         self.receives_heartbeats = True
         self.has_store = True
+        # Whether calls that fail are made through another node.
+        self.has_relay = False
+        self.rates: dict[int, float] = {}
         self.start()
 
     def start(self) -> None:
@@ -501,6 +519,7 @@
             now_ms=self._read_ms,
         )
         client: Any = _Store(self)
+        self.store = client
         self.ownership = ownership.Ownership(
             member=members.Member(
                 node_id=self.node_id,
@@ -517,7 +536,7 @@
             max_hold_ms=MAX_HOLD_MS,
             links=self.links,
             on_change=lambda: None,
-            find_rates=dict,
+            find_rates=lambda: self.rates,
             promise_exchange=self.promise_exchange,
         )
 
@@ -570,6 +589,10 @@
             and not server_state.is_silent
         )
         self.state.assignments = self.cluster_directory.list_revisions()
+        self.state.load.has_store = self.store.is_working
+        self.state.load.load_per_mille = int(
+            1_000 * sum(self.rates.values()) / self.state.load.capacity_per_s
+        )
         self.links.broadcast(_copy(self.state))
         holder = self.promise_exchange.holder
         if holder.granter and not holder.is_release_requested:
--- a/tests/steps/router_ownership.py
+++ b/tests/steps/router_ownership.py
@@ -135,6 +135,32 @@
     context.cluster.nodes[name].has_store = False
 
 
+@behave.when("node {name:w} reaches the store through other nodes only")
+def cut_store_but_relay(context: runner.Context, name: str) -> None:
+    cut_store(context, name)
+    context.cluster.nodes[name].has_relay = True
+
+
+@behave.when("the server of {name:w} is overloaded")
+def overload_server(context: runner.Context, name: str) -> None:
+    node = context.cluster.nodes[name]
+    spans = node.ownership.list_spans()
+    node.rates = {first: 20 / len(spans) for first, _ in spans}
+    context.spans_before = spans
+
+
+@behave.then("{name:w} has given keys away")
+def check_given(context: runner.Context, name: str) -> None:
+    spans = context.cluster.nodes[name].ownership.list_spans()
+    assert len(spans) < len(context.spans_before), spans
+
+
+@behave.then("{name:w} has kept its keys")
+def check_kept(context: runner.Context, name: str) -> None:
+    spans = context.cluster.nodes[name].ownership.list_spans()
+    assert spans == context.spans_before, spans
+
+
 @behave.when("node {name:w} loses its links to all nodes")
 def cut_links(context: runner.Context, name: str) -> None:
     _cut_links(context.cluster, name)
