Send new requests elsewhere when a node is silent

Cause: a node that freezes, or goes without a word, kept getting requests until its link was given up after 2.5 s; they ended at their deadlines of 0.5 to 3 s.

Change: a node that leaves a request without any reply for 200 ms is probed; if the probe's timeout (three times the latency of earlier ones, at least 150 ms) passes, new requests without a key go to others, those for its keys wait up to a second and are then refused at once. What was sent stays there with its outcome unknown: nothing is sent again or given up sooner. No promise depends on it. A stall of this node itself doesn't count. Events PEER_SILENT and PEER_REPLIES.

--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -693,6 +693,17 @@
         "A timer of this node was late; it handled nothing else meanwhile, or"
         " had no processor.",
     )
+    PEER_SILENT = _define(
+        3405,
+        _WARNING,
+        "node_id silent_ms",
+        "Another node has not replied to requests, nor to a probe. New requests"
+        " go elsewhere; `silent_ms` is the time since the first one.",
+        "Look for LOOP_BLOCKED at that node, or for its restart.",
+    )
+    PEER_REPLIES = _define(
+        3406, _INFO, "node_id", "A node that was silent has replied again."
+    )
     ANSWER_RETURNED = _define(
         3500,
         _INFO,
--- a/src/rhubarblead/router/dispatcher.py
+++ b/src/rhubarblead/router/dispatcher.py
@@ -15,6 +15,7 @@
 from rhubarblead.router import directory
 from rhubarblead.router import event_log
 from rhubarblead.router import http_server
+from rhubarblead.router import peer_watch
 from rhubarblead.router import peers
 from rhubarblead.router import pending_request
 from rhubarblead.router import responder
@@ -64,6 +65,7 @@
         "_own_ip",
         "_own_service",
         "_parked",
+        "_peer_watch",
         "_park_timer",
         "_random",
         "_split_credits",
@@ -77,6 +79,7 @@
         cluster_directory: directory.Directory,
         links: peers.Links,
         local_upstream: upstream.Upstream,
+        watch: peer_watch.PeerWatch,
         retry_budget: cluster_retry_budget.ClusterRetryBudget,
         events: event_log.EventLog,
         now_ms: Callable[[], int],
@@ -87,6 +90,7 @@
         self._directory = cluster_directory
         self._links = links
         self._upstream = local_upstream
+        self._peer_watch = watch
         self._retry_budget = retry_budget
         self._returning_callers = returns.ReturningCallers()
         self._responder = responder.Responder(
@@ -288,7 +292,10 @@
             return
         # Logged as the node to which the request would have been sent.
         request.node_id = node_id
-        absence_ms = self._directory.find_absence_ms(node_id, self._now_ms())
+        absence_ms = max(
+            self._directory.find_absence_ms(node_id, self._now_ms()),
+            self._peer_watch.find_silent_ms(node_id),
+        )
         if absence_ms > MAX_PARK_MS:
             # Its keys are served again only after its promises have expired.
             left_ms = max(0, promises.PROMISE_MS + MAX_PARK_MS - absence_ms)
@@ -342,6 +349,8 @@
         work = self._make_work(request, number, state, may_wait)
         # The other node may have started after the crashes.
         is_remote = node_id != self._own_id
+        if is_remote and self._peer_watch.is_silent(node_id):
+            return False
         if is_remote and self._upstream.crashes.is_blocked(work):
             self._finish_unserved(request, "poison", POISON_RETRY_MS)
             return True
@@ -358,6 +367,7 @@
             return True
         request.job = None
         if self._links.send(node_id, work):
+            self._peer_watch.record_sent(node_id)
             return True
         del self._outstanding[number]
         request.number = 0
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -28,6 +28,7 @@
 from rhubarblead.router import http_server
 from rhubarblead.router import metrics_exporter
 from rhubarblead.router import ownership
+from rhubarblead.router import peer_watch
 from rhubarblead.router import peers
 from rhubarblead.router import promise_exchange
 from rhubarblead.router import relay
@@ -73,6 +74,7 @@
         "_loop",
         "_metrics",
         "_ownership",
+        "_peer_watch",
         "_promise_exchange",
         "_relay",
         "_remote_jobs",
@@ -178,6 +180,9 @@
             client=self._store,
             now_ms=read_now_ms,
         )
+        self._peer_watch = peer_watch.PeerWatch(
+            links=self._links, events=self._events, now_ms=read_now_ms
+        )
         self._dispatcher = self._make_dispatcher()
         self._state_sync = state_sync.StateSync(
             cluster_directory=self._directory,
@@ -231,6 +236,7 @@
             stack.callback(self._links.close)
             stack.callback(self._upstream.close)
             stack.callback(self._crash_sync.close)
+            stack.callback(self._peer_watch.close)
             stack.callback(self._response_sender.close)
             await self._listen(stack)
             self._loop.set_exception_handler(self._handle_exception)
@@ -293,6 +299,8 @@
                 self._promise_exchange.handle_request(message, reply)
             case wire.DelegatedWrite():
                 self._ownership.batcher.enqueue(message, reply)
+            case wire.Probe():
+                reply(wire.ProbeReply())
             case _:
                 self.refuse_message("request", type(message).__name__)
 
@@ -312,6 +320,12 @@
 
     def handle_reply(self, node_id: str, message: wire.Message) -> None:
         """Handles a reply to a message of this node."""
+        if self._peer_watch.record_reply(node_id, message):
+            self._dispatcher.retry_parked(node_id)
+        if not isinstance(message, wire.ProbeReply):
+            self._apply_reply(node_id, message)
+
+    def _apply_reply(self, node_id: str, message: wire.Message) -> None:
         match message:
             case wire.StoreReply():
                 self._relay.handle_reply(message)
@@ -361,6 +375,7 @@
     def link_down(self, node_id: str) -> None:
         """Handles the loss of the connection to a node."""
         self._directory.mark_lost(node_id, read_now_ms())
+        self._peer_watch.record_link_lost(node_id)
         self._chunks.drop_node(node_id)
         self._ownership.takeover.record_link(node_id, is_up=False)
         pending_count = self._dispatcher.handle_link_lost(node_id)
@@ -407,6 +422,7 @@
             cluster_directory=self._directory,
             links=self._links,
             local_upstream=self._upstream,
+            watch=self._peer_watch,
             retry_budget=cluster_retry_budget.ClusterRetryBudget(
                 ratio=bounds.retry_ratio,
                 window_ms=bounds.retry_window_ms,
--- a/src/rhubarblead/router/wire.py
+++ b/src/rhubarblead/router/wire.py
@@ -353,6 +353,14 @@
     change: AssignmentChange | None = None
 
 
+class Probe(msgspec.Struct, tag=22, array_like=True, kw_only=True):
+    """Asks a node for a reply at once, to tell whether it still runs."""
+
+
+class ProbeReply(msgspec.Struct, tag=23, array_like=True, kw_only=True):
+    """The reply to a probe."""
+
+
 Message: TypeAlias = (
     Work
     | Outcome
@@ -375,6 +383,8 @@
     | Chunk
     | ChunkAck
     | ServerNotice
+    | Probe
+    | ProbeReply
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/tests/rhubarblead/router/dispatcher.feature
+++ b/tests/rhubarblead/router/dispatcher.feature
@@ -56,6 +56,31 @@
     Then it was sent 1 times
     And the caller receives the status 502
 
+  # Requests went to a frozen node until its link was lost after 2.5 s.
+  Scenario: A silent node gets no new requests until it replies
+    Given a dispatcher whose keys are owned by node n2
+    When a repeatable request arrives and its sends end with ""
+    And 500 ms pass without a reply
+    And another repeatable request arrives
+    Then it was sent 1 times
+    When n2 replies to its probe
+    Then it was sent 2 times
+
+  Scenario: What was sent to a silent node isn't given up or sent elsewhere
+    Given a dispatcher whose keys are owned by node n2
+    When a once request arrives and its sends end with ""
+    And 900 ms pass without a reply
+    Then it was sent 1 times
+    And the caller has no response yet
+
+  Scenario: A request for a key of a long silent node is refused at once
+    Given a dispatcher whose keys are owned by node n2
+    When a repeatable request arrives and its sends end with ""
+    And 1200 ms pass without a reply
+    And another repeatable request arrives
+    Then it was sent 1 times
+    And the caller receives the status 503
+
   Scenario: A request is cancelled when its caller disconnects
     Given a dispatcher whose keys are owned by node n2
     When a repeatable request arrives and its sends end with ""
--- a/tests/steps/router_dispatcher.py
+++ b/tests/steps/router_dispatcher.py
@@ -15,6 +15,7 @@
 from rhubarblead.router import directory
 from rhubarblead.router import dispatcher
 from rhubarblead.router import http_server
+from rhubarblead.router import peer_watch
 from rhubarblead.router import wire
 from tests import router_doubles
 
@@ -140,10 +141,15 @@
     local_upstream: Any = _Upstream()
     context.local_upstream = local_upstream
     silent_event_log: Any = router_doubles.SilentEventLog()
+    context.watch = peer_watch.PeerWatch(
+        links=links, events=silent_event_log, now_ms=lambda: context.now_ms
+    )
+    context.add_cleanup(context.watch.close)
     context.dispatcher = dispatcher.RequestDispatcher(
         cluster_directory=context.directory,
         links=links,
         local_upstream=local_upstream,
+        watch=context.watch,
         retry_budget=cluster_retry_budget.ClusterRetryBudget(
             ratio=0.2, window_ms=10_000, extra_count=62
         ),
@@ -254,6 +260,31 @@
     assert work.target_ms == left, work
 
 
+async def _pass_time(context: runner.Context, passed: int) -> None:
+    for _ in range(passed // peer_watch.CHECK_INTERVAL_MS):
+        context.now_ms += peer_watch.CHECK_INTERVAL_MS
+        await asyncio.sleep(1.1 * peer_watch.CHECK_INTERVAL_MS / 1_000)
+
+
+@behave.when("{passed:d} ms pass without a reply")
+def pass_time(context: runner.Context, passed: int) -> None:
+    context.loop.run_until_complete(_pass_time(context, passed))
+
+
+@behave.when("another {kind:w} request arrives")
+def send_another(context: runner.Context, kind: str) -> None:
+    context.exchange = context.loop.run_until_complete(
+        _receive(context, f"/{kind}/y")
+    )
+
+
+@behave.when("{node:w} replies to its probe")
+def reply_to_probe(context: runner.Context, node: str) -> None:
+    assert wire.Probe() in context.links.sent
+    assert context.watch.record_reply(node, wire.ProbeReply())
+    context.dispatcher.retry_parked(node)
+
+
 @behave.when("the link to {node:w} is lost")
 def lose_link(context: runner.Context, node: str) -> None:
     context.dispatcher.handle_link_lost(node)
@@ -286,6 +317,11 @@
     assert len(context.links.list_work()) == count
 
 
+@behave.then("the caller has no response yet")
+def check_unanswered(context: runner.Context) -> None:
+    assert context.exchange.response is None, context.exchange.response
+
+
 @behave.then("the caller receives the status {status:d}")
 def check_status(context: runner.Context, status: int) -> None:
     response = context.exchange.response
