Offer a request without a key to other servers when a queue refuses it

Cause: the first queue that refused a request ended it, though others had room: a fast server with a wait looks better than a slow one with free slots, and then limits how many late requests it lets wait.

Change: up to three queues may refuse a request; its Retry-After is the shortest that they named.

--- a/src/rhubarblead/requests/placement.py
+++ b/src/rhubarblead/requests/placement.py
@@ -24,6 +24,13 @@
 requests to the same server.
 """
 
+MAX_REFUSALS = 3
+"""Servers whose queue refuses a request before it is refused altogether.
+
+The server with the shortest wait may be full of urgent work while a slower one
+has free slots; asking all of many would be a burden in an overload.
+"""
+
 REPORT_HALF_LIFE_MS = 1_500.0
 """Time in which the weight of a reported wait halves."""
 
--- a/src/rhubarblead/router/dispatcher.py
+++ b/src/rhubarblead/router/dispatcher.py
@@ -327,6 +327,9 @@
             if self._send(request, choice.node_id, may_wait=choice.may_wait):
                 return
             request.excluded.add(choice.node_id)
+        if request.refusal_waits:
+            self._finish_overloaded(request)
+            return
         if request.sent_count or request.refused_waits:
             self._finish_unserved(request, "no server available", 0)
             return
@@ -457,12 +460,31 @@
                     self._park(request)
             case wire.Reason.SHED:
                 self._handle_shed(request)
+            case wire.Reason.OVERLOADED if not request.is_keyed:
+                self._offer_elsewhere(request, outcome.wait_ms)
             case wire.Reason.POISON:
                 self._finish_unserved(request, "poison", POISON_RETRY_MS)
             case _:
                 cause = wire.Reason(outcome.reason).name.lower()
                 self._finish_unserved(request, cause, outcome.wait_ms)
 
+    def _offer_elsewhere(
+        self, request: pending_request.PendingRequest, wait_ms: int
+    ) -> None:
+        """Offers a request to other servers after the queue of one refused."""
+        request.refusal_waits.append(wait_ms)
+        request.excluded.add(request.node_id)
+        if len(request.refusal_waits) < placement.MAX_REFUSALS:
+            self._dispatch(request)
+            return
+        self._finish_overloaded(request)
+
+    def _finish_overloaded(
+        self, request: pending_request.PendingRequest
+    ) -> None:
+        cause = wire.Reason.OVERLOADED.name.lower()
+        self._finish_unserved(request, cause, min(request.refusal_waits))
+
     def _reroute_to_owner(
         self, request: pending_request.PendingRequest
     ) -> None:
--- a/tests/rhubarblead/router/dispatcher.feature
+++ b/tests/rhubarblead/router/dispatcher.feature
@@ -81,6 +81,20 @@
     Then it was sent 1 times
     And the caller receives the status 503
 
+  # It was refused although a slower server had free slots.
+  Scenario Outline: A request that a queue refuses is offered to other servers
+    Given a dispatcher with a route that is split 90 to 10
+    And <count> nodes beside servers of its first service
+    When a request for it arrives, and the queues of all nodes refuse it
+    Then it was sent <sent> times, each time to another node
+    And the caller receives the status 503
+
+    Examples:
+      | count | sent |
+      | 1     | 1    |
+      | 2     | 2    |
+      | 5     | 3    |
+
   Scenario: A request is cancelled when its caller disconnects
     Given a dispatcher whose keys are owned by node n2
     When a repeatable request arrives and its sends end with ""
--- a/tests/steps/router_dispatcher.py
+++ b/tests/steps/router_dispatcher.py
@@ -32,11 +32,12 @@
 
     def __init__(self) -> None:
         self.sent: list[wire.Message] = []
+        self.targets: list[str] = []
 
     def send(self, node_id: str, message: wire.Message) -> bool:
         """Records a message."""
-        del node_id
         self.sent.append(message)
+        self.targets.append(node_id)
         return True
 
     def list_work(self) -> list[wire.Work]:
@@ -300,6 +301,36 @@
     context.dispatcher.expire_all()
 
 
+@behave.given("{count:d} nodes beside servers of its first service")
+def add_nodes(context: runner.Context, count: int) -> None:
+    for number in range(count - 1):
+        context.directory.update_state(
+            router_doubles.make_state(f"n1{number}", "p1"), 0
+        )
+
+
+async def _refuse_all(context: runner.Context) -> None:
+    context.exchange = await _receive(context, "/split/x")
+    refused = 0
+    while refused < len(context.links.list_work()):
+        refused = len(context.links.list_work())
+        work = context.links.list_work()[-1]
+        context.dispatcher.handle_outcome(
+            context.links.targets[-1], _make_outcome("full", work.number)
+        )
+
+
+@behave.when("a request for it arrives, and the queues of all nodes refuse it")
+def refuse_everywhere(context: runner.Context) -> None:
+    context.loop.run_until_complete(_refuse_all(context))
+
+
+@behave.then("it was sent {count:d} times, each time to another node")
+def check_targets(context: runner.Context, count: int) -> None:
+    assert len(context.links.targets) == count, context.links.targets
+    assert len(set(context.links.targets)) == count, context.links.targets
+
+
 @behave.when("{count:d} requests arrive on that route")
 def send_split(context: runner.Context, count: int) -> None:
     for _ in range(count):
--- a/tools/overload/simulation.py
+++ b/tools/overload/simulation.py
@@ -51,6 +51,7 @@
     key: int
     started_at_ms: int
     attempt_count: int = 0
+    refusal_count: int = 0
     excluded: set[str] = dataclasses.field(default_factory=set)
     refused_waits: dict[str, int] = dataclasses.field(default_factory=dict)
     ended_at_ms: int | None = None
@@ -254,6 +255,7 @@
     def _send(self, request: Request, now_ms: int) -> None:
         """Begins an attempt of a caller."""
         request.attempt_count += 1
+        request.refusal_count = 0
         request.excluded.clear()
         request.refused_waits.clear()
         self._dispatch(request, now_ms)
@@ -327,7 +329,13 @@
                 request.refused_waits[server.name] = wait_ms
                 self._dispatch(request, now_ms)
             case waiting.Refuse(retry_after_ms=after_ms):
-                self._refuse(request, after_ms, now_ms)
+                request.refusal_count += 1
+                request.excluded.add(server.name)
+                is_final = request.refusal_count >= placement.MAX_REFUSALS
+                if self._load.is_keyed or is_final:
+                    self._refuse(request, after_ms, now_ms)
+                else:
+                    self._dispatch(request, now_ms)
 
     def _run(
         self, server: _Server, number: int, request: Request, now_ms: int
@@ -431,7 +439,6 @@
 
         self._schedule(at_ms, move)
 
-
     def _record_shifts(
         self, server: _Server, moved: list[assignment.Transfer], now_ms: int
     ) -> None:
