Keep requests from a server whose responses all fail

Cause: a server that accepts connections and resets each of them fails faster than others serve, so that it looks free and attracts the requests of its service.

Change: a circuit breaker beside the server: after four failures one after the other, requests without a key go to other servers, but for a repeatable one each 0.5 s. Requests that fail together, as when all connections are reset, count once; a new process of the server begins without failures. Event SERVER_FAILING.

--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -791,6 +791,15 @@
         " connections. A server that has deregistered may exit.",
         "Nothing; SERVER_SEEN follows if the server crashed.",
     )
+    SERVER_FAILING = _define(
+        3511,
+        _WARNING,
+        "is_failing",
+        "Responses of the local server failed one after the other. Other"
+        " servers get its requests, but for one each 0.5 s and those for its"
+        " keys, until one succeeds.",
+        "Look for SERVER_ANSWER_UNUSABLE, and replace the server.",
+    )
     INTERNAL_ERROR = _define(
         9000,
         _ERROR,
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -10,6 +10,7 @@
 from rhubarblead.platform import headers
 from rhubarblead.platform import settings
 from rhubarblead.requests import calls
+from rhubarblead.requests import circuit_breaker
 from rhubarblead.requests import link_load
 from rhubarblead.requests import waiting
 from rhubarblead.router import crashes
@@ -85,6 +86,7 @@
 
     __slots__ = (
         "_last_response_at_ms",
+        "_breaker",
         "_called_routes",
         "_closed_reason",
         "_traffic",
@@ -148,6 +150,7 @@
             slot_count=1, is_ready=self._is_ready
         )
         self._link_load = link
+        self._breaker = circuit_breaker.CircuitBreaker()
         self._called_routes = calls.CalledRoutes()
         self._traffic = traffic.KeyTraffic()
         self._jobs: dict[int, Job] = {}
@@ -212,6 +215,8 @@
             self._pool.close_idle()
         self.server_id = server_id
         process = f"{server_id}@{born_ms}"
+        if process != self.statements.server:
+            self._breaker.reset()
         self.crashes.set_server(process)
         self.statements.set_server(process)
         self._wait_queue.slot_count = slot_count
@@ -248,6 +253,9 @@
             reply(self._refuse(work, wire.Reason.NOT_OWNER))
             return None
         now_ms = self._now_ms()
+        if self._is_failing(work, now_ms):
+            reply(self._refuse(work, wire.Reason.SERVER_GONE))
+            return None
         if work.key != wire.NO_KEY and not work.is_return:
             self._traffic.add(work.key, now_ms)
         self._next_number += 1
@@ -353,6 +361,28 @@
             self._check_timer.cancel()
         self._pool.close()
 
+    def _is_failing(self, work: wire.Work, now_ms: int) -> bool:
+        """Returns whether another server should run a request.
+
+        Only this server may run requests for its keys.
+        """
+        return work.key == wire.NO_KEY and not self._breaker.try_acquire(
+            now_ms, is_once=work.is_once
+        )
+
+    def _record_health(self, job: Job, outcome: wire.Outcome) -> None:
+        """Counts good responses, and those that broke off."""
+        was_open = self._breaker.is_open
+        if outcome.verdict == wire.Verdict.RAN:
+            self._breaker.reset()
+        elif outcome.reason == wire.Reason.BROKEN:
+            now_ms = self._now_ms()
+            self._breaker.record_failure(job.started_at_ms or now_ms, now_ms)
+        if self._breaker.is_open != was_open:
+            self._events.emit(
+                catalog.Event.SERVER_FAILING, is_failing=self._breaker.is_open
+            )
+
     def _is_owned_here(self, work: wire.Work) -> bool:
         return work.key == wire.NO_KEY or self._is_owned(work.key)
 
@@ -628,6 +658,7 @@
         if job.timer is not None:
             job.timer.cancel()
         self._jobs.pop(job.ticket.number, None)
+        self._record_health(job, outcome)
         is_complete = outcome.verdict == wire.Verdict.RAN
         self._link_load.finish(
             job.ticket.number, len(outcome.body) if is_complete else None
--- a/tests/rhubarblead/router/upstream.feature
+++ b/tests/rhubarblead/router/upstream.feature
@@ -56,6 +56,19 @@
       | reset  | 100  | MAY_HAVE_RUN | 400  |
       | refuse | 100  | NOT_RUN      | 100  |
 
+  # It failed faster than others served, so that it got most of the requests.
+  Scenario: A server that resets all connections gets no more requests
+    Given a node whose server has one slot and, when full, resets
+    And somebody else takes the server's slot
+    When 4 requests are submitted, one after the other
+    Then each had the outcome MAY_HAVE_RUN
+    When r5 is submitted with 400 ms left
+    Then its outcome is NOT_RUN within 50 ms
+    When the server's slot is free again
+    And its process starts anew
+    And r6 is submitted with 400 ms left
+    Then its outcome is RAN within 200 ms
+
   Scenario: While a server doesn't answer, its slot isn't given to others
     Given a node whose server has one slot and, when full, hangs
     And somebody else takes the server's slot
--- a/tests/steps/router_full_server.py
+++ b/tests/steps/router_full_server.py
@@ -15,7 +15,13 @@
 from tests import full_server
 from tests import router_doubles
 
-_WAYS = {"hang": "hang", "hangs": "hang", "reset": "reset", "refuse": "refuse"}
+_WAYS = {
+    "hang": "hang",
+    "hangs": "hang",
+    "reset": "reset",
+    "resets": "reset",
+    "refuse": "refuse",
+}
 
 
 @behave.given("a node whose server has one slot and, when full, {way:w}")
@@ -99,6 +105,31 @@
     await asyncio.sleep(0.01)
 
 
+async def _submit_and_wait(context: runner.Context, name: str) -> None:
+    await _submit(context, name, 400)
+    async with asyncio.timeout(1):
+        await context.outcomes[name]
+
+
+@behave.when("{count:d} requests are submitted, one after the other")
+def submit_many(context: runner.Context, count: int) -> None:
+    for number in range(count):
+        context.loop.run_until_complete(
+            _submit_and_wait(context, f"r{number + 1}")
+        )
+
+
+@behave.then("each had the outcome {verdict:w}")
+def check_all(context: runner.Context, verdict: str) -> None:
+    found = [future.result().verdict for future in context.outcomes.values()]
+    assert set(found) == {wire.Verdict[verdict]}, found
+
+
+@behave.when("its process starts anew")
+def restart(context: runner.Context) -> None:
+    context.upstream.set_server("i-1", 1, born_ms=2)
+
+
 @behave.then("its outcome is {verdict:w} within {most:d} ms")
 def check_outcome(context: runner.Context, verdict: str, most: int) -> None:
     async def wait() -> wire.Outcome:
