Revert "Give the requested ranges of a leaving server to where there is room"

A range that is hot by itself can't be divided this way, and the loads by which it decides are those of before the server left.

--- a/src/rhubarblead/keyspace/planning.py
+++ b/src/rhubarblead/keyspace/planning.py
@@ -1,9 +1,9 @@
 """Plans the distribution of keys over servers by their number."""
 
-import bisect
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
+import heapq
 
 from rhubarblead.keyspace import assignment
 
@@ -96,111 +96,48 @@
     current: assignment.Assignment,
     ranges: Iterable[assignment.KeyRange],
     candidates: Iterable[Candidate],
-    rates: Mapping[int, float] | None = None,
     tokens: Mapping[tuple[int, int], str] | None = None,
 ) -> list[assignment.Transfer]:
-    """Plans new owners for ranges.
-
-    Answers servers that leave under load: ranges that are requested go to the
-    servers with the lowest expected load, as a server with few keys may be
-    slow, or have busy ones. The others balance the key counts of all owners.
+    """Plans new owners for ranges, balancing the key counts of all owners.
 
     Args:
         current: The current assignment.
         ranges: The ranges to transfer.
         candidates: The possible new owners.
-        rates: Requests per second by key, as far as they are known.
         tokens: Handover tokens by first and last key.
 
     Returns:
         A transfer for each range, to `NO_OWNER` if there are no candidates.
     """
-    targets = _Targets(current=current, candidates=candidates)
+    counts = current.count_keys()
+    free_ranges = {
+        item.owner: MAX_RANGES_PER_TARGET - len(current.list_owned(item.owner))
+        for item in candidates
+    }
+    queue = [
+        (free_ranges[owner] <= 0, counts.get(owner, 0), owner)
+        for owner in free_ranges
+    ]
+    heapq.heapify(queue)
     transfers = []
-    for rate_per_s, item in _order_by_rate(ranges, rates or {}):
+    for item in sorted(ranges, key=_get_size, reverse=True):
+        owner = assignment.NO_OWNER
+        if queue:
+            _, key_count, owner = heapq.heappop(queue)
+            free_ranges[owner] -= 1
+            heapq.heappush(
+                queue,
+                (free_ranges[owner] <= 0, key_count + item.key_count, owner),
+            )
         token = (tokens or {}).get((item.first, item.last), "")
         transfers.append(
             assignment.Transfer(
-                first=item.first,
-                last=item.last,
-                owner=targets.choose(item.key_count, rate_per_s),
-                handover=token,
+                first=item.first, last=item.last, owner=owner, handover=token
             )
         )
     return transfers
 
 
-def _order_by_rate(
-    ranges: Iterable[assignment.KeyRange], rates: Mapping[int, float]
-) -> list[tuple[float, assignment.KeyRange]]:
-    """Orders ranges by their rate, then their size, the highest first."""
-    keys = sorted(rates)
-    with_rates = []
-    for item in ranges:
-        begin = bisect.bisect_left(keys, item.first)
-        end = bisect.bisect_right(keys, item.last)
-        with_rates.append((sum(rates[key] for key in keys[begin:end]), item))
-    return sorted(with_rates, key=lambda pair: (-pair[0], -pair[1].key_count))
-
-
-class _Targets:
-    """Servers that ranges are given to, with what they have got so far."""
-
-    __slots__ = ("_candidates", "_counts", "_free_ranges", "_loads")
-
-    def __init__(
-        self,
-        *,
-        current: assignment.Assignment,
-        candidates: Iterable[Candidate],
-    ) -> None:
-        self._candidates = {item.owner: item for item in candidates}
-        counts = current.count_keys()
-        self._counts = {
-            owner: counts.get(owner, 0) for owner in self._candidates
-        }
-        self._free_ranges = {
-            owner: MAX_RANGES_PER_TARGET - len(current.list_owned(owner))
-            for owner in self._candidates
-        }
-        self._loads = {
-            owner: item.load for owner, item in self._candidates.items()
-        }
-
-    def choose(self, key_count: int, rate_per_s: float) -> str:
-        """Chooses the owner of the next range; `NO_OWNER` if there is none."""
-        if not self._candidates:
-            return assignment.NO_OWNER
-        owner = min(
-            self._candidates,
-            key=lambda name: self._rank(name, rate_per_s),
-        )
-        self._counts[owner] += key_count
-        self._free_ranges[owner] -= 1
-        self._loads[owner] += self._find_share(owner, rate_per_s)
-        return owner
-
-    def _rank(
-        self, owner: str, rate_per_s: float
-    ) -> tuple[bool, float, int, str]:
-        expected_load = 0.0
-        if rate_per_s:
-            expected_load = self._loads[owner] + self._find_share(
-                owner, rate_per_s
-            )
-        return (
-            self._free_ranges[owner] <= 0,
-            expected_load,
-            self._counts[owner],
-            owner,
-        )
-
-    def _find_share(self, owner: str, rate_per_s: float) -> float:
-        """Returns the load that a rate is to a server."""
-        capacity_per_s = self._candidates[owner].capacity_per_s
-        return rate_per_s / capacity_per_s if capacity_per_s else 0.0
-
-
 def plan_new_servers(
     *,
     current: assignment.Assignment,
@@ -277,3 +214,7 @@
             wanted -= last - item.first + 1
             surplus -= last - item.first + 1
     return transfers
+
+
+def _get_size(item: assignment.KeyRange) -> int:
+    return item.key_count
--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -606,10 +606,7 @@
             return
         key_assignment, _ = self._assignments.get()
         transfers = planning.plan_redistribution(
-            current=key_assignment,
-            ranges=new,
-            candidates=targets,
-            rates=self._find_rates(),
+            current=key_assignment, ranges=new, candidates=targets
         )
         self._start_release(transfers, cause)
 
@@ -636,11 +633,9 @@
         return tuple(item for item in owned if eras.is_confirmed(item, era))
 
     def _list_candidates(self) -> list[planning.Candidate]:
-        now_ms = self._now_ms()
-        candidates = self._directory.list_candidates(
-            self._state.service, now_ms
+        return self._directory.list_candidates(
+            self._state.service, self._now_ms()
         )
-        return self._recent_shifts.add_to(candidates, now_ms)
 
     def _list_other_candidates(self) -> list[planning.Candidate]:
         own = self._state.node_id
@@ -691,10 +686,7 @@
             return []
         key_assignment, _ = self._assignments.get()
         return planning.plan_redistribution(
-            current=key_assignment,
-            ranges=owned,
-            candidates=targets,
-            rates=self._find_rates(),
+            current=key_assignment, ranges=owned, candidates=targets
         )
 
     def _plan_unowned(self) -> tuple[list[assignment.Transfer], str]:
@@ -746,7 +738,7 @@
         if server is None or not server.may_hold or not revision:
             return
         own = self._make_owner_name(server)
-        candidates = self._list_candidates()
+        candidates = self._recent_shifts.add_to(self._list_candidates(), now_ms)
         transfers = planning.plan_new_servers(
             current=key_assignment, own_owner=own, candidates=candidates
         )
--- a/tests/rhubarblead/keyspace/planning.feature
+++ b/tests/rhubarblead/keyspace/planning.feature
@@ -16,22 +16,6 @@
       | 0-9999:d/1 10000-19999:d/1 20000-42768:a/1 42769-65535:b/1 | a b  | 0-9999:b 10000-19999:a       |
       | 0-9:d/1 10-65535:a/1                                    | -       | 0-9:-                        |
 
-  # Spread by their numbers, hot ranges went to slow and to busy servers.
-  Scenario Outline: Requested ranges of a leaving server go where there is room
-    Given an assignment "0-9:d/1 10-19:d/1 20-29:d/1 30-39:d/1 40-20000:a/1 20001-65535:b/1"
-    And loads "<loads>"
-    And requests per second by key "<rates>"
-    When d, which leaves, gives its ranges away
-    Then the transfers are "<transfers>"
-
-    Examples: capacities are in requests per second
-      | loads                 | rates              | transfers                       |
-      | a:0.5:40 b:0.5:40     | 500:9              | 0-9:a 10-19:a 20-29:a 30-39:a   |
-      | a:0.9:40 b:0.2:40     | 5:4 15:4           | 0-9:b 10-19:b 20-29:a 30-39:a   |
-      | a:0.5:40 b:0.5:10     | 5:4 15:4 25:4 35:4 | 0-9:a 10-19:a 20-29:a 30-39:a   |
-      | a:0.5:40 b:0.5:40     | 5:9 15:4 25:4 35:4 | 0-9:a 10-19:b 20-29:b 30-39:b   |
-      | a:0.5:0 b:0.5:0       | 5:9 15:4           | 0-9:a 10-19:a 20-29:a 30-39:a   |
-
   Scenario: The last of five servers can be granted all keys in one reply
     When an initial assignment is planned for 5 servers
     And all but one server fail, one after the other
--- a/tests/steps/keyspace_planning.py
+++ b/tests/steps/keyspace_planning.py
@@ -61,16 +61,6 @@
         context.rates[int(key)] = float(rate)
 
 
-@behave.when("{own:w}, which leaves, gives its ranges away")
-def plan_leaving(context: runner.Context, own: str) -> None:
-    context.transfers = planning.plan_redistribution(
-        current=context.assignment,
-        ranges=context.assignment.list_owned(own),
-        candidates=context.candidates,
-        rates=context.rates,
-    )
-
-
 @behave.when("{own:w} plans transfers to new servers")
 def plan_new_servers(context: runner.Context, own: str) -> None:
     context.transfers = planning.plan_new_servers(
