Tell a changed load, and plan moves of keys, each 0.5 s

Cause: a hot key showed in reports each 1.5 s, and was planned for each second, so that a move began up to 2.5 s after it had come.

Change: nodes of a keyed service tell each other a load that has changed at checks each 0.5 s, up to 40 nodes; with more of them, and of other services, as before. Planning each 0.5 s.

--- a/src/rhubarblead/keyspace/traffic.py
+++ b/src/rhubarblead/keyspace/traffic.py
@@ -65,9 +65,7 @@
         self._advance(now_ms)
         self._counts[key] = self._counts.get(key, 0) + 1
 
-    def set_owned(
-        self, spans: Iterable[tuple[int, int]], now_ms: int
-    ) -> None:
+    def set_owned(self, spans: Iterable[tuple[int, int]], now_ms: int) -> None:
         """Sets the keys that the server owns.
 
         Args:
--- a/src/rhubarblead/router/load_reports.py
+++ b/src/rhubarblead/router/load_reports.py
@@ -39,15 +39,23 @@
         now.config_version,
     ):
         return True
-    return (
-        _has_changed(
-            previous.load_per_mille, now.load_per_mille, MIN_LOAD_CHANGE
-        )
-        or _has_changed(previous.capacity_per_s, now.capacity_per_s, 1)
-        or _have_times_changed(previous.service_ms, now.service_ms)
+    return has_load_changed(previous, now) or _have_times_changed(
+        previous.service_ms, now.service_ms
     )
 
 
+def has_load_changed(previous: wire.ServerLoad, now: wire.ServerLoad) -> bool:
+    """Returns whether nodes that may give or take keys would decide otherwise.
+
+    Args:
+        previous: The report that was sent last.
+        now: The present load.
+    """
+    return _has_changed(
+        previous.load_per_mille, now.load_per_mille, MIN_LOAD_CHANGE
+    ) or _has_changed(previous.capacity_per_s, now.capacity_per_s, 1)
+
+
 def _has_changed(previous: int, now: int, least: int) -> bool:
     change = abs(now - previous)
     return change >= least and change > MIN_SHARE_CHANGE * previous
--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -34,8 +34,8 @@
 FIRST_PLAN_DELAY_MS = 4_500
 """Delay of the initial assignment, as all nodes start at the same time."""
 
-REBALANCE_INTERVAL_MS = 1_000
-"""Interval of the checks for rebalancing, similar to that of load reports."""
+REBALANCE_INTERVAL_MS = 500
+"""Interval of the checks for rebalancing, the same as that of load reports."""
 
 STOPPING_HOLD_MS = 7_500
 """How long the server may hold its keys while this node restarts."""
--- a/src/rhubarblead/router/state_broadcaster.py
+++ b/src/rhubarblead/router/state_broadcaster.py
@@ -12,11 +12,21 @@
 from rhubarblead.router import upstream
 from rhubarblead.router import wire
 
-LOAD_INTERVAL_S = 1.5
-"""Interval of load reports; rebalancing uses them at most once a second."""
+REPORT_INTERVAL_S = 0.5
+"""Interval of checks for a changed load, by which hot keys move."""
+
+REPORTS_PER_LOAD = 3
+"""Checks between full load reports, in which waits count as well."""
+
+MAX_FAST_PEERS = 40
+"""Nodes of a keyed service up to which changes are told at each check.
+
+They cost 80 messages a second then; with more nodes, more have room for keys,
+and each needs to know less of the others.
+"""
 
 LOADS_PER_KEEPALIVE = 4
-"""Load intervals after which all nodes hear of this one at the latest.
+"""Full load reports after which all nodes hear of this one at the latest.
 
 A node that isn't heard of for 8 s counts as gone.
 """
@@ -97,12 +107,24 @@
         """Sends changes of the load, and a sign of life every few times."""
         count = 0
         while True:
-            self._report(count)
+            if count % REPORTS_PER_LOAD:
+                self._report_change()
+            else:
+                self._report(count // REPORTS_PER_LOAD)
             count += 1
-            await asyncio.sleep(LOAD_INTERVAL_S)
+            await asyncio.sleep(REPORT_INTERVAL_S)
+
+    def _report_change(self) -> None:
+        """Tells the nodes that may give or take keys of a changed load."""
+        peers_count = self._directory.count_servers(self._state.service) - 1
+        if not self._is_keyed() or not 0 < peers_count <= MAX_FAST_PEERS:
+            return
+        load = self.refresh().load
+        if load_reports.has_load_changed(self._sent_load, load):
+            self._send_load(load)
 
     def _report(self, count: int) -> None:
-        """Sends what is due at the `count`th interval."""
+        """Sends what is due at the `count`th full report."""
         if count % (LOADS_PER_KEEPALIVE * KEEPALIVES_PER_STATE) == 0:
             self.broadcast()
             return
@@ -112,11 +134,18 @@
             self._sent_load, load
         ):
             return
-        self._sent_load = load
-        message = wire.Load(incarnation=self._state.incarnation, load=load)
         if is_keepalive:
-            self._links.broadcast(message)
+            self._sent_load = load
+            self._links.broadcast(self._make_message(load))
             return
+        self._send_load(load)
+
+    def _make_message(self, load: wire.ServerLoad) -> wire.Load:
+        return wire.Load(incarnation=self._state.incarnation, load=load)
+
+    def _send_load(self, load: wire.ServerLoad) -> None:
+        self._sent_load = load
+        message = self._make_message(load)
         # Requests to a sharded service are routed by key, so that its load
         # matters only to rebalancing between nodes of the same service.
         for state in self._directory.list_states():
--- a/tools/overload/simulation.py
+++ b/tools/overload/simulation.py
@@ -22,8 +22,8 @@
 from tools.overload import workload
 
 CHECK_MS = 50
-REPORT_MS = 1_500
-PLAN_MS = 1_000
+REPORT_MS = 500
+PLAN_MS = 500
 MOVE_MS = 1_200
 """From a plan until the keys are held by another server: about a heartbeat."""
 
