--- a/tests/rhubarblead/router/load_reports.feature
+++ b/tests/rhubarblead/router/load_reports.feature
@@ -25,5 +25,17 @@
       | r1=20                                 | r1=30                                 | is not |
       | r1=200                                | r2=200                                | is     |
 
+  # A hot key was known after 1.5 s, and moved 2 to 3 s after it had begun.
+  Scenario Outline: A changed load is told to those that may take keys within 0.5 s
+    Given a node of a <kind> service with <count> other nodes, and one of another
+    When its load changes and 0.6 s pass
+    Then <told> nodes were told of it
+
+    Examples: of services without keys, and among many nodes, each 1.5 s
+      | kind    | count | told |
+      | keyed   | 2     | 2    |
+      | keyed   | 41    | 0    |
+      | unkeyed | 2     | 0    |
+
   Scenario: Each node is heard of before it counts as gone
     Then the longest interval between two reports to all nodes is shorter than 8000 ms
--- a/tests/tools/overload.feature
+++ b/tests/tools/overload.feature
@@ -7,7 +7,7 @@
     Then at least <in_time> per cent of <class> are served in time
     And at most <again> per cent of them are refused after they have come back
 
-    Examples: before, hot-keys 62 and 35, hot-key 61 and 35 per cent of booking-lookup
+    Examples: before, hot-keys 62 and 35, hot-key 61 and 35 per cent of booking-lookup, uneven-unkeyed 47 and 43 of irrigate-order
       | load                  | class          | in_time | again |
       | hot-keys              | booking-lookup | 78      | 15    |
       | hot-key               | booking-lookup | 74      | 20    |
@@ -17,6 +17,8 @@
       | burst-unkeyed         | piece-lookup   | 88      | 5     |
       | slow-server           | pivot-status   | 80      | 9     |
       | half-slow             | drop-confirm   | 82      | 5     |
+      | hot-keys-pass         | pivot-status   | 78      | 14    |
+      | uneven-unkeyed        | irrigate-order | 60      | 10    |
 
   Scenario: Returning callers that are counted as new ones are a baseline
     When the workload hot-keys is simulated with seed 1
