--- a/tools/bench/entries.py
+++ b/tools/bench/entries.py
@@ -3,9 +3,12 @@
 from collections.abc import Iterable
 import pathlib
 from typing import Any
+from typing import TypeVar
 
 import msgspec
 
+_Kind = TypeVar("_Kind", bound="Header")
+
 
 class CannotRead(Exception):
     """A file is not an entry of the journal."""
@@ -16,8 +19,7 @@
 
     `worth` is what the day earned, as a share of what could be. `parts` has a
     name, a weight and a value for each part of it, `prices` a name, an amount
-    and a cost. `by_class` holds the share earned of each kind of request, None
-    for nested calls. `rules` names the broken ones.
+    and a cost. `rules` names the broken ones.
     """
 
     name: str
@@ -28,7 +30,6 @@
     rules: dict[str, Any] | None = None
     parts: list[tuple[str, float, float]] = []
     prices: list[tuple[str, float, float]] = []
-    by_class: list[float | None] = []
 
     @property
     def broken_rules(self) -> tuple[str, ...]:
@@ -38,23 +39,21 @@
         )
 
 
-class Entry(msgspec.Struct, kw_only=True, frozen=True):
+class Header(msgspec.Struct, kw_only=True, frozen=True):
     """One run of the bench; `why` is the reason that was given for it."""
 
     id: str
     site: str | None = None
     why: str | None = None
-    days: list[Day] | None = None
 
 
-def read_entry(path: pathlib.Path) -> Entry:
-    """Reads one entry.
+class _Entry(Header, kw_only=True, frozen=True):
+    days: list[Day] | None = None
 
-    Raises:
-        CannotRead: The file isn't an entry.
-    """
+
+def _decode(path: pathlib.Path, kind: type[_Kind]) -> _Kind:
     try:
-        return msgspec.json.decode(path.read_bytes(), type=Entry)
+        return msgspec.json.decode(path.read_bytes(), type=kind)
     except msgspec.MsgspecError as error:
         raise CannotRead(f"{path}: {error}") from error
 
@@ -70,12 +69,16 @@
 
     Returns:
         The plays by site, day and seed; one may have been played repeatedly.
+
+    Raises:
+        CannotRead: A file isn't an entry, or one that was asked for has no
+            figures, as that of a day that was cut short.
     """
     found: dict[tuple[str, str, int], list[Day]] = {}
     for path in sorted(paths):
-        entry = read_entry(path)
-        if reason not in (entry.why or ""):
+        if reason not in (_decode(path, Header).why or ""):
             continue
+        entry = _decode(path, _Entry)
         for day in entry.days or ():
             key = (entry.site or "", day.name, day.seed)
             found.setdefault(key, []).append(day)
