Learn the latency of slow links also from late replies to probes

Cause: found by reading the diff: a reply that came after its probe's timeout didn't count as latency, so that over a saturated link each probe would make its node look silent for a moment, and its keyed requests wait.

Measured: the new scenario failed before.

--- a/src/rhubarblead/requests/peer_silence.py
+++ b/src/rhubarblead/requests/peer_silence.py
@@ -21,6 +21,9 @@
 MAX_TIMEOUT_MS = 1_500
 """Most of it; a second later, the loss of the link shows as well."""
 
+MAX_LATENCY_MS = MAX_TIMEOUT_MS // LATENCY_FACTOR
+"""Latency from which the timeout grows no more."""
+
 LATENCY_DECAY = 0.8
 """What remains of a high latency at the next reply to a probe."""
 
@@ -81,11 +84,12 @@
         if peer is None:
             return False
         was_silent = peer.is_silent
-        # A reply after the timeout tells how long the node was silent.
-        if is_to_probe and peer.probed_at_ms is not None and not was_silent:
+        if is_to_probe and peer.probed_at_ms is not None:
+            # Late replies count, as a link may be slow for long; the limit
+            # lets the latency of a frozen node be forgotten soon.
+            latency_ms = min(now_ms - peer.probed_at_ms, MAX_LATENCY_MS)
             peer.latency_ms = max(
-                float(now_ms - peer.probed_at_ms),
-                LATENCY_DECAY * peer.latency_ms,
+                float(latency_ms), LATENCY_DECAY * peer.latency_ms
             )
         peer.unanswered_since_ms = None
         peer.probed_at_ms = None
--- a/tests/rhubarblead/requests/peer_silence.feature
+++ b/tests/rhubarblead/requests/peer_silence.feature
@@ -21,6 +21,15 @@
     And the node replies at 1700 ms
     Then the node was probed 1 times, and is heard
 
+  # Each probe over a saturated link made its node look silent for a moment.
+  Scenario: A node whose replies are always slow isn't taken to be silent again
+    Given a node to which a request was sent at 1000 ms
+    When checks are made each 50 ms until 1500 ms, without a reply
+    And the node replies at 1600 ms
+    And another request is sent to it at 2000 ms
+    And checks are made each 50 ms until 2550 ms, without a reply
+    Then the node was probed 2 times, and is heard
+
   Scenario: A node that isn't sent anything owes no reply
     Given a node to which a request was sent at 1000 ms
     When the node replies at 1100 ms
--- a/tests/steps/requests_peer_silence.py
+++ b/tests/steps/requests_peer_silence.py
@@ -48,6 +48,12 @@
     context.silence.record_reply(_NODE, replied, is_to_probe=True)
 
 
+@behave.when("another request is sent to it at {sent:d} ms")
+def send_again(context: runner.Context, sent: int) -> None:
+    context.now_ms = sent
+    context.silence.record_sent(_NODE, sent)
+
+
 @behave.then("the node was probed {count:d} times, and is {state:w}")
 def check_state(context: runner.Context, count: int, state: str) -> None:
     assert context.probe_count == count, context.probe_count
