Try a failing server also with requests that must not run twice

Only repeatable requests were sent to try a server that had failed. Where a service has none, its server would get nothing until its process started anew, and with all of them failing, nothing ran.

Change: after 2 s without a trial any request is one. `reset` is `record_success`, as each good response calls it.

--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -216,7 +216,7 @@
         self.server_id = server_id
         process = f"{server_id}@{born_ms}"
         if process != self.statements.server:
-            self._breaker.reset()
+            self._breaker.record_success()
         self.crashes.set_server(process)
         self.statements.set_server(process)
         self._wait_queue.slot_count = slot_count
@@ -253,7 +253,7 @@
             reply(self._refuse(work, wire.Reason.NOT_OWNER))
             return None
         now_ms = self._now_ms()
-        if self._is_failing(work, now_ms):
+        if not self._may_try(work, now_ms):
             reply(self._refuse(work, wire.Reason.SERVER_GONE))
             return None
         if work.key != wire.NO_KEY and not work.is_return:
@@ -361,12 +361,12 @@
             self._check_timer.cancel()
         self._pool.close()
 
-    def _is_failing(self, work: wire.Work, now_ms: int) -> bool:
-        """Returns whether another server should run a request.
+    def _may_try(self, work: wire.Work, now_ms: int) -> bool:
+        """Returns whether a request goes to the server although it may fail.
 
-        Only this server may run requests for its keys.
+        No other server may run requests for its keys.
         """
-        return work.key == wire.NO_KEY and not self._breaker.try_acquire(
+        return work.key != wire.NO_KEY or self._breaker.try_acquire(
             now_ms, is_once=work.is_once
         )
 
@@ -374,7 +374,7 @@
         """Counts good responses, and those that broke off."""
         was_open = self._breaker.is_open
         if outcome.verdict == wire.Verdict.RAN:
-            self._breaker.reset()
+            self._breaker.record_success()
         elif outcome.reason == wire.Reason.BROKEN:
             now_ms = self._now_ms()
             self._breaker.record_failure(job.started_at_ms or now_ms, now_ms)
--- a/tests/rhubarblead/requests/circuit_breaker.feature
+++ b/tests/rhubarblead/requests/circuit_breaker.feature
@@ -22,3 +22,12 @@
     Then a request that may not run twice may not be sent to it
     And a new request may be sent to it
     And a new request may not be sent to it
+
+  # A service all of whose requests may run only once had lost its server for good.
+  Scenario: Without other requests one that may not run twice tries the server
+    Given a server with the results "fail fail fail fail", each of a request of its own
+    When 1900 ms pass for the breaker
+    Then a request that may not run twice may not be sent to it
+    When 100 ms pass for the breaker
+    Then a request that may not run twice may be sent to it
+    And a request that may not run twice may not be sent to it
