Limit cold servers, and evacuate failure domains

Cause: nothing read how cold a server was, nor the operator's requests to evacuate a zone.

A connection that breaks off, a connection that takes long, and an evacuation put it in doubt. The limit of a cold server is the second reason of the limit that the queue keeps already. Evacuations stay in force for 6 s if a restored store doesn't have them.

--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -648,6 +648,30 @@
         " started.",
         "Find out what the server is short of.",
     )
+    SERVER_WARMTH_CHANGED = _define(
+        3311,
+        _INFO,
+        "server_id is_cold remaining_ms source",
+        "The local server has become cold or warm, so that requests to it are"
+        " limited or no longer limited. `remaining_ms` is how long it says that"
+        ' it stays cold, `source` where it says so; "no proof" if it did not'
+        " say in time that it is warm.",
+    )
+    EVACUATION_CHANGED = _define(
+        3312,
+        _WARNING,
+        "failure_domains previous source is_own",
+        "The operator has requested that nothing be sent to the servers of"
+        " these failure domains. `is_own` tells whether this node's is one.",
+    )
+    EVACUATED = _define(
+        3313,
+        _WARNING,
+        "failure_domain is_stopped held_count waited_ms",
+        "The local server gets no more requests because its failure domain is"
+        " evacuated, or gets them again. `held_count` keys were still held,"
+        " `waited_ms` after the request was seen.",
+    )
     SERVER_LIMIT_MALFORMED = _define(
         3309,
         _WARNING,
--- a/src/rhubarblead/platform/configuration.py
+++ b/src/rhubarblead/platform/configuration.py
@@ -9,6 +9,7 @@
 
 TABLE = "op"
 KEY = "config"
+_EVACUATION_PREFIX = "evacuate/"
 
 _KINDS = {
     "safe": routing_table.RouteKind.REPEATABLE,
@@ -58,6 +59,9 @@
 class _Service(msgspec.Struct, rename="camel"):
     name: str
     sharded: bool = False
+    health_check_path: str = ""
+    # Requests per second that a server tolerates while it is cold.
+    warmup_per_s: float | None = None
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -77,6 +81,19 @@
 _RouteCache: TypeAlias = dict[bytes, routing_table.Route]
 
 
+def read_evacuated(key: str) -> str:
+    """Returns the failure domain that a row evacuates, empty if none.
+
+    The row's value has no meaning.
+
+    Args:
+        key: Key of a row of the operator.
+    """
+    if not key.startswith(_EVACUATION_PREFIX):
+        return ""
+    return key.removeprefix(_EVACUATION_PREFIX)
+
+
 class Decoder:
     """Decodes versions of the configuration, each mostly like the last.
 
@@ -128,6 +145,8 @@
                 routing_table.Service(
                     name=service.name,
                     is_keyed=service.sharded,
+                    health_path=service.health_check_path,
+                    warmup_per_s=service.warmup_per_s,
                 )
                 for service in services
             ),
--- a/src/rhubarblead/platform/headers.py
+++ b/src/rhubarblead/platform/headers.py
@@ -19,6 +19,10 @@
 # Requests per second that the server takes from all machines together.
 LIMIT = b"server-limit"
 LEAVING = b"server-leaving"
+# In responses to probes: the server's id, and how long it stays cold; a warm
+# server omits the latter.
+INSTANCE = b"x-rhubarblead-instance-id"
+COLD = b"x-rhubarblead-cold-ms"
 
 _HOP_BY_HOP = frozenset(
     {
@@ -82,6 +86,17 @@
         return self.has_signature and bool(self.request_id)
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HealthHead:
+    """The header fields of a response to a probe.
+
+    `server_id` is empty if the server doesn't name itself.
+    """
+
+    server_id: str
+    cold_remaining_ms: int
+
+
 def read_request(fields: Iterable[Field]) -> RequestHead:
     """Reads the header fields of a request.
 
@@ -156,6 +171,24 @@
     )
 
 
+def encode_probe(path: str) -> bytes:
+    """Encodes a probe of the server's health."""
+    return b"GET %b HTTP/1.1\r\nhost: health\r\n\r\n" % path.encode("latin-1")
+
+
+def read_health(fields: Iterable[Field]) -> HealthHead:
+    """Reads the header fields of a response to a probe.
+
+    A malformed remaining time names no server, as it proves nothing.
+    """
+    found = dict(fields)
+    remaining = found.get(COLD, b"0").strip()
+    server_id = found.get(INSTANCE, b"").decode("latin-1")
+    if not remaining.isdigit():
+        return HealthHead(server_id="", cold_remaining_ms=0)
+    return HealthHead(server_id=server_id, cold_remaining_ms=int(remaining))
+
+
 def encode_response(fields: Iterable[Field]) -> bytes:
     """Encodes the fields of a server's response that go to the caller."""
     return _encode(_filter_fields(fields, frozenset()))
--- a/src/rhubarblead/platform/heartbeats.py
+++ b/src/rhubarblead/platform/heartbeats.py
@@ -43,6 +43,7 @@
 
     `born_ms` is the Unix time of its start, and identifies the run of the
     server process. `held` is None if the server does not hold keys at all.
+    `cold_remaining_ms` is how long it stays cold, 0 if it is warm.
     """
 
     server_id: str
@@ -53,6 +54,7 @@
     is_draining: bool
     held: tuple[Grant, ...] | None
     freed: tuple[FreedRange, ...]
+    cold_remaining_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -74,7 +76,6 @@
 class _Status(msgspec.Struct, rename="camel"):
     state: str
     sequence: int
-    # Unused, but a heartbeat with a malformed value is rejected.
     cold_remaining_ms: float = 0.0
 
 
@@ -166,4 +167,5 @@
             FreedRange(first=first, last=last, handover=token)
             for first, last, token in body.freed or ()
         ),
+        cold_remaining_ms=body.status.cold_remaining_ms,
     )
--- a/src/rhubarblead/platform/settings.py
+++ b/src/rhubarblead/platform/settings.py
@@ -43,6 +43,9 @@
     retry_ratio: float = 0.2
     retry_window_ms: int = 10_000
     retry_extra_count: float = 62.0
+    cold_overage: float = 1.5
+    cold_slack_count: float = 5.0
+    evacuation_ms: int = 5_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -263,4 +266,7 @@
         retry_extra_count=read(
             "budgetExtraRetries", 1, default.retry_extra_count
         ),
+        cold_overage=read("coldOverage", 1, default.cold_overage),
+        cold_slack_count=read("coldSlack", 1, default.cold_slack_count),
+        evacuation_ms=int(read("evacuationMs", 1, default.evacuation_ms)),
     )
--- a/src/rhubarblead/requests/rate_limit.py
+++ b/src/rhubarblead/requests/rate_limit.py
@@ -1,8 +1,9 @@
-"""Limit on the request rate of one server, as the server itself states it.
+"""Limit on the request rate of one server.
 
 A token bucket, which also estimates waits and tells refused callers when to
-come back. A server that states a limit of 0 still gets a request now and then:
-only its responses tell when the limit has ended.
+come back. There are two reasons for a limit, of which the lower one holds: the
+server states it, or the server is cold. A server that states a limit of 0 still
+gets a request now and then: only its responses tell when the limit has ended.
 """
 
 import math
@@ -32,12 +33,16 @@
 DEVIATIONS = 1.3
 """Standard deviations above the mean; nine in ten waits are shorter."""
 
+HOLD_WAIT_MS = 10.0
+"""Wait told while requests are held; a server answers a probe in 1 to 6 ms."""
+
 
 class RateLimit:
     """The limit in force and the requests sent under it.
 
-    The limit holds from the moment at which it is set. After it is lifted, the
-    rate grows exponentially until the limit has no effect.
+    A stated limit holds from the moment at which it is set. After it is lifted,
+    the rate grows exponentially until the limit has no effect. The limit of a
+    cold server ends at once. `is_held` stops all requests for a moment.
     """
 
     __slots__ = (
@@ -47,6 +52,8 @@
         "_limit_per_s",
         "_return_at_ms",
         "_sent",
+        "_warmup_per_s",
+        "is_held",
     )
 
     def __init__(self) -> None:
@@ -56,12 +63,35 @@
         self._credited_at_ms = 0
         self._return_at_ms = 0.0
         self._sent = slot_use.SlotUse()
+        self._warmup_per_s: float | None = None
+        self.is_held = False
 
     @property
     def limit_per_s(self) -> float | None:
-        """The limit in requests per second, None if there is none."""
+        """The stated limit in requests per second, None if there is none."""
         return None if self._lifted_at_ms is not None else self._limit_per_s
 
+    @property
+    def in_force_per_s(self) -> float | None:
+        """The lower of the limits, None if there is none."""
+        return _find_lower(self.limit_per_s, self._warmup_per_s)
+
+    def begin_warmup(self, rate_per_s: float, now_ms: int) -> None:
+        """Limits the rate to what the cold server tolerates.
+
+        Args:
+            rate_per_s: Requests per second.
+            now_ms: Current time in milliseconds.
+        """
+        self._update_credit(now_ms)
+        self._warmup_per_s = rate_per_s
+        self._cap_credit(now_ms)
+
+    def end_warmup(self, now_ms: int) -> None:
+        """Ends the limit of a cold server."""
+        self._update_credit(now_ms)
+        self._warmup_per_s = None
+
     def set(self, limit_per_s: float, now_ms: int) -> None:
         """Sets the limit.
 
@@ -81,7 +111,7 @@
             self._lifted_at_ms = now_ms
 
     def clear(self) -> None:
-        """Forgets the limit, as the server has been replaced."""
+        """Forgets the stated limit, as the server has been replaced."""
         self._limit_per_s = None
         self._lifted_at_ms = None
         self._credit_count = 0.0
@@ -92,6 +122,9 @@
         Args:
             now_ms: Current time in milliseconds.
         """
+        return _find_lower(self._find_stated_per_s(now_ms), self._warmup_per_s)
+
+    def _find_stated_per_s(self, now_ms: int) -> float | None:
         if self._limit_per_s is None:
             return None
         rate_per_s = max(MIN_RATE_PER_S, self._limit_per_s)
@@ -112,12 +145,13 @@
         Returns:
             The time in milliseconds, 0 if it may be sent now.
         """
+        hold_ms = HOLD_WAIT_MS if self.is_held else 0.0
         rate_per_s = self.find_rate_per_s(now_ms)
         if rate_per_s is None:
-            return 0.0
+            return hold_ms
         self._update_credit(now_ms)
         missing_count = ahead_count + 1 - self._credit_count
-        return max(0.0, 1_000 * missing_count / rate_per_s)
+        return max(hold_ms, 1_000 * missing_count / rate_per_s)
 
     def find_longest_wait_ms(
         self, rank_class: slot_use.RankClass, wait_ms: float, now_ms: int
@@ -184,3 +218,8 @@
         if rate_per_s is not None:
             most_count = BURST_COUNT + BURST_S * rate_per_s
             self._credit_count = min(self._credit_count, most_count)
+
+
+def _find_lower(first: float | None, second: float | None) -> float | None:
+    """Returns the lower one of two rates, of which either may be missing."""
+    return min((r for r in (first, second) if r is not None), default=None)
--- a/src/rhubarblead/router/config_feed.py
+++ b/src/rhubarblead/router/config_feed.py
@@ -21,16 +21,26 @@
 A version is then in force within 0.8 s; the bound is 2 to 3 s.
 """
 
+KEEP_MISSING_S = 6.0
+"""How long evacuations are kept that the restored store doesn't have.
+
+The operator writes again what was lost; what is still missing was withdrawn.
+"""
+
 RETRY_DELAY_S = 0.8
 """Pause after a failed call; changes must take effect within 2 s."""
 
 
 class ConfigFeed:
-    """The newest valid configuration and its encoded content."""
+    """The newest valid configuration, and the evacuated failure domains."""
 
     __slots__ = (
         "_decoder",
+        "_evacuated",
         "_events",
+        "_keep_missing_until_s",
+        "_last_revision",
+        "_on_evacuated",
         "_on_table",
         "_revision",
         "_store",
@@ -44,11 +54,26 @@
         client: store_client.StoreClient,
         events: event_log.EventLog,
         on_table: Callable[[routing_table.RoutingTable], None],
+        on_evacuated: Callable[[frozenset[str], str], None],
     ) -> None:
+        """Creates a feed that has read nothing yet.
+
+        Args:
+            client: The client of the store.
+            events: The event log.
+            on_table: Called with each version that comes into force.
+            on_evacuated: Called with the evacuated failure domains, and where
+                they were read, after each read.
+        """
         self._store = client
         self._decoder = configuration.Decoder()
         self._events = events
         self._on_table = on_table
+        self._on_evacuated = on_evacuated
+        self._evacuated: frozenset[str] = frozenset()
+        # Set after a restore until the rows are read once more.
+        self._keep_missing_until_s: float | None = None
+        self._last_revision: int | None = None
         self._revision: int | None = None
         self.content = b""
         self.table: routing_table.RoutingTable | None = None
@@ -94,20 +119,39 @@
     async def run(self) -> None:
         """Applies changes until cancelled."""
         while True:
-            if self._revision is None:
+            if self._must_read():
+                self._revision = None
                 outcome = await self._store.read(configuration.TABLE)
             else:
+                assert self._revision is not None
                 outcome = await self._store.wait_for_changes(
-                    configuration.TABLE, self._revision, LONG_POLL_MS
+                    configuration.TABLE, self._revision, self._find_wait_ms()
                 )
             await asyncio.sleep(self._handle_outcome(outcome))
 
+    def _must_read(self) -> bool:
+        """Tells whether all rows must be read, not only the changes."""
+        if self._keep_missing_until_s is not None:
+            return time.monotonic() >= self._keep_missing_until_s or (
+                self._revision is None
+            )
+        return self._revision is None
+
+    def _find_wait_ms(self) -> int:
+        """Returns how long to wait for a change."""
+        if self._keep_missing_until_s is None:
+            return LONG_POLL_MS
+        left_s = max(0.0, self._keep_missing_until_s - time.monotonic())
+        return min(LONG_POLL_MS, int(left_s * 1_000))
+
     def _handle_outcome(self, outcome: store.ReadOutcome) -> float:
         """Handles the store's reply; returns the pause before the next call."""
         match outcome:
             case store.Rows():
+                is_restored = self._record_era(outcome.revision)
+                self._apply_evacuations(outcome.rows)
                 self._apply_newest(outcome.rows)
-                if self._is_restored(outcome.revision):
+                if is_restored and self._revision is not None:
                     # Changes since the copy was taken may be missing.
                     self._revision = None
                     return 0.0
@@ -132,8 +176,34 @@
             if is_config and self.apply(row.value, "store"):
                 return
 
-    def _is_restored(self, revision: int) -> bool:
-        """Tells whether the store was restored since the last revision."""
-        return self._revision is not None and not revisions.is_same_era(
-            revision, self._revision
+    def _apply_evacuations(self, rows: tuple[store.Row, ...]) -> None:
+        """Applies the changes that rows contain, or all rows after a read."""
+        found = dict.fromkeys(self._evacuated, True)
+        if self._revision is None and self._has_reread():
+            found = {}
+        for row in rows:
+            failure_domain = configuration.read_evacuated(row.key)
+            if failure_domain:
+                found[failure_domain] = not row.is_removed
+        self._evacuated = frozenset(
+            name for name, is_evacuated in found.items() if is_evacuated
         )
+        self._on_evacuated(self._evacuated, "store")
+
+    def _has_reread(self) -> bool:
+        """Tells whether rows that are missing in a read were withdrawn."""
+        until_s = self._keep_missing_until_s
+        if until_s is None:
+            return True
+        if time.monotonic() < until_s:
+            return False
+        self._keep_missing_until_s = None
+        return True
+
+    def _record_era(self, revision: int) -> bool:
+        """Returns whether the store was restored since the last revision."""
+        last, self._last_revision = self._last_revision, revision
+        if last is None or revisions.is_same_era(revision, last):
+            return False
+        self._keep_missing_until_s = time.monotonic() + KEEP_MISSING_S
+        return True
--- a/src/rhubarblead/router/directory.py
+++ b/src/rhubarblead/router/directory.py
@@ -23,6 +23,7 @@
         "_own_state",
         "_states",
         "_unlinked_states",
+        "evacuated",
         "table",
     )
 
@@ -35,6 +36,8 @@
         self._lost_at_ms: dict[str, int] = {}
         self._assignments: dict[str, tuple[assignment.Assignment, int]] = {}
         self.table: routing_table.RoutingTable | None = None
+        # Failure domains to whose servers nothing is to be sent.
+        self.evacuated: frozenset[str] = frozenset()
 
     @property
     def own_state(self) -> wire.State:
@@ -135,7 +138,9 @@
                 report_age_ms=age_ms,
             )
             for state, age_ms in self.list_servers(service, now_ms)
-            if state.born_ms and not state.is_stopping
+            if state.born_ms
+            and not state.is_stopping
+            and state.failure_domain not in self.evacuated
         ]
 
     def list_placement_candidates(
@@ -164,6 +169,7 @@
                 link_backlog_ms=state.load.link_backlog_ms,
             )
             for state, age_ms in self.list_servers(service, now_ms)
+            if state.failure_domain not in self.evacuated
         ]
 
     def get_assignment(self, service: str) -> tuple[assignment.Assignment, int]:
--- a/src/rhubarblead/router/heartbeat_handler.py
+++ b/src/rhubarblead/router/heartbeat_handler.py
@@ -31,6 +31,7 @@
     """Handles calls that only the platform and the local server may make."""
 
     __slots__ = (
+        "is_evacuated",
         "is_stopping",
         "_departed",
         "_events",
@@ -48,6 +49,7 @@
         service: str,
         events: event_log.EventLog,
         on_change: Callable[[], None],
+        is_evacuated: Callable[[], bool] = lambda: False,
     ) -> None:
         """Creates the handler.
 
@@ -58,12 +60,14 @@
             events: The event log.
             on_change: Called when the server's state has changed and the other
                 nodes must be notified.
+            is_evacuated: Tells whether the server is to get no requests.
         """
         self._ownership = key_ownership
         self._upstream = local_upstream
         self._service = service
         self._events = events
         self._on_change = on_change
+        self.is_evacuated = is_evacuated
         # The start of each server process that has deregistered last, by id.
         self._departed: dict[str, int] = {}
         self.is_stopping = False
@@ -106,13 +110,16 @@
         local_upstream.set_server(
             heartbeat.server_id, heartbeat.slots, born_ms=heartbeat.born_ms
         )
+        local_upstream.warmth.record_heartbeat(heartbeat.cold_remaining_ms)
         # A heartbeat may have been sent before the server began to leave.
         if self._has_departed(heartbeat):
             self._ownership.begin_server_leaving(
                 heartbeat.server_id, "server had deregistered"
             )
         is_leaving = self._ownership.is_server_leaving
-        local_upstream.is_serving = not is_leaving and not self.is_stopping
+        local_upstream.is_serving = not (
+            is_leaving or self.is_stopping or self.is_evacuated()
+        )
         delay_s = MAX_REPLY_DELAY_S if is_first else 0.0
         self._reply(exchange, asyncio.get_running_loop().time() + delay_s)
         if is_leaving and was_serving:
--- a/src/rhubarblead/router/metrics_exporter.py
+++ b/src/rhubarblead/router/metrics_exporter.py
@@ -27,6 +27,9 @@
     LIMIT = "server_limit_per_s"
     LIMITED = "server_limited_ms"
     LIMIT_REFUSALS = "limit_refused_requests"
+    COLD = "server_is_cold"
+    WARMTH_PROBES = "warmth_probes"
+    EVACUATED = "server_is_evacuated"
     CONFIG_VERSION = "config_version"
     HELD_KEYS = "held_keys"
     LEASE_LEFT = "right_left_ms"
@@ -49,6 +52,12 @@
     Gauge.LIMIT_REFUSALS: (
         "requests refused by the local server's queue while there was a limit"
     ),
+    Gauge.COLD: "1 while the local server counts as cold",
+    Gauge.WARMTH_PROBES: "probes whether the local server is cold",
+    Gauge.EVACUATED: (
+        "1 while the local server gets no requests as its failure domain is"
+        " evacuated"
+    ),
     Gauge.CONFIG_VERSION: "configuration version in force, -1 if there is none",
     Gauge.HELD_KEYS: "keys in the latest grant to the local server",
     Gauge.LEASE_LEFT: "time for which this node may still grant keys",
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -16,12 +16,14 @@
 from rhubarblead.keyspace import members
 from rhubarblead.platform import settings
 from rhubarblead.requests import cluster_retry_budget
+from rhubarblead.requests import cold_start
 from rhubarblead.requests import link_load
 from rhubarblead.requests import transfers
 from rhubarblead.router import config_feed
 from rhubarblead.router import crash_sync
 from rhubarblead.router import directory
 from rhubarblead.router import dispatcher
+from rhubarblead.router import evacuation
 from rhubarblead.router import event_log
 from rhubarblead.router import heartbeat_handler
 from rhubarblead.router import http_client
@@ -68,6 +70,7 @@
         "_deployment",
         "_directory",
         "_dispatcher",
+        "_evacuation",
         "_events",
         "_is_stopping",
         "_links",
@@ -170,6 +173,18 @@
             client=self._store,
             events=self._events,
             on_table=self._apply_table,
+            on_evacuated=lambda names, source: self._evacuation.apply(
+                names, source
+            ),
+        )
+        self._evacuation = evacuation.Evacuation(
+            cluster_directory=self._directory,
+            key_ownership=self._ownership,
+            local_upstream=self._upstream,
+            events=self._events,
+            now_ms=read_now_ms,
+            bound_ms=deployment.bounds.evacuation_ms,
+            broadcast_state=self._broadcast_state,
         )
         self._broadcaster = state_broadcaster.StateBroadcaster(
             cluster_directory=self._directory,
@@ -206,7 +221,9 @@
             service=deployment.service,
             events=self._events,
             on_change=self._broadcast_state,
+            is_evacuated=lambda: self._evacuation.is_stopped,
         )
+        self._upstream.warmth.on_report = self._broadcast_state
         self._upstream.statements.on_limit = self._handle_limit_change
         self._upstream.statements.on_leaving = (
             self._heartbeat_handler.handle_stated_leaving
@@ -508,6 +525,13 @@
 
     def _apply_table(self, table: routing_table.RoutingTable) -> None:
         self._directory.table = table
+        bounds = self._deployment.bounds
+        self._upstream.warmth.set_service(
+            table.services.get(self._deployment.service),
+            cold_start.WarmupBounds(
+                overage=bounds.cold_overage, slack_count=bounds.cold_slack_count
+            ),
+        )
         self._dispatcher.reset_traffic_split()
         self._ownership.wake.set()
 
@@ -519,6 +543,7 @@
         self._upstream.set_owned(self._ownership.list_spans())
         self._upstream.refuse_unowned()
         self._upstream.start_waiting()
+        self._evacuation.check()
         self._dispatcher.retry_parked()
 
     def _handle_limit_change(self) -> None:
@@ -540,6 +565,7 @@
     async def _run_watchdog(self) -> None:
         while True:
             self._check_server()
+            self._evacuation.check()
             due_at_s = self._loop.time() + WATCH_INTERVAL_S
             await asyncio.sleep(WATCH_INTERVAL_S)
             self._saturation.record_timer(
@@ -569,6 +595,11 @@
             metrics_exporter.Gauge.LIMIT_REFUSALS: (
                 self._upstream.statements.refused_count
             ),
+            metrics_exporter.Gauge.COLD: self._upstream.warmth.is_cold,
+            metrics_exporter.Gauge.WARMTH_PROBES: (
+                self._upstream.warmth.probe_count
+            ),
+            metrics_exporter.Gauge.EVACUATED: self._evacuation.is_stopped,
             metrics_exporter.Gauge.CONFIG_VERSION: self._config.version,
             metrics_exporter.Gauge.HELD_KEYS: self._ownership.count_held(),
             metrics_exporter.Gauge.LEASE_LEFT: (
--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -88,6 +88,7 @@
         "_started_at_ms",
         "_state",
         "_takeover",
+        "is_evacuated",
         "is_stopping",
         "server",
         "wake",
@@ -192,6 +193,7 @@
         self._is_assignment_stale = False
         self._rebalance_at_ms = 0
         self._recent_shifts = recent_shifts.RecentShifts()
+        self.is_evacuated = False
         self.is_stopping = False
         self.server: ServerState | None = None
         self.wake = asyncio.Event()
@@ -558,6 +560,8 @@
             return
         if server.is_leaving:
             self._release_all("server is draining")
+        elif self.is_evacuated:
+            self._release_all("failure domain is evacuated")
         if now_ms < self._holdings.granted_until_ms:
             return
         silent_ms = now_ms - server.last_heartbeat_at_ms
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -18,6 +18,7 @@
 from rhubarblead.router import http_client
 from rhubarblead.router import server_statements
 from rhubarblead.router import tasks
+from rhubarblead.router import warmth_probe
 from rhubarblead.router import wire
 
 MAX_IDLE_S = 4.0
@@ -45,6 +46,9 @@
 EXPIRED_RETRY_MS = 300
 """Retry delay for requests refused while they wait; about one run."""
 
+SLOW_CONNECT_MS = 300
+"""Time to connect that shows that the server was away; most take 1 ms."""
+
 CANCEL_SETTLE_MS = 30
 """Delay before the slot of a cancelled request is reused."""
 
@@ -105,6 +109,7 @@
         "is_serving",
         "server_id",
         "statements",
+        "warmth",
     )
 
     def __init__(
@@ -161,6 +166,13 @@
         self.statements = server_statements.ServerStatements(
             limit=self._wait_queue.rate_limit, events=events, now_ms=now_ms
         )
+        self.warmth = warmth_probe.WarmthProbe(
+            limit=self._wait_queue.rate_limit,
+            pool=self._pool,
+            events=events,
+            now_ms=now_ms,
+        )
+        self.warmth.on_change = self.start_waiting
         self.server_id = ""
         self.is_serving = False
         self.crashes = crashes.CrashDetector(
@@ -196,7 +208,7 @@
         capacity_per_s = (
             wait_queue.slot_count * 1_000 / wait_queue.times.overall_ms
         )
-        if wait_queue.rate_limit.limit_per_s is None:
+        if wait_queue.rate_limit.in_force_per_s is None:
             return capacity_per_s
         limit_per_s = wait_queue.rate_limit.find_rate_per_s(self._now_ms())
         return min(capacity_per_s, limit_per_s or capacity_per_s)
@@ -215,10 +227,12 @@
             self._pool.close_idle()
         self.server_id = server_id
         process = f"{server_id}@{born_ms}"
-        if process != self.statements.server:
+        is_new = process != self.statements.server
+        if is_new:
             self._breaker.record_success()
         self.crashes.set_server(process)
         self.statements.set_server(process)
+        self.warmth.set_server(server_id, is_new=is_new)
         self._wait_queue.slot_count = slot_count
 
     def find_left_ms(self) -> int:
@@ -359,6 +373,7 @@
         """Closes all connections."""
         if self._check_timer is not None:
             self._check_timer.cancel()
+        self.warmth.close()
         self._pool.close()
 
     def _may_try(self, work: wire.Work, now_ms: int) -> bool:
@@ -463,6 +478,7 @@
 
     def _run(self, job: Job) -> None:
         job.started_at_ms = self._now_ms()
+        self.warmth.record_send()
         self._link_load.start(job.ticket.number, job.work.route)
         max_idle_s = MAX_IDLE_ONCE_S if job.work.is_once else None
         connection = self._pool.acquire(max_idle_s)
@@ -480,8 +496,12 @@
                 self._pool.release(connection)
             return
         if connection is None:
+            self.warmth.doubt()
             self._finish(job, self._refuse(job.work, wire.Reason.SERVER_GONE))
             return
+        if job.find_ran_ms(self._now_ms()) > SLOW_CONNECT_MS:
+            # Requests that have waited for the server would reach it together.
+            self.warmth.hold()
         self._send(job, connection)
 
     def _send(self, job: Job, connection: http_client.Connection) -> None:
@@ -584,6 +604,7 @@
                 self._log_unusable(job, failure.value)
                 outcome = self._make_may_have_run(job)
                 if failure is http_client.Failure.CLOSED:
+                    self.warmth.doubt()
                     self.crashes.record_reset(
                         job.ticket.number,
                         lambda: self._finish_checked(job, outcome),
--- a/src/rhubarblead/routing_table.py
+++ b/src/rhubarblead/routing_table.py
@@ -47,10 +47,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Service:
-    """A group of servers that handle the same requests."""
+    """A group of servers that handle the same requests.
+
+    `health_path` answers probes, empty if there is none. `warmup_per_s` is the
+    rate of requests that a cold server tolerates, None if it is not bounded.
+    """
 
     name: str
     is_keyed: bool
+    health_path: str = ""
+    warmup_per_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/rhubarblead/platform/adapter.feature
+++ b/tests/rhubarblead/platform/adapter.feature
@@ -52,6 +52,19 @@
     And the settings are refused with "graceS"
     And the settings are refused with "address"
 
+  Scenario Outline: A response to a probe tells how long the server stays cold
+    When a response to a probe has the fields "<fields>"
+    Then it names server "<server>", which stays cold for <cold> ms
+
+    Examples: a malformed time proves nothing, and so names no server
+      | fields                                               | server | cold |
+      | x-rhubarblead-instance-id=i-1;x-rhubarblead-cold-ms=900 | i-1 | 900  |
+      | x-rhubarblead-instance-id=i-1;x-rhubarblead-cold-ms=0   | i-1 | 0    |
+      | x-rhubarblead-instance-id=i-1                           | i-1 | 0    |
+      | x-rhubarblead-instance-id=i-1;x-rhubarblead-cold-ms=-5  |     | 0    |
+      | x-rhubarblead-instance-id=i-1;x-rhubarblead-cold-ms=x   |     | 0    |
+      | x-rhubarblead-cold-ms=900                               |     | 900  |
+
   Scenario: A configuration is decoded from columns
     When the configuration is decoded
     Then its version is 12
--- a/tests/rhubarblead/router/ownership.feature
+++ b/tests/rhubarblead/router/ownership.feature
@@ -89,6 +89,39 @@
     And 600 ms pass in the simulation
     Then no key had two holders
 
+  # EVAC: requests reached servers of a zone until it was removed.
+  Scenario Outline: The keys of an evacuated failure domain move to others
+    Given a settled simulated cluster of 6 nodes
+    When the failure domains "<names>" are evacuated
+    Then some keys are unheld for at most 2000 ms of 2500 ms
+    When <trouble> occurs in the simulation
+    And 5200 ms pass in the simulation
+    Then servers of the failure domains "<names>" hold no keys
+    And all keys are held
+    And no key had two holders
+    When no failure domain is evacuated any more
+    And 9000 ms pass in the simulation
+    Then servers of the failure domains "<names>" hold some keys
+    And all keys are held
+    And no key had two holders
+
+    Examples: n1 is in b
+      | names | trouble             |
+      | a     | restart of a node   |
+      | b     | restart of a server |
+      | a b   | a planned restart   |
+      | a     | loss of an instance |
+
+  Scenario: If all failure domains are evacuated, keys stay where they are
+    Given a settled simulated cluster of 6 nodes
+    When the failure domains "a b c" are evacuated
+    And 4000 ms pass in the simulation
+    Then all keys are held
+    When no failure domain is evacuated any more
+    And 4000 ms pass in the simulation
+    Then all keys are held
+    And no key had two holders
+
   Scenario: A drained server gets no keys from any node
     Given a settled simulated cluster of 6 nodes
     When drain of a server occurs in the simulation
--- a/tests/rhubarblead/router/simulated_cluster.py
+++ b/tests/rhubarblead/router/simulated_cluster.py
@@ -91,6 +91,7 @@
         self.cut_links: set[frozenset[str]] = set()
         self.fences: dict[int, tuple[int, str]] = {}
         self.violations: list[str] = []
+        self.evacuated: frozenset[str] = frozenset()
         self.nodes = {
             f"n{number}": Node(cluster=self, number=number)
             for number in range(node_count)
@@ -176,6 +177,12 @@
             if last > reached[0]:
                 reached = (last, name)
 
+    def evacuate(self, *failure_domains: str) -> None:
+        """Applies the operator's request at all nodes."""
+        self.evacuated = frozenset(failure_domains)
+        for node in self.nodes.values():
+            node.read_evacuated()
+
     def count_held(self) -> int:
         """Counts the keys that are held by a server."""
         return sum(
@@ -539,6 +546,14 @@
             find_rates=lambda: self.rates,
             promise_exchange=self.promise_exchange,
         )
+        self.read_evacuated()
+
+    def read_evacuated(self) -> None:
+        """Applies the operator's request, as a node does before it serves."""
+        evacuated = self.cluster.evacuated
+        self.cluster_directory.evacuated = evacuated
+        self.ownership.is_evacuated = self.domain in evacuated
+        self.ownership.wake.set()
 
     def stop(self) -> None:
         """Kills the process; it sends nothing."""
--- a/tests/steps/platform_adapter.py
+++ b/tests/steps/platform_adapter.py
@@ -280,6 +280,7 @@
         client=unused,
         events=event_log,
         on_table=lambda table: context.applied.append(table.version),
+        on_evacuated=lambda names, source: None,
     )
     feed._handle_outcome(
         store.Rows(
@@ -491,3 +492,24 @@
 def check_forwarded(context: runner.Context, fields: str) -> None:
     expected = "".join(f"{part}\r\n" for part in fields.split("; "))
     assert context.forwarded == expected.encode(), context.forwarded
+
+
+@behave.when('a response to a probe has the fields "{fields}"')
+def read_probe_response(context: runner.Context, fields: str) -> None:
+    pairs = (item.partition("=") for item in fields.split(";"))
+    context.health = headers.read_health(
+        (name.encode(), value.encode()) for name, _, value in pairs
+    )
+
+
+@behave.then('it names server "{server}", which stays cold for {cold:d} ms')
+def check_probe_response(
+    context: runner.Context, server: str, cold: int
+) -> None:
+    assert context.health.server_id == server, context.health
+    assert context.health.cold_remaining_ms == cold, context.health
+
+
+@behave.then('it names server "", which stays cold for {cold:d} ms')
+def check_probe_of_none(context: runner.Context, cold: int) -> None:
+    check_probe_response(context, "", cold)
--- a/tests/steps/router_ownership.py
+++ b/tests/steps/router_ownership.py
@@ -125,6 +125,41 @@
     node.server.is_up = False
 
 
+@behave.when('the failure domains "{names}" are evacuated')
+def evacuate(context: runner.Context, names: str) -> None:
+    context.cluster.evacuate(*names.split())
+
+
+@behave.when("no failure domain is evacuated any more")
+def end_evacuation(context: runner.Context) -> None:
+    context.cluster.evacuate()
+
+
+@behave.then('servers of the failure domains "{names}" hold {share} keys')
+def check_domain_holdings(
+    context: runner.Context, names: str, share: str
+) -> None:
+    counts = {
+        node.node_id: sum(
+            held.last - held.first + 1 for held in node.server.list_held()
+        )
+        for node in context.cluster.nodes.values()
+        if node.domain in names.split() and node.server.is_up
+    }
+    has_keys = [count > 0 for count in counts.values()]
+    assert all(has_keys) if share == "some" else not any(has_keys), counts
+
+
+@behave.then("some keys are unheld for at most {most:d} ms of {length:d} ms")
+def check_unheld(context: runner.Context, most: int, length: int) -> None:
+    unheld_ms = 0
+    for _ in range(length // simulated_cluster.TICK_MS):
+        context.cluster.run(simulated_cluster.TICK_MS)
+        is_held = context.cluster.count_held() == simulated_cluster.KEY_COUNT
+        unheld_ms = 0 if is_held else unheld_ms + simulated_cluster.TICK_MS
+        assert unheld_ms <= most, unheld_ms
+
+
 @behave.when("the store is down in the simulation")
 def stop_store(context: runner.Context) -> None:
     context.cluster.is_store_up = False
