Keep requests without a key in their failure domain, and offer them less often

Under overload a request was offered to many busy servers, each time whole.

Change: a crossing counts as a fifth of the route's target, which leaves the run and an error of the estimate; of the candidates compared, three are in the caller's failure domain. After three busy servers a request waits at the best of them.

--- a/src/rhubarblead/requests/placement.py
+++ b/src/rhubarblead/requests/placement.py
@@ -2,8 +2,9 @@
 
 To even out load, the instance with the lowest expected completion time is asked
 to run the request at once. If it can't, it returns its expected wait and the
-next instance is asked. Downloads stay in the failure domain of their caller
-unless the wait there is long.
+next instance is asked. A request stays in the failure domain of its caller
+unless the wait there takes a good part of the time until its target: traffic
+between failure domains is dear, and fills the links of both instances.
 """
 
 from collections.abc import Iterable
@@ -11,8 +12,11 @@
 import dataclasses
 import random
 
-DOMAIN_CROSSING_MS = 4.0
-"""Round trip of a request and its answer between failure domains."""
+CROSSING_TARGET_SHARE = 0.2
+"""Share of its target that a request may wait to stay in its failure domain.
+
+What is left covers the run, and the wait if the estimate is too low.
+"""
 
 DOWNLOAD_CROSSING_MS = 500.0
 """Longest wait in the caller's failure domain that avoids a large transfer."""
@@ -24,6 +28,16 @@
 requests to the same server.
 """
 
+NEAR_SAMPLE_SIZE = 3
+"""Those of them in the failure domain of the caller, if it has so many."""
+
+MAX_OFFERS = 3
+"""Busy servers to which a request is offered before it waits at one of them.
+
+Each offer carries the whole request. Under overload all servers are busy, and
+offers to all of them would fill their links.
+"""
+
 MAX_REFUSALS = 3
 """Servers whose queue refuses a request before it is refused altogether.
 
@@ -66,6 +80,7 @@
     refused_waits: dict[str, int],
     excluded: Set[str],
     is_download: bool,
+    target_ms: int,
     random_source: random.Random,
 ) -> Choice | None:
     """Chooses an instance for a request.
@@ -76,6 +91,7 @@
             they refused this request, by node.
         excluded: Nodes at which this request has failed.
         is_download: Whether the answer is large.
+        target_ms: The latency that callers expect of the request's route.
         random_source: Samples the candidates and breaks ties.
 
     Returns:
@@ -87,13 +103,23 @@
         for candidate in candidates
         if candidate.node_id not in excluded
     ]
+    crossing_ms = (
+        DOWNLOAD_CROSSING_MS
+        if is_download
+        else CROSSING_TARGET_SHARE * target_ms
+    )
     known_ms = [p.service_ms for p in allowed if p.service_ms is not None]
     # A server without any run yet is assumed to be of average speed.
     mean_ms = sum(known_ms) / len(known_ms) if known_ms else 0.0
     sample = _draw(allowed, refused_waits, is_download, random_source)
+    asked = [item for item in sample if item.node_id in refused_waits]
+    if len(asked) >= MAX_OFFERS:
+        sample = asked
     rotation = random_source.random()
     for number, candidate in enumerate(sample):
         cost_ms = _find_cost_ms(candidate, refused_waits, mean_ms, is_download)
+        if not candidate.is_same_domain:
+            cost_ms += crossing_ms
         # Rotation spreads requests among candidates of equal cost.
         cost_ms += ((number / len(sample) + rotation) % 1.0) * 2.0
         if best is None or cost_ms < best[0]:
@@ -113,7 +139,10 @@
     """Samples the candidates to compare, with those that were asked before."""
     if len(candidates) <= SAMPLE_SIZE:
         return candidates
-    drawn = set(random_source.sample(range(len(candidates)), SAMPLE_SIZE))
+    near = [n for n, item in enumerate(candidates) if item.is_same_domain]
+    drawn = set(random_source.sample(near, min(NEAR_SAMPLE_SIZE, len(near))))
+    others = [n for n in range(len(candidates)) if n not in drawn]
+    drawn.update(random_source.sample(others, SAMPLE_SIZE - len(drawn)))
     return [
         candidate
         for number, candidate in enumerate(candidates)
@@ -140,7 +169,4 @@
             # The link sends other responses while this one is made.
             backlog_ms = candidate.link_backlog_ms * decay
             wait_ms = max(wait_ms, backlog_ms - service_ms)
-    cost_ms = wait_ms + service_ms
-    if not candidate.is_same_domain:
-        cost_ms += DOWNLOAD_CROSSING_MS if is_download else DOMAIN_CROSSING_MS
-    return cost_ms
+    return wait_ms + service_ms
--- a/src/rhubarblead/router/dispatcher.py
+++ b/src/rhubarblead/router/dispatcher.py
@@ -319,6 +319,7 @@
                 excluded=request.excluded,
                 is_download=request.route.kind
                 is routing_table.RouteKind.DOWNLOAD,
+                target_ms=request.route.target_ms,
                 random_source=self._random,
             )
             if choice is None:
--- a/tests/rhubarblead/requests/placement.feature
+++ b/tests/rhubarblead/requests/placement.feature
@@ -19,6 +19,27 @@
       | download | a:h:0:0:200 b:x:0:0:200           | a:300   |          | a may wait   |
       | download | a:h:900:0:200 b:x:0:0:200         | a:900   |          | b            |
 
+  # Seven in ten requests were run in another failure domain than their caller's.
+  Scenario Outline: A request stays in its failure domain as long as that hardly endangers its target
+    Given placement candidates "<candidates>"
+    And a target of <target> ms
+    When a lookup is placed
+    Then it goes to <choice>
+
+    Examples: a fifth of the target is waited for
+      | candidates                     | target | choice |
+      | a:h:130:0:200 b:x:0:0:200      | 700    | a      |
+      | a:h:150:0:200 b:x:0:0:200      | 700    | b      |
+      | a:h:150:0:200 b:x:0:0:200      | 2000   | a      |
+      | a:h:60:0:40 b:x:0:0:40         | 250    | b      |
+      | a:x:0:0:200 b:x:50:0:200       | 700    | a      |
+
+  Scenario: Under overload a request is offered to three servers, and waits at the best of them
+    Given placement candidates "a:h:0:0:200 b:h:0:0:200 c:x:0:0:200 d:x:0:0:200"
+    And a target of 700 ms
+    When a lookup is placed after refusals by "a:400 b:300 c:900", excluding ""
+    Then it goes to b may wait
+
   Scenario: Many nodes with the same reports do not all choose the same servers
     Given 20 placement candidates with a service time of 60 ms and 3 with 40 ms
     When 600 lookups are placed with the same reports
--- a/tests/steps/requests_download_links.py
+++ b/tests/steps/requests_download_links.py
@@ -121,6 +121,7 @@
             refused_waits=self._waits[number],
             excluded=set(),
             is_download=True,
+            target_ms=1_000,
             random_source=self._sources[number % len(self._sources)],
         )
         assert choice is not None
--- a/tests/steps/requests_placement.py
+++ b/tests/steps/requests_placement.py
@@ -20,11 +20,25 @@
     )
 
 
+# Such a target leaves 4 ms for staying in a failure domain.
+_TARGET_MS = 20
+
+
 @behave.given('placement candidates "{candidates}"')
 def make(context: runner.Context, candidates: str) -> None:
     context.candidates = [_read_candidate(word) for word in candidates.split()]
 
 
+@behave.given("a target of {target:d} ms")
+def set_target(context: runner.Context, target: int) -> None:
+    context.target_ms = target
+
+
+@behave.when("a {kind:w} is placed")
+def place_first(context: runner.Context, kind: str) -> None:
+    place_with_all(context, kind, "", "")
+
+
 @behave.when(
     'a {kind:w} is placed after refusals by "{refused}", excluding'
     ' "{excluded}"'
@@ -41,6 +55,7 @@
         refused_waits=waits,
         excluded=set(excluded.split()),
         is_download=kind == "download",
+        target_ms=getattr(context, "target_ms", _TARGET_MS),
         random_source=random.Random(1),
     )
 
@@ -87,6 +102,7 @@
             refused_waits={},
             excluded=set(),
             is_download=False,
+            target_ms=_TARGET_MS,
             random_source=source,
         )
         for _ in range(count)
--- a/tools/overload/simulation.py
+++ b/tools/overload/simulation.py
@@ -299,6 +299,7 @@
             refused_waits=request.refused_waits,
             excluded=request.excluded,
             is_download=False,
+            target_ms=request.kind.target_ms,
             random_source=self._random,
         )
         if choice is None:
