Send bodies after an acceptance while many offers are refused

Cause: with its own failure domain first a dozen nodes of 5 Mbit/s still received 400 to 540 KB a second of requests, several times what their servers ran: each busy server that refused a request had got its body. Answers that were ready waited behind them for a second and more, nodes looked silent to each other (200 times in 5 s), and 504 was the end of 165 requests.

From a share of 15 per cent refused offers on, a body of 1,000 bytes or more is withheld; the node that accepts the request, for a slot or its queue, asks for it. Nodes announce in their state that they do, so that older ones get requests whole. A request whose body was withheld can't have run: it goes elsewhere when its node falls silent or is lost, and is refused as not run at its deadline. The capacity that a server tells counts its link, too, so that keys of large responses leave full links.

--- a/src/rhubarblead/requests/link_load.py
+++ b/src/rhubarblead/requests/link_load.py
@@ -5,11 +5,16 @@
 """
 
 from collections.abc import Callable
+import math
 
 NEWEST_WEIGHT = 0.1
 """Weight of the newest response in the moving average of the sizes."""
 
 
+USABLE_SHARE = 0.8
+"""Share of the link that responses may fill; others need the rest."""
+
+
 class LinkLoad:
     """Bytes that the running requests of a server are expected to send."""
 
@@ -18,6 +23,7 @@
         "_find_queued_bytes",
         "_mean_bytes",
         "_min_bytes",
+        "_overall_bytes",
         "_running",
     )
 
@@ -39,6 +45,7 @@
         self._min_bytes = min_bytes
         self._find_queued_bytes = find_queued_bytes
         self._mean_bytes: dict[str, float] = {}
+        self._overall_bytes: float | None = None
         self._running: dict[int, str] = {}
 
     def start(self, number: int, route: str) -> None:
@@ -55,11 +62,22 @@
         route = self._running.pop(number, None)
         if route is None or size_bytes is None:
             return
+        if self._overall_bytes is None:
+            self._overall_bytes = float(size_bytes)
+        self._overall_bytes += NEWEST_WEIGHT * (
+            size_bytes - self._overall_bytes
+        )
         mean_bytes = self._mean_bytes.get(route, float(size_bytes))
         self._mean_bytes[route] = mean_bytes + NEWEST_WEIGHT * (
             size_bytes - mean_bytes
         )
 
+    def find_capacity_per_s(self) -> float:
+        """Estimates how many responses per second the link can send."""
+        if not self._overall_bytes:
+            return math.inf
+        return USABLE_SHARE * 1_000 * self._bytes_per_ms / self._overall_bytes
+
     def find_backlog_ms(self) -> float:
         """Finds how long the link needs for what is queued or expected."""
         expected_bytes = sum(
--- a/src/rhubarblead/router/dispatcher.py
+++ b/src/rhubarblead/router/dispatcher.py
@@ -5,11 +5,14 @@
 import http
 import random
 
+import msgspec
+
 from rhubarblead import routing_table
 from rhubarblead.keyspace import promises
 from rhubarblead.platform import headers
 from rhubarblead.requests import calls
 from rhubarblead.requests import cluster_retry_budget
+from rhubarblead.requests import offer_history
 from rhubarblead.requests import placement
 from rhubarblead.requests import returns
 from rhubarblead.router import directory
@@ -60,6 +63,7 @@
         "_loop",
         "_next_number",
         "_now_ms",
+        "_offers",
         "_outstanding",
         "_own_id",
         "_own_ip",
@@ -93,6 +97,7 @@
         self._peer_watch = watch
         self._retry_budget = retry_budget
         self._returning_callers = returns.ReturningCallers()
+        self._offers = offer_history.OfferHistory()
         self._responder = responder.Responder(
             cluster_directory=cluster_directory, events=events, now_ms=now_ms
         )
@@ -192,6 +197,7 @@
         Returns:
             How many requests the node had not reported on.
         """
+        self._withdraw_withheld(node_id)
         lost = [r for r in self._outstanding.values() if r.node_id == node_id]
         for request in lost:
             self._apply_outcome(
@@ -205,6 +211,40 @@
             )
         return len(lost)
 
+    def handle_silent(self, node_id: str) -> None:
+        """Sends requests elsewhere that a silent node can't run yet."""
+        self._withdraw_withheld(node_id)
+
+    def send_body(self, node_id: str, number: int) -> None:
+        """Sends the body of a request that a node has accepted.
+
+        A request that was withdrawn meanwhile can't run there.
+        """
+        request = self._outstanding.get(number)
+        if request is None or request.node_id != node_id:
+            return
+        request.is_body_withheld = False
+        self._links.send(
+            node_id,
+            wire.Body(
+                origin=self._directory.own_state.incarnation,
+                number=number,
+                body=request.exchange.body,
+            ),
+        )
+
+    def _withdraw_withheld(self, node_id: str) -> None:
+        """Sends requests elsewhere whose bodies a node hasn't got."""
+        withheld = [
+            request
+            for request in self._outstanding.values()
+            if request.node_id == node_id and request.is_body_withheld
+        ]
+        for request in withheld:
+            self._cancel_outstanding(request)
+            request.excluded.add(node_id)
+            self._dispatch(request)
+
     def retry_parked(self, node_id: str = "") -> None:
         """Sends parked requests again where the outcome may differ by now.
 
@@ -353,6 +393,7 @@
         if state is None:
             return False
         work = self._make_work(request, number, state, may_wait)
+        request.is_body_withheld = False
         # The other node may have started after the crashes.
         is_remote = node_id != self._own_id
         if is_remote and self._upstream.crashes.is_blocked(work):
@@ -370,6 +411,16 @@
             )
             return True
         request.job = None
+        body_bytes = len(work.body)
+        if (
+            not request.is_keyed
+            and state.requests_bodies
+            and self._offers.should_withhold(body_bytes)
+        ):
+            work = msgspec.structs.replace(
+                work, body=b"", withheld_bytes=body_bytes
+            )
+            request.is_body_withheld = True
         if self._links.send(node_id, work):
             self._peer_watch.record_sent(node_id)
             return True
@@ -426,6 +477,11 @@
             return
         request.number = 0
         request.job = None
+        if not request.is_keyed and request.node_id != self._own_id:
+            self._offers.record(
+                is_refused=outcome.reason
+                in (wire.Reason.BUSY, wire.Reason.OVERLOADED)
+            )
         request.sent_count += outcome.has_arrived
         if outcome.reason != wire.Reason.LINK_LOST:
             request.record_times(outcome, self._now_ms())
@@ -571,7 +627,9 @@
         """Ends a request at its deadline."""
         if request.is_ended:
             return
-        is_waiting_only = not request.number and not request.may_have_run
+        is_waiting_only = not request.may_have_run and (
+            not request.number or request.is_body_withheld
+        )
         self._cancel_outstanding(request)
         if is_waiting_only:
             self._finish_unserved(request, "deadline", 0)
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -196,7 +196,10 @@
             now_ms=read_now_ms,
         )
         self._peer_watch = peer_watch.PeerWatch(
-            links=self._links, events=self._events, now_ms=read_now_ms
+            links=self._links,
+            events=self._events,
+            now_ms=read_now_ms,
+            on_silent=lambda node_id: self._dispatcher.handle_silent(node_id),
         )
         self._dispatcher = self._make_dispatcher()
         self._state_sync = state_sync.StateSync(
@@ -290,7 +293,7 @@
     ) -> None:
         """Handles a request or notification from another node."""
         match message:
-            case wire.Work() | wire.Cancel() | wire.ChunkAck():
+            case wire.Work() | wire.Body() | wire.Cancel() | wire.ChunkAck():
                 self._remote_jobs.handle(message, reply)
             case wire.State():
                 self._state_sync.handle_state(message)
@@ -354,9 +357,8 @@
                 self._promise_exchange.handle_release(message)
             case wire.DelegatedWriteReply():
                 self._ownership.batcher.handle_reply(message)
-            case wire.Outcome():
-                self._server_notices.record_outcome(node_id, message)
-                self._dispatcher.handle_outcome(node_id, message)
+            case wire.Outcome() | wire.BodyRequest():
+                self._handle_work_reply(node_id, message)
             case wire.Chunk():
                 self._handle_chunk(node_id, message)
             case wire.SnapshotRequest():
@@ -368,6 +370,16 @@
             case _:
                 self.refuse_message(node_id, type(message).__name__)
 
+    def _handle_work_reply(
+        self, node_id: str, message: wire.Outcome | wire.BodyRequest
+    ) -> None:
+        match message:
+            case wire.Outcome():
+                self._server_notices.record_outcome(node_id, message)
+                self._dispatcher.handle_outcome(node_id, message)
+            case wire.BodyRequest():
+                self._dispatcher.send_body(node_id, message.number)
+
     def _handle_chunk(self, node_id: str, chunk: wire.Chunk) -> None:
         self._links.send(node_id, wire.ChunkAck(number=chunk.number))
         content = self._chunks.add(node_id, chunk)
@@ -653,4 +665,5 @@
         slot_count=1,
         assignments={},
         load=wire.ServerLoad(),
+        requests_bodies=True,
     )
--- a/src/rhubarblead/router/peer_watch.py
+++ b/src/rhubarblead/router/peer_watch.py
@@ -21,6 +21,7 @@
         "_links",
         "_loop",
         "_now_ms",
+        "_on_silent",
         "_silence",
         "_timer",
     )
@@ -31,6 +32,7 @@
         links: peers.Links,
         events: event_log.EventLog,
         now_ms: Callable[[], int],
+        on_silent: Callable[[str], None],
     ) -> None:
         """Creates a watch that runs only while replies are due.
 
@@ -39,11 +41,13 @@
             events: The event log.
             now_ms: A clock in milliseconds that also advances while the
                 instance is suspended.
+            on_silent: Called with each node that falls silent.
         """
         self._loop = asyncio.get_running_loop()
         self._links = links
         self._events = events
         self._now_ms = now_ms
+        self._on_silent = on_silent
         self._silence = peer_silence.PeerSilence()
         self._due_at_ms = 0
         self._timer: asyncio.TimerHandle | None = None
@@ -106,5 +110,6 @@
                 node_id=node_id,
                 silent_ms=self._silence.find_silent_ms(node_id, now_ms),
             )
+            self._on_silent(node_id)
         if self._silence.is_reply_due:
             self._schedule()
--- a/src/rhubarblead/router/pending_request.py
+++ b/src/rhubarblead/router/pending_request.py
@@ -26,6 +26,8 @@
     key, and the changes of owner that were followed for one with a key.
     `refused_waits` holds the wait in milliseconds that each busy node reported.
     `retry_delays_ms` holds those that full queues have named for it.
+    `is_body_withheld` is set while the outstanding send has gone without its
+    body, so that it can't run yet.
     `excluded` holds the nodes that are not chosen again.
     """
 
@@ -55,6 +57,7 @@
     is_ended: bool = False
     refused_waits: dict[str, int] = dataclasses.field(default_factory=dict)
     retry_delays_ms: list[int] = dataclasses.field(default_factory=list)
+    is_body_withheld: bool = False
     excluded: set[str] = dataclasses.field(default_factory=set)
 
     @property
--- a/src/rhubarblead/router/remote_jobs.py
+++ b/src/rhubarblead/router/remote_jobs.py
@@ -65,13 +65,15 @@
 
     def handle(
         self,
-        message: wire.Work | wire.Cancel | wire.ChunkAck,
+        message: wire.Work | wire.Body | wire.Cancel | wire.ChunkAck,
         reply: Callable[[wire.Message], None],
     ) -> None:
         """Handles a message about a request of another node."""
         match message:
             case wire.Work():
                 self.submit(message, reply)
+            case wire.Body():
+                self._provide_body(message)
             case wire.Cancel():
                 self.cancel(message)
             case wire.ChunkAck():
@@ -102,10 +104,19 @@
                 reply(outcome)
             self._record_answered(job_id, outcome, transfer)
 
-        job = self._upstream.submit(work, finish)
+        job = self._upstream.submit(
+            work,
+            finish,
+            lambda: reply(wire.BodyRequest(number=work.number)),
+        )
         if job is not None and not job.is_ended:
             self._jobs[job_id] = job
 
+    def _provide_body(self, message: wire.Body) -> None:
+        job = self._jobs.get((message.origin, message.number))
+        if job is not None:
+            self._upstream.provide_body(job, message.body)
+
     def cancel(self, message: wire.Cancel) -> None:
         """Cancels a request whose caller no longer waits."""
         job_id = (message.origin, message.number)
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -74,6 +74,7 @@
     submitted_at_ms: int = 0
     expected_wait_ms: int | None = None
     started_at_ms: int | None = None
+    is_body_missing: bool = False
 
     def find_queued_ms(self, now_ms: int) -> int:
         """Returns how long the request has waited for a slot or a key."""
@@ -205,8 +206,9 @@
     def find_capacity_per_s(self) -> float:
         """Estimates how many requests per second the server can run."""
         wait_queue = self._wait_queue
-        capacity_per_s = (
-            wait_queue.slot_count * 1_000 / wait_queue.times.overall_ms
+        capacity_per_s = min(
+            wait_queue.slot_count * 1_000 / wait_queue.times.overall_ms,
+            self._link_load.find_capacity_per_s(),
         )
         if wait_queue.rate_limit.in_force_per_s is None:
             return capacity_per_s
@@ -246,29 +248,26 @@
         return max(0, max(deadlines, default=now_ms) - now_ms)
 
     def submit(
-        self, work: wire.Work, reply: Callable[[wire.Outcome], None]
+        self,
+        work: wire.Work,
+        reply: Callable[[wire.Outcome], None],
+        request_body: Callable[[], None] | None = None,
     ) -> Job | None:
         """Starts, queues or refuses a request.
 
         Args:
             work: The request.
             reply: Called once with its outcome, possibly before this returns.
+            request_body: Called if the request is accepted and its body is
+                withheld; `provide_body` is to follow.
 
         Returns:
             The job, which can be cancelled, or None if it has ended already.
         """
-        if not self.is_serving or not self.server_id:
-            reply(self._refuse(work, self._closed_reason))
-            return None
-        if self.crashes.is_blocked(work):
-            reply(self._refuse(work, wire.Reason.POISON))
-            return None
-        if not self._is_owned_here(work):
-            reply(self._refuse(work, wire.Reason.NOT_OWNER))
-            return None
         now_ms = self._now_ms()
-        if not self._may_try(work, now_ms):
-            reply(self._refuse(work, wire.Reason.SERVER_GONE))
+        obstacle = self._find_obstacle(work, now_ms)
+        if obstacle is not None:
+            reply(self._refuse(work, obstacle))
             return None
         if work.key != wire.NO_KEY and not work.is_return:
             self._traffic.add(work.key, now_ms)
@@ -286,7 +285,13 @@
                 work.route, self._wait_queue.times.find_ms(work.route)
             ),
         )
-        job = Job(work=work, reply=reply, ticket=ticket, submitted_at_ms=now_ms)
+        job = Job(
+            work=work,
+            reply=reply,
+            ticket=ticket,
+            submitted_at_ms=now_ms,
+            is_body_missing=work.withheld_bytes > 0,
+        )
         match self._wait_queue.offer(ticket, now_ms):
             case waiting.Start():
                 self._jobs[ticket.number] = job
@@ -303,8 +308,39 @@
                 self._log_not_admitted(job, wire.Reason.OVERLOADED)
                 reply(self._refuse(work, wire.Reason.OVERLOADED, after_ms))
                 return None
+        if job.is_body_missing and request_body is not None:
+            request_body()
         return job
 
+    def _find_obstacle(
+        self, work: wire.Work, now_ms: int
+    ) -> wire.Reason | None:
+        """Returns why a request can't run here whatever the load."""
+        if not self.is_serving or not self.server_id:
+            return self._closed_reason
+        if self.crashes.is_blocked(work):
+            return wire.Reason.POISON
+        if not self._is_owned_here(work):
+            return wire.Reason.NOT_OWNER
+        if not self._may_try(work, now_ms):
+            return wire.Reason.SERVER_GONE
+        return None
+
+    def provide_body(self, job: Job, body: bytes) -> None:
+        """Completes a request whose body was withheld."""
+        if job.is_ended or not job.is_body_missing:
+            return
+        job.work.body = body
+        job.is_body_missing = False
+        if job.started_at_ms is None:
+            return
+        if job.timer is not None:
+            job.timer.cancel()
+        if not self.is_serving:
+            self._finish(job, self._refuse(job.work, self._closed_reason))
+            return
+        self._connect(job)
+
     def cancel(self, job: Job) -> None:
         """Cancels a request whose caller no longer waits, without a reply."""
         if job.is_ended:
@@ -480,6 +516,19 @@
         job.started_at_ms = self._now_ms()
         self.warmth.record_send()
         self._link_load.start(job.ticket.number, job.work.route)
+        if job.is_body_missing:
+            remaining_ms = job.ticket.deadline_at_ms - self._now_ms()
+            job.timer = self._loop.call_later(
+                max(0, remaining_ms) / 1_000, self._expire_without_body, job
+            )
+            return
+        self._connect(job)
+
+    def _expire_without_body(self, job: Job) -> None:
+        if not job.is_ended:
+            self._finish(job, self._refuse(job.work, wire.Reason.TOO_LATE))
+
+    def _connect(self, job: Job) -> None:
         max_idle_s = MAX_IDLE_ONCE_S if job.work.is_once else None
         connection = self._pool.acquire(max_idle_s)
         if connection is not None:
--- a/src/rhubarblead/router/wire.py
+++ b/src/rhubarblead/router/wire.py
@@ -50,6 +50,8 @@
     set if the sender assembles outcomes that arrive as `Chunk` messages.
     `host` is the host that the caller addressed. `is_return` is set if the
     caller was refused before, so that the request was counted already.
+    `withheld_bytes` is the size of a body that follows on `BodyRequest`; it is
+    set only for nodes whose state says that they request bodies.
     """
 
     origin: str
@@ -72,6 +74,7 @@
     accepts_chunks: bool = False
     host: str = ""
     is_return: bool = False
+    withheld_bytes: int = 0
 
 
 class ServerStatement(
@@ -118,6 +121,23 @@
     statement: ServerStatement | None = None
 
 
+class BodyRequest(msgspec.Struct, tag=24, array_like=True, kw_only=True):
+    """Accepts a request, and requests its body."""
+
+    number: int
+
+
+class Body(msgspec.Struct, tag=25, array_like=True, kw_only=True):
+    """The body of a request that was accepted.
+
+    `origin` is the incarnation of the sending process.
+    """
+
+    origin: str
+    number: int
+    body: bytes
+
+
 class Cancel(msgspec.Struct, tag=3, array_like=True, kw_only=True):
     """Cancels a request whose caller has left or whose deadline has passed."""
 
@@ -176,6 +196,7 @@
     the node itself is shutting down. `born_ms` is the Unix time at which the
     server started, which identifies its incarnation; it is 0 while unknown.
     `crash_digest` identifies the crashes on record, 0 if there are none.
+    `requests_bodies` is set if the node can accept requests before their body.
     """
 
     node_id: str
@@ -190,6 +211,7 @@
     assignments: dict[str, int]
     load: ServerLoad
     crash_digest: int = 0
+    requests_bodies: bool = False
 
 
 class Load(msgspec.Struct, tag=15, array_like=True, kw_only=True):
@@ -385,6 +407,8 @@
     | ServerNotice
     | Probe
     | ProbeReply
+    | BodyRequest
+    | Body
 )
 
 _ENCODER = msgspec.msgpack.Encoder()
--- a/tests/rhubarblead/router/dispatcher.feature
+++ b/tests/rhubarblead/router/dispatcher.feature
@@ -138,3 +138,47 @@
       | full    | /repeatable/x | a return  | 400  |
       | full    | /repeatable/y | a new one | 600  |
       | ran     | /repeatable/x | a new one | 600  |
+
+  # The bodies of refused offers filled the links of the servers that looked
+  # best: 430 to 578 of 625 KB per second, five times what they ran.
+  Scenario Outline: Bodies follow accepted offers while many are refused
+    Given a dispatcher with a route that is split 90 to 10
+    And <count> nodes beside servers that all are busy
+    When a request with a body of <size> bytes arrives for them
+    Then it was sent <with> its body
+    And it was offered to <offers> nodes before it waited at one
+
+    Examples:
+      | count | size | with    | offers |
+      | 10    | 4000 | without | 3      |
+      | 10    | 400  | with    | 3      |
+      | 2     | 4000 | without | 2      |
+
+  Scenario: A body is sent once, to the node that has accepted the request
+    Given a dispatcher with a route that is split 90 to 10
+    And 10 nodes beside servers that all are busy
+    When a request with a body of 4000 bytes arrives for them
+    And the node that got it requests its body
+    Then 1 bodies were sent
+
+  Scenario Outline: A request whose body was withheld goes elsewhere when its node is lost
+    Given a dispatcher with a route that is split 90 to 10
+    And 10 nodes beside servers that all are busy
+    When a request with a body of 4000 bytes arrives for them
+    And the node that got it <fate>
+    Then it was sent 2 times
+    And the caller has no response yet
+    When that node requests its body late
+    Then 0 bodies were sent
+
+    Examples: it can't have run there, and never will
+      | fate         |
+      | falls silent |
+      | is lost      |
+
+  Scenario: A request whose body was withheld is refused as not run when the process ends
+    Given a dispatcher with a route that is split 90 to 10
+    And 10 nodes beside servers that all are busy
+    When a request with a body of 4000 bytes arrives for them
+    And the process ends
+    Then the caller receives the status 503
--- a/tests/steps/router_dispatcher.py
+++ b/tests/steps/router_dispatcher.py
@@ -21,6 +21,7 @@
 
 _HOST = b"one.example"
 _OWN_IP = "127.0.0.8"
+_BUSY_REQUEST_COUNT = 20
 _KINDS = {
     "repeatable": routing_table.RouteKind.REPEATABLE,
     "once": routing_table.RouteKind.ONCE,
@@ -143,7 +144,10 @@
     context.local_upstream = local_upstream
     silent_event_log: Any = router_doubles.SilentEventLog()
     context.watch = peer_watch.PeerWatch(
-        links=links, events=silent_event_log, now_ms=lambda: context.now_ms
+        links=links,
+        events=silent_event_log,
+        now_ms=lambda: context.now_ms,
+        on_silent=lambda node_id: context.dispatcher.handle_silent(node_id),
     )
     context.add_cleanup(context.watch.close)
     context.dispatcher = dispatcher.RequestDispatcher(
@@ -174,6 +178,7 @@
     *omitted: bytes,
     deadline_ms: int = 30_000,
     peer_ip: str = "127.0.0.9",
+    body: bytes = b"",
 ) -> http_server.Exchange:
     fields = [
         (b"host", _HOST),
@@ -189,6 +194,7 @@
         fields=[field for field in fields if field[0] not in omitted],
         received_at_s=0.0,
     )
+    exchange.body = body
     context.dispatcher.handle(exchange)
     return exchange
 
@@ -199,6 +205,7 @@
         "shed": (wire.Verdict.NOT_RUN, wire.Reason.SHED, True),
         "full": (wire.Verdict.NOT_RUN, wire.Reason.OVERLOADED, False),
         "gone": (wire.Verdict.NOT_RUN, wire.Reason.SERVER_GONE, False),
+        "busy": (wire.Verdict.NOT_RUN, wire.Reason.BUSY, False),
         "unknown": (wire.Verdict.MAY_HAVE_RUN, wire.Reason.BROKEN, True),
         "late": (wire.Verdict.MAY_HAVE_RUN, wire.Reason.TOO_LATE, True),
     }[outcome]
@@ -394,3 +401,78 @@
 @behave.then("it is sent as {kind}")
 def check_kind(context: runner.Context, kind: str) -> None:
     assert context.links.list_work()[-1].is_call == (kind == "a call")
+
+
+@behave.given("{count:d} nodes beside servers that all are busy")
+def make_busy(context: runner.Context, count: int) -> None:
+    add_nodes(context, count)
+    for node_id in ("n3", *(f"n1{number}" for number in range(count - 1))):
+        context.directory.find_state(node_id).requests_bodies = True
+    for _ in range(_BUSY_REQUEST_COUNT):
+        context.loop.run_until_complete(_receive(context, "/split/x"))
+        while _answer_last(context, "busy"):
+            pass
+        _answer_last(context, "ran")
+    context.links.sent.clear()
+    context.links.targets.clear()
+
+
+def _answer_last(context: runner.Context, outcome: str) -> bool:
+    """Answers the last send; returns whether the request may be refused."""
+    work = context.links.list_work()[-1]
+    if outcome == "busy" and work.may_wait:
+        return False
+    answer = _make_outcome(outcome, work.number)
+    answer.wait_ms = 100
+    context.dispatcher.handle_outcome(context.links.targets[-1], answer)
+    return True
+
+
+@behave.when("a request with a body of {size:d} bytes arrives for them")
+def send_with_body(context: runner.Context, size: int) -> None:
+    context.exchange = context.loop.run_until_complete(
+        _receive(context, "/split/x", body=b"b" * size)
+    )
+
+
+@behave.when("the node that got it requests its body")
+def request_body(context: runner.Context) -> None:
+    work = context.links.list_work()[-1]
+    context.dispatcher.send_body(context.links.targets[-1], work.number)
+
+
+@behave.when("the node that got it {fate}")
+def lose_node(context: runner.Context, fate: str) -> None:
+    node_id = context.links.targets[-1]
+    context.lost = node_id, context.links.list_work()[-1].number
+    if fate == "falls silent":
+        context.dispatcher.handle_silent(node_id)
+    else:
+        assert fate == "is lost", fate
+        context.dispatcher.handle_link_lost(node_id)
+
+
+@behave.when("that node requests its body late")
+def request_body_late(context: runner.Context) -> None:
+    context.dispatcher.send_body(*context.lost)
+
+
+@behave.then("it was sent {with_body:w} its body")
+def check_withheld(context: runner.Context, with_body: str) -> None:
+    work = context.links.list_work()[-1]
+    assert bool(work.body) == (with_body == "with"), work
+    assert bool(work.withheld_bytes) == (with_body == "without"), work
+
+
+@behave.then("{count:d} bodies were sent")
+def check_bodies(context: runner.Context, count: int) -> None:
+    sent = [m for m in context.links.sent if isinstance(m, wire.Body)]
+    assert len(sent) == count, sent
+    assert all(m.body == context.exchange.body for m in sent)
+
+
+@behave.then("it was offered to {count:d} nodes before it waited at one")
+def check_offers(context: runner.Context, count: int) -> None:
+    while _answer_last(context, "busy"):
+        pass
+    assert len(context.links.targets) == count + 1, context.links.targets
--- a/tests/steps/router_remote_jobs.py
+++ b/tests/steps/router_remote_jobs.py
@@ -31,9 +31,13 @@
         self.replies: dict[int, Callable[[wire.Outcome], None]] = {}
 
     def submit(
-        self, work: wire.Work, reply: Callable[[wire.Outcome], None]
+        self,
+        work: wire.Work,
+        reply: Callable[[wire.Outcome], None],
+        request_body: Callable[[], None],
     ) -> upstream.Job | None:
         """Accepts a request."""
+        del request_body
         self.replies[work.number] = reply
         return None
 
