--- a/tools/overload/simulation.py
+++ b/tools/overload/simulation.py
@@ -153,6 +153,7 @@
         self._by_name = {server.name: server for server in self._servers}
         self._reports: list[planning.Candidate] = []
         self._reported_at_ms = 0
+        self._noisy_spans: dict[tuple[str, int], bool] = {}
         self._weights = _make_cumulative_weights()
         self._assignment = assignment.make_empty().apply(
             planning.plan_initial(
@@ -355,6 +356,7 @@
             if slow.at_ms <= now_ms < slow.at_ms + slow.for_ms
             and self._servers.index(server) < slow.server_count
         )
+        factor *= self._find_noise(server, now_ms)
         drawn = self._random.lognormvariate(-(kind.sigma**2) / 2, kind.sigma)
         taken_ms = max(1, int(kind.service_ms * factor * drawn))
         # A server gives up at the deadline that it was sent.
@@ -368,6 +370,16 @@
 
         self._schedule(now_ms + given_ms, end)
 
+    def _find_noise(self, server: _Server, now_ms: int) -> float:
+        """Returns by how much other work on a server's machine slows it."""
+        noise = self._load.noise
+        if noise is None:
+            return 1.0
+        span = (server.name, now_ms // noise.each_ms)
+        if span not in self._noisy_spans:
+            self._noisy_spans[span] = self._random.random() < noise.share
+        return noise.factor if self._noisy_spans[span] else 1.0
+
     def _take_all(self, server: _Server, now_ms: int) -> None:
         while True:
             chosen, expired = server.queue.take_next(now_ms)
--- a/tools/overload/workload.py
+++ b/tools/overload/workload.py
@@ -66,6 +66,20 @@
     factor: float
 
 
+class Noise(
+    msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
+):
+    """Other work on a server's machine.
+
+    In a `share` of the spans of `each_ms`, runs that begin there take `factor`
+    times as long.
+    """
+
+    share: float
+    factor: float
+    each_ms: int
+
+
 class Workload(
     msgspec.Struct, kw_only=True, frozen=True, forbid_unknown_fields=True
 ):
@@ -84,6 +98,7 @@
     surges: tuple[Surge, ...] = ()
     hot_keys: tuple[HotKeys, ...] = ()
     slowdowns: tuple[Slowdown, ...] = ()
+    noise: Noise | None = None
 
 
 def load_catalog(path: pathlib.Path = CATALOG) -> tuple[Workload, ...]:
