Place requests on free slots of slow servers before waits at fast ones

Change: among servers that are expected to respond within seven tenths of the target, the wait decides, and the service time counts a tenth.

--- a/src/rhubarblead/requests/placement.py
+++ b/src/rhubarblead/requests/placement.py
@@ -28,6 +28,15 @@
 requests to the same server.
 """
 
+FITTING_TARGET_SHARE = 0.7
+"""Share of the target within which a response is expected to be in time."""
+
+SERVICE_WEIGHT = 0.1
+"""Weight of the service time among servers that will respond in time.
+
+A free slot of a slow server costs nothing; a wait at a fast one delays others.
+"""
+
 NEAR_SAMPLE_SIZE = 3
 """Those of them in the failure domain of the caller, if it has so many."""
 
@@ -117,7 +126,9 @@
         sample = asked
     rotation = random_source.random()
     for number, candidate in enumerate(sample):
-        cost_ms = _find_cost_ms(candidate, refused_waits, mean_ms, is_download)
+        cost_ms = _find_cost_ms(
+            candidate, refused_waits, mean_ms, is_download, target_ms
+        )
         if not candidate.is_same_domain:
             cost_ms += crossing_ms
         # Rotation spreads requests among candidates of equal cost.
@@ -157,6 +168,7 @@
     refused_waits: dict[str, int],
     mean_ms: float,
     is_download: bool,
+    target_ms: int,
 ) -> float:
     service_ms = (
         mean_ms if candidate.service_ms is None else candidate.service_ms
@@ -169,4 +181,6 @@
             # The link sends other responses while this one is made.
             backlog_ms = candidate.link_backlog_ms * decay
             wait_ms = max(wait_ms, backlog_ms - service_ms)
-    return wait_ms + service_ms
+    if wait_ms + service_ms > FITTING_TARGET_SHARE * target_ms:
+        return wait_ms + service_ms
+    return wait_ms + SERVICE_WEIGHT * service_ms
--- a/tests/rhubarblead/requests/placement.feature
+++ b/tests/rhubarblead/requests/placement.feature
@@ -34,6 +34,22 @@
       | a:h:60:0:40 b:x:0:0:40         | 250    | b      |
       | a:x:0:0:200 b:x:50:0:200       | 700    | a      |
 
+  # Slow servers had 2 to 4 of 6 slots in use while fast ones refused 20 to 70
+  # requests in two seconds.
+  Scenario Outline: A free slot of a slow server goes before a wait at a fast one, if the target allows it
+    Given placement candidates "<candidates>"
+    And a target of <target> ms
+    When a lookup is placed
+    Then it goes to <choice>
+
+    Examples: a response is expected in time within 7 tenths of the target
+      | candidates                | target | choice |
+      | a:h:60:0:200 b:h:0:0:500  | 900    | b      |
+      | a:h:20:0:200 b:h:0:0:500  | 900    | a      |
+      | a:h:0:0:200 b:h:0:0:500   | 900    | a      |
+      | a:h:60:0:200 b:h:0:0:500  | 600    | a      |
+      | a:h:600:0:200 b:h:0:0:700 | 900    | b      |
+
   Scenario: Under overload a request is offered to three servers, and waits at the best of them
     Given placement candidates "a:h:0:0:200 b:h:0:0:200 c:x:0:0:200 d:x:0:0:200"
     And a target of 700 ms
