--- a/tests/steps/soak.py
+++ b/tests/steps/soak.py
@@ -1,6 +1,7 @@
 """Steps for the soak test under random faults."""
 
 import pathlib
+import shutil
 import tempfile
 from typing import Any
 
@@ -289,18 +290,25 @@
 
 @behave.when("a soak with seed {seed:d} injects faults for {duration:d} s")
 def run_with_faults(context: runner.Context, seed: int, duration: int) -> None:
-    with tempfile.TemporaryDirectory() as folder:
-        context.result = soak_run.run_soak(
-            seed=seed,
-            duration_s=duration,
-            node_count=_NODE_COUNT,
-            folder=pathlib.Path(folder),
-            subnet=_SUBNET,
-        )
+    # Kept if the run fails, with the logs of all processes.
+    context.folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    context.result = soak_run.run_soak(
+        seed=seed,
+        duration_s=duration,
+        node_count=_NODE_COUNT,
+        folder=context.folder,
+        subnet=_SUBNET,
+    )
 
 
 @behave.then("no guarantee is violated and all keys are served again")
 def check_passed(context: runner.Context) -> None:
     result = context.result
-    assert not result.findings, (result.findings[:3], result.events)
-    assert result.recovered_s is not None, result.events
+    broken = [
+        f"{finding.rule.name}: {finding.explanation}"
+        for finding in result.findings[:3]
+    ]
+    events = "\n".join([f"logs: {context.folder}", *result.events])
+    assert not broken, "\n".join([*broken, events])
+    assert result.recovered_s is not None, f"keys not served again\n{events}"
+    shutil.rmtree(context.folder)
--- a/tools/verify.py
+++ b/tools/verify.py
@@ -12,11 +12,13 @@
 import subprocess
 import sys
 import tempfile
+import textwrap
 from typing import Any
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
 _KNOWN_FAILURES = _ROOT / "KNOWN-RED.txt"
 _PASSED = "passed"
+_MAX_ERROR_CHARACTERS = 2_000
 
 
 def read_known_failures(path: pathlib.Path) -> frozenset[str]:
@@ -38,12 +40,28 @@
     )
 
 
-def list_results(report: list[dict[str, Any]]) -> Iterator[tuple[str, str]]:
-    """Lists the name and status of each scenario in behave's JSON report."""
+def list_results(
+    report: list[dict[str, Any]],
+) -> Iterator[tuple[str, str, str]]:
+    """Lists the scenarios in behave's JSON report.
+
+    Yields:
+        The name, the status and the error of each scenario.
+    """
     for feature in report:
         for element in feature.get("elements", ()):
             if element["type"] != "background":
-                yield element["name"], element["status"]
+                yield element["name"], element["status"], find_error(element)
+
+
+def find_error(element: dict[str, Any]) -> str:
+    """Finds the error message of a scenario's failed step, empty if none."""
+    for step in element.get("steps", ()):
+        message = step.get("result", {}).get("error_message")
+        if message:
+            lines = message if isinstance(message, list) else [message]
+            return "\n".join(lines)[:_MAX_ERROR_CHARACTERS]
+    return ""
 
 
 def run_behave(arguments: list[str]) -> tuple[int, list[dict[str, Any]]]:
@@ -88,7 +106,7 @@
         Counts under "passed", "failed" and "known".
     """
     counts: collections.Counter[str] = collections.Counter()
-    for name, status in list_results(report):
+    for name, status, error in list_results(report):
         if status == _PASSED:
             counts["passed"] += 1
             continue
@@ -98,6 +116,8 @@
         )
         kind = "known" if is_known else "failed"
         print(f"{kind}: {name} ({status})")
+        if error:
+            print(textwrap.indent(error, "  "))
         counts[kind] += 1
     return counts
 
