--- a/src/rhubarblead/router/evacuation.py
+++ b/src/rhubarblead/router/evacuation.py
@@ -109,9 +109,9 @@
         self._since_ms = self._now_ms()
         self._ownership.is_evacuated = True
         self._ownership.wake.set()
+        self.check()
         # The operator may evacuate servers because they have become cold.
         self._upstream.warmth.doubt()
-        self.check()
 
     def _stop(self) -> None:
         self.is_stopped = True
@@ -124,11 +124,11 @@
         was_stopped = self.is_stopped
         self.is_stopped = False
         self._ownership.is_evacuated = False
-        # Servers are often cold after an evacuation.
-        self._upstream.warmth.hold()
         server = self._ownership.server
         if was_stopped and server is not None:
             self._upstream.is_serving = server.may_hold
+        # Servers are often cold after an evacuation.
+        self._upstream.warmth.hold()
         self._report()
         self._since_ms = None
         self._broadcast_state()
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -172,6 +172,7 @@
             pool=self._pool,
             events=events,
             now_ms=now_ms,
+            is_wanted=lambda: self.is_serving,
         )
         self.warmth.on_change = self.start_waiting
         self.server_id = ""
--- a/src/rhubarblead/router/warmth_probe.py
+++ b/src/rhubarblead/router/warmth_probe.py
@@ -36,6 +36,7 @@
         "_health_path",
         "_is_probing",
         "_is_reported_cold",
+        "_is_wanted",
         "_loop",
         "_now_ms",
         "_pool",
@@ -53,6 +54,7 @@
         pool: http_client.Pool,
         events: event_log.EventLog,
         now_ms: Callable[[], int],
+        is_wanted: Callable[[], bool],
     ) -> None:
         """Creates a probe of a server that isn't known yet.
 
@@ -61,12 +63,15 @@
             pool: The connections to the server.
             events: The event log.
             now_ms: The clock.
+            is_wanted: Tells whether the server gets requests; one that doesn't
+                isn't probed either.
         """
         self._loop = asyncio.get_running_loop()
         self._cold_start = cold_start.ColdStart(limit=limit)
         self._pool = pool
         self._events = events
         self._now_ms = now_ms
+        self._is_wanted = is_wanted
         self._health_path = ""
         self._server_id = ""
         self._is_probing = False
@@ -135,7 +140,7 @@
         now_ms = self._now_ms()
         self._cold_start.advance(now_ms)
         self._report("no proof")
-        if not self._cold_start.must_probe(now_ms):
+        if not (self._is_wanted() and self._cold_start.must_probe(now_ms)):
             return
         if self._server_id and self._health_path and not self._is_probing:
             self._is_probing = True
--- a/tests/rhubarblead/router/evacuation.feature
+++ b/tests/rhubarblead/router/evacuation.feature
@@ -25,6 +25,18 @@
     And its keys have moved
     Then the server gets no requests
 
+  # Probes are requests, too.
+  Scenario: A server that is out of service isn't probed
+    Given a node in failure domain a beside a server of 9 slots, with no ranges of keys
+    And the evacuation bound is 5000 ms
+    And cold servers tolerate 5.5 requests per second
+    When the failure domains "a" are read as evacuated
+    And the connections to its server are reset for 400 ms
+    Then 0 probes were sent
+    When the failure domains "" are read as evacuated
+    And the connections to its server are reset for 400 ms
+    Then more than 1 probes were sent
+
   Scenario: Waiting requests are refused as not run
     Given a node in failure domain a beside a server of 9 slots, with no ranges of keys
     And the evacuation bound is 5000 ms
--- a/tests/steps/router_evacuation.py
+++ b/tests/steps/router_evacuation.py
@@ -56,6 +56,7 @@
 ) -> None:
     loop = asyncio.new_event_loop()
     context.add_cleanup(loop.close)
+    context.add_cleanup(lambda: loop.run_until_complete(asyncio.sleep(0.01)))
     context.loop = loop
     context.now_ms = 1_000
     context.ownership = _Ownership(0 if spans == "no" else int(spans))
@@ -77,6 +78,7 @@
         )
 
     made = loop.run_until_complete(make())
+    context.add_cleanup(made.close)
     made.set_server("i-1", slots, born_ms=1)
     made.warmth.record_heartbeat(0)
     made.is_serving = True
@@ -102,7 +104,12 @@
 @behave.given("cold servers tolerate {rate:g} requests per second")
 def set_warmup(context: runner.Context, rate: float) -> None:
     context.upstream.warmth.set_service(
-        routing_table.Service(name=_SERVICE, is_keyed=False, warmup_per_s=rate),
+        routing_table.Service(
+            name=_SERVICE,
+            is_keyed=False,
+            health_path="/health",
+            warmup_per_s=rate,
+        ),
         cold_start.WarmupBounds(),
     )
 
@@ -139,12 +146,15 @@
 
 @behave.when('the failure domains "{names}" are read as evacuated')
 def read_evacuated(context: runner.Context, names: str) -> None:
-    context.evacuation.apply(frozenset(names.split()), "store")
+    async def apply() -> None:
+        context.evacuation.apply(frozenset(names.split()), "store")
+
+    context.loop.run_until_complete(apply())
 
 
 @behave.when('the failure domains "" are read as evacuated')
 def read_none(context: runner.Context) -> None:
-    context.evacuation.apply(frozenset(), "store")
+    read_evacuated(context, "")
 
 
 @behave.when("{passed:d} ms pass at the node")
@@ -153,6 +163,25 @@
     context.evacuation.check()
 
 
+@behave.when("the connections to its server are reset for {length:d} ms")
+def reset_connections(context: runner.Context, length: int) -> None:
+    async def reset() -> None:
+        context.upstream.warmth.doubt()
+        await asyncio.sleep(length / 1_000)
+
+    context.loop.run_until_complete(reset())
+
+
+@behave.then("0 probes were sent")
+def check_no_probes(context: runner.Context) -> None:
+    assert context.upstream.warmth.probe_count == 0
+
+
+@behave.then("more than {least:d} probes were sent")
+def check_probes(context: runner.Context, least: int) -> None:
+    assert context.upstream.warmth.probe_count > least
+
+
 @behave.when("its keys have moved")
 def move_keys(context: runner.Context) -> None:
     context.ownership.move_all()
@@ -175,7 +204,11 @@
 @behave.then("requests are held until it has said whether it is cold")
 def check_held(context: runner.Context) -> None:
     assert context.upstream.wait_queue.rate_limit.is_held
-    context.upstream.warmth.record_heartbeat(2_000)
+
+    async def beat() -> None:
+        context.upstream.warmth.record_heartbeat(2_000)
+
+    context.loop.run_until_complete(beat())
     limit = context.upstream.wait_queue.rate_limit
     assert not limit.is_held and limit.in_force_per_s == 5.5
 
