Split the upstream: jobs and outcomes have modules of their own

Change: router/jobs.py has the request at its server's node, router/outcomes.py makes outcomes and checks responses.

--- a/src/rhubarblead/router/pending_request.py
+++ b/src/rhubarblead/router/pending_request.py
@@ -7,7 +7,7 @@
 from rhubarblead.platform import headers
 from rhubarblead.requests import poison
 from rhubarblead.router import http_server
-from rhubarblead.router import upstream
+from rhubarblead.router import jobs
 from rhubarblead.router import wire
 
 
@@ -43,7 +43,7 @@
     forwarded: bytes
     number: int = 0
     node_id: str = ""
-    job: upstream.Job | None = None
+    job: jobs.Job | None = None
     timer: asyncio.TimerHandle | None = None
     sent_count: int = 0
     sent_at_ms: int = 0
--- a/src/rhubarblead/router/remote_jobs.py
+++ b/src/rhubarblead/router/remote_jobs.py
@@ -6,6 +6,7 @@
 
 from rhubarblead.events import catalog
 from rhubarblead.router import event_log
+from rhubarblead.router import jobs
 from rhubarblead.router import response_sender
 from rhubarblead.router import upstream
 from rhubarblead.router import wire
@@ -61,7 +62,7 @@
         )
         self._state = state
         self._upstream = local_upstream
-        self._jobs: dict[tuple[str, int], upstream.Job] = {}
+        self._jobs: dict[tuple[str, int], jobs.Job] = {}
 
     def handle(
         self,
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 
 from rhubarblead.events import catalog
 from rhubarblead.keyspace import traffic
@@ -16,6 +15,8 @@
 from rhubarblead.router import crashes
 from rhubarblead.router import event_log
 from rhubarblead.router import http_client
+from rhubarblead.router import jobs
+from rhubarblead.router import outcomes
 from rhubarblead.router import server_statements
 from rhubarblead.router import tasks
 from rhubarblead.router import warmth_probe
@@ -59,33 +60,6 @@
 _BODY_METHODS = frozenset({b"POST", b"PUT", b"PATCH"})
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class Job:
-    """One request at this node, waiting or running."""
-
-    work: wire.Work
-    reply: Callable[[wire.Outcome], None]
-    ticket: waiting.Ticket
-    server: str = ""
-    connection: http_client.Connection | None = None
-    timer: asyncio.TimerHandle | None = None
-    is_ended: bool = False
-    is_sent: bool = False
-    submitted_at_ms: int = 0
-    expected_wait_ms: int | None = None
-    started_at_ms: int | None = None
-    is_body_missing: bool = False
-
-    def find_queued_ms(self, now_ms: int) -> int:
-        """Returns how long the request has waited for a slot or a key."""
-        until_ms = now_ms if self.started_at_ms is None else self.started_at_ms
-        return until_ms - self.submitted_at_ms
-
-    def find_ran_ms(self, now_ms: int) -> int:
-        """Returns how long the request has held a slot."""
-        return 0 if self.started_at_ms is None else now_ms - self.started_at_ms
-
-
 class Upstream:
     """The local server, with its request queue and its connections."""
 
@@ -159,7 +133,7 @@
         self._breaker = circuit_breaker.CircuitBreaker()
         self._called_routes = calls.CalledRoutes()
         self._traffic = traffic.KeyTraffic()
-        self._jobs: dict[int, Job] = {}
+        self._jobs: dict[int, jobs.Job] = {}
         self._next_number = 0
         self._check_timer: asyncio.TimerHandle | None = None
         self._last_response_at_ms = 0
@@ -253,7 +227,7 @@
         work: wire.Work,
         reply: Callable[[wire.Outcome], None],
         request_body: Callable[[], None] | None = None,
-    ) -> Job | None:
+    ) -> jobs.Job | None:
         """Starts, queues or refuses a request.
 
         Args:
@@ -268,7 +242,7 @@
         now_ms = self._now_ms()
         obstacle = self._find_obstacle(work, now_ms)
         if obstacle is not None:
-            reply(self._refuse(work, obstacle))
+            reply(outcomes.make_refusal(work, obstacle))
             return None
         if work.key != wire.NO_KEY and not work.is_return:
             self._traffic.add(work.key, now_ms)
@@ -286,7 +260,7 @@
                 work.route, self._wait_queue.times.find_ms(work.route)
             ),
         )
-        job = Job(
+        job = jobs.Job(
             work=work,
             reply=reply,
             ticket=ticket,
@@ -302,12 +276,16 @@
                 self._jobs[ticket.number] = job
                 self._schedule_check()
             case waiting.Busy(wait_ms=wait_ms):
-                reply(self._refuse(work, wire.Reason.BUSY, wait_ms))
+                reply(outcomes.make_refusal(work, wire.Reason.BUSY, wait_ms))
                 return None
             case waiting.Refuse(retry_after_ms=after_ms, wait_ms=wait_ms):
                 job.expected_wait_ms = wait_ms
                 self._log_not_admitted(job, wire.Reason.OVERLOADED)
-                reply(self._refuse(work, wire.Reason.OVERLOADED, after_ms))
+                reply(
+                    outcomes.make_refusal(
+                        work, wire.Reason.OVERLOADED, after_ms
+                    )
+                )
                 return None
         if job.is_body_missing and request_body is not None:
             request_body()
@@ -327,7 +305,7 @@
             return wire.Reason.SERVER_GONE
         return None
 
-    def provide_body(self, job: Job, body: bytes) -> None:
+    def provide_body(self, job: jobs.Job, body: bytes) -> None:
         """Completes a request whose body was withheld."""
         if job.is_ended or not job.is_body_missing:
             return
@@ -338,11 +316,13 @@
         if job.timer is not None:
             job.timer.cancel()
         if not self.is_serving:
-            self._finish(job, self._refuse(job.work, self._closed_reason))
+            self._finish(
+                job, outcomes.make_refusal(job.work, self._closed_reason)
+            )
             return
         self._connect(job)
 
-    def cancel(self, job: Job) -> None:
+    def cancel(self, job: jobs.Job) -> None:
         """Cancels a request whose caller no longer waits, without a reply."""
         if job.is_ended:
             return
@@ -404,7 +384,7 @@
             if job.is_sent and not job.work.is_once:
                 self._log_unusable(job, "server silent")
                 self._stop_running(job)
-                self._finish(job, self._make_may_have_run(job))
+                self._finish(job, outcomes.make_doubtful(job.work))
 
     def close(self) -> None:
         """Closes all connections."""
@@ -422,7 +402,7 @@
             now_ms, is_once=work.is_once
         )
 
-    def _record_health(self, job: Job, outcome: wire.Outcome) -> None:
+    def _record_health(self, job: jobs.Job, outcome: wire.Outcome) -> None:
         """Counts good responses, and those that broke off."""
         was_open = self._breaker.is_open
         if outcome.verdict == wire.Verdict.RAN:
@@ -442,7 +422,7 @@
         return ticket.key is None or self._is_held(ticket.key)
 
     def _refuse_matching(
-        self, reason: wire.Reason, predicate: Callable[[Job], bool]
+        self, reason: wire.Reason, predicate: Callable[[jobs.Job], bool]
     ) -> None:
         for ticket in self._wait_queue.list_waiting():
             if predicate(self._jobs[ticket.number]):
@@ -466,16 +446,6 @@
         if self._wait_queue.waiting_count:
             self._schedule_check()
 
-    def _refuse(
-        self, work: wire.Work, reason: wire.Reason, wait_ms: int = 0
-    ) -> wire.Outcome:
-        return wire.Outcome(
-            number=work.number,
-            verdict=wire.Verdict.NOT_RUN,
-            reason=reason,
-            wait_ms=wait_ms,
-        )
-
     def _refuse_job(self, number: int, reason: wire.Reason) -> None:
         job = self._jobs.pop(number, None)
         if job is None or job.is_ended:
@@ -485,9 +455,11 @@
         retry_after_ms = self._wait_queue.find_retry_after_ms(
             EXPIRED_RETRY_MS, self._now_ms()
         )
-        self._reply(job, self._refuse(job.work, reason, retry_after_ms))
+        self._reply(
+            job, outcomes.make_refusal(job.work, reason, retry_after_ms)
+        )
 
-    def _log_not_admitted(self, job: Job, reason: wire.Reason) -> None:
+    def _log_not_admitted(self, job: jobs.Job, reason: wire.Reason) -> None:
         now_ms = self._now_ms()
         queue = self._wait_queue
         self.statements.count_refusal()
@@ -506,14 +478,14 @@
             limit_per_s=queue.rate_limit.limit_per_s,
         )
 
-    def _reply(self, job: Job, outcome: wire.Outcome) -> None:
+    def _reply(self, job: jobs.Job, outcome: wire.Outcome) -> None:
         now_ms = self._now_ms()
         outcome.queued_ms = job.find_queued_ms(now_ms)
         outcome.ran_ms = job.find_ran_ms(now_ms)
         outcome.statement = self.statements.make_statement()
         job.reply(outcome)
 
-    def _run(self, job: Job) -> None:
+    def _run(self, job: jobs.Job) -> None:
         job.started_at_ms = self._now_ms()
         self.warmth.record_send()
         self._link_load.start(job.ticket.number, job.work.route)
@@ -525,11 +497,13 @@
             return
         self._connect(job)
 
-    def _expire_without_body(self, job: Job) -> None:
+    def _expire_without_body(self, job: jobs.Job) -> None:
         if not job.is_ended:
-            self._finish(job, self._refuse(job.work, wire.Reason.TOO_LATE))
+            self._finish(
+                job, outcomes.make_refusal(job.work, wire.Reason.TOO_LATE)
+            )
 
-    def _connect(self, job: Job) -> None:
+    def _connect(self, job: jobs.Job) -> None:
         max_idle_s = MAX_IDLE_ONCE_S if job.work.is_once else None
         connection = self._pool.acquire(max_idle_s)
         if connection is not None:
@@ -539,7 +513,7 @@
             self._connect_and_send(job), name="send", events=self._events
         )
 
-    async def _connect_and_send(self, job: Job) -> None:
+    async def _connect_and_send(self, job: jobs.Job) -> None:
         connection = await self._pool.open()
         if job.is_ended:
             if connection is not None:
@@ -547,31 +521,35 @@
             return
         if connection is None:
             self.warmth.doubt()
-            self._finish(job, self._refuse(job.work, wire.Reason.SERVER_GONE))
+            self._finish(
+                job, outcomes.make_refusal(job.work, wire.Reason.SERVER_GONE)
+            )
             return
         if job.find_ran_ms(self._now_ms()) > SLOW_CONNECT_MS:
             # Requests that have waited for the server would reach it together.
             self.warmth.hold()
         self._send(job, connection)
 
-    def _send(self, job: Job, connection: http_client.Connection) -> None:
+    def _send(self, job: jobs.Job, connection: http_client.Connection) -> None:
         work = job.work
         remaining_ms = job.ticket.deadline_at_ms - self._now_ms()
         if remaining_ms <= 0:
             self._pool.release(connection)
-            self._finish(job, self._refuse(work, wire.Reason.TOO_LATE))
+            self._finish(job, outcomes.make_refusal(work, wire.Reason.TOO_LATE))
             return
         if not self._is_ready(job.ticket):
             self._pool.release(connection)
-            self._finish(job, self._refuse(work, wire.Reason.NOT_OWNER))
+            self._finish(
+                job, outcomes.make_refusal(work, wire.Reason.NOT_OWNER)
+            )
             return
         if self.crashes.is_blocked(work):
             self._pool.release(connection)
-            self._finish(job, self._refuse(work, wire.Reason.POISON))
+            self._finish(job, outcomes.make_refusal(work, wire.Reason.POISON))
             return
         if self.crashes.must_run_alone(work):
             self._pool.release(connection)
-            outcome = self._refuse(
+            outcome = outcomes.make_refusal(
                 work, wire.Reason.OVERLOADED, EXPIRED_RETRY_MS
             )
             self._finish(job, outcome)
@@ -611,21 +589,15 @@
             lambda result: self._handle_result(job, result),
         )
 
-    def _expire(self, job: Job) -> None:
+    def _expire(self, job: jobs.Job) -> None:
         if job.is_ended:
             return
         self._stop_running(job)
         self._finish(
-            job,
-            wire.Outcome(
-                number=job.work.number,
-                verdict=wire.Verdict.MAY_HAVE_RUN,
-                reason=wire.Reason.TOO_LATE,
-                has_arrived=True,
-            ),
+            job, outcomes.make_doubtful(job.work, wire.Reason.TOO_LATE)
         )
 
-    def _stop_running(self, job: Job) -> None:
+    def _stop_running(self, job: jobs.Job) -> None:
         self.crashes.end(job.ticket.number)
         if job.timer is not None:
             job.timer.cancel()
@@ -640,7 +612,7 @@
         self._link_load.finish(number, None)
         self.start_waiting()
 
-    def _handle_result(self, job: Job, result: http_client.Result) -> None:
+    def _handle_result(self, job: jobs.Job, result: http_client.Result) -> None:
         if job.is_ended:
             return
         match result:
@@ -652,7 +624,7 @@
                 outcome = self._classify(job, result, head)
             case http_client.NoResponse(failure=failure):
                 self._log_unusable(job, failure.value)
-                outcome = self._make_may_have_run(job)
+                outcome = outcomes.make_doubtful(job.work)
                 if failure is http_client.Failure.CLOSED:
                     self.warmth.doubt()
                     self.crashes.record_reset(
@@ -662,60 +634,38 @@
                     return
         self._finish(job, outcome)
 
-    def _finish_checked(self, job: Job, outcome: wire.Outcome) -> None:
+    def _finish_checked(self, job: jobs.Job, outcome: wire.Outcome) -> None:
         """Ends a request after the check whether the server has crashed."""
         if not job.is_ended:
             self._finish(job, outcome)
 
     def _classify(
         self,
-        job: Job,
+        job: jobs.Job,
         response: http_client.Response,
         head: headers.ResponseHead,
     ) -> wire.Outcome:
-        work = job.work
-        if head.is_not_run or response.status == 421:
+        if outcomes.is_refused(response, head):
             self._events.emit(
                 catalog.Event.SERVER_REFUSED,
-                request_id=work.request_id,
+                request_id=job.work.request_id,
                 status=response.status,
             )
             self.crashes.record_refusal(job.ticket.number)
-            reason = wire.Reason.SHED
-            if response.status == 421:
-                reason = wire.Reason.NOT_OWNER
-            outcome = self._refuse(work, reason)
-            outcome.has_arrived = True
-            return outcome
+            return outcomes.make_server_refusal(job.work, response)
         self.crashes.record_response(job.ticket.number)
-        cause = _find_defect(response, head)
+        cause = outcomes.find_defect(response, head)
         if cause:
             self._log_unusable(job, cause)
-            return self._make_may_have_run(job)
-        return wire.Outcome(
-            number=work.number,
-            verdict=wire.Verdict.RAN,
-            has_arrived=True,
-            status=response.status,
-            phrase=response.reason,
-            head=headers.encode_response(response.fields),
-            body=response.body,
-        )
+            return outcomes.make_doubtful(job.work)
+        return outcomes.make_success(job.work, response)
 
     def _apply_idle_timeout(self, head: headers.ResponseHead) -> None:
         if head.idle_timeout_s is not None:
             idle_s = head.idle_timeout_s - IDLE_MARGIN_S
             self._pool.max_idle_s = max(MIN_IDLE_S, idle_s)
 
-    def _make_may_have_run(self, job: Job) -> wire.Outcome:
-        return wire.Outcome(
-            number=job.work.number,
-            verdict=wire.Verdict.MAY_HAVE_RUN,
-            reason=wire.Reason.BROKEN,
-            has_arrived=True,
-        )
-
-    def _log_unusable(self, job: Job, cause: str) -> None:
+    def _log_unusable(self, job: jobs.Job, cause: str) -> None:
         self._events.emit(
             catalog.Event.SERVER_ANSWER_UNUSABLE,
             request_id=job.work.request_id,
@@ -723,7 +673,7 @@
             is_sent=job.is_sent,
         )
 
-    def _finish(self, job: Job, outcome: wire.Outcome) -> None:
+    def _finish(self, job: jobs.Job, outcome: wire.Outcome) -> None:
         job.is_ended = True
         self.crashes.end(job.ticket.number)
         if job.timer is not None:
@@ -739,19 +689,3 @@
         )
         self._reply(job, outcome)
         self.start_waiting()
-
-
-def _find_defect(
-    response: http_client.Response, head: headers.ResponseHead
-) -> str:
-    """Returns why a response can't be forwarded, empty if it can."""
-    if not head.has_signature:
-        return "no signature"
-    if not head.request_id:
-        return "no request id"
-    if head.is_encoded:
-        return "encoded body"
-    if response.status in (408, 429, 503):
-        # Callers take the status to mean that the request hasn't run.
-        return f"status {response.status} without not-executed field"
-    return ""
--- a/tests/steps/router_remote_jobs.py
+++ b/tests/steps/router_remote_jobs.py
@@ -10,9 +10,9 @@
 from behave import runner
 
 from rhubarblead.requests import transfers
+from rhubarblead.router import jobs
 from rhubarblead.router import remote_jobs
 from rhubarblead.router import response_sender
-from rhubarblead.router import upstream
 from rhubarblead.router import wire
 from tests import router_doubles
 
@@ -35,7 +35,7 @@
         work: wire.Work,
         reply: Callable[[wire.Outcome], None],
         request_body: Callable[[], None],
-    ) -> upstream.Job | None:
+    ) -> jobs.Job | None:
         """Accepts a request."""
         del request_body
         self.replies[work.number] = reply
