--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -732,20 +732,30 @@
         3500,
         _INFO,
         "request_id route status node_id sent_count took_ms queued_ms ran_ms"
-        " transit_ms config_version",
-        "A server's response was returned to its caller.",
+        " transit_ms placed_ms offer_count config_version",
+        "A server's response was returned to its caller. `placed_ms` is the"
+        " time until the last send, `offer_count` how many busy servers"
+        " were offered the request before.",
     )
     ANSWER_OWN = _define(
         3501,
         _WARNING,
         "request_id route status cause node_id sent_count took_ms queued_ms"
-        " ran_ms transit_ms retry_after_ms config_version"
+        " ran_ms transit_ms placed_ms offer_count retry_after_ms"
+        " config_version"
         " assignment_revision",
         "The router itself responded to a request, without a response from a"
         " server.",
         "See `cause` for the reason, and docs/OPERATIONS.md for what to do"
         " about it.",
     )
+    OFFER_REFUSED = _define(
+        3512,
+        _DEBUG,
+        "request_id node_id wait_ms is_body_withheld",
+        "A busy server was offered a request without a key, which then goes to"
+        " another one. `wait_ms` is the wait that it expects. Counted only.",
+    )
     REQUEST_SENT_AGAIN = _define(
         3502,
         _INFO,
--- a/src/rhubarblead/router/dispatcher.py
+++ b/src/rhubarblead/router/dispatcher.py
@@ -500,6 +500,7 @@
         node_id = request.node_id
         match outcome.reason:
             case wire.Reason.BUSY:
+                self._responder.log_refused_offer(request, outcome.wait_ms)
                 request.refused_waits[node_id] = outcome.wait_ms
                 self._dispatch(request)
             case wire.Reason.NOT_OWNER if outcome.has_arrived:
--- a/src/rhubarblead/router/pending_request.py
+++ b/src/rhubarblead/router/pending_request.py
@@ -82,6 +82,10 @@
             now_ms - self.sent_at_ms - outcome.queued_ms - outcome.ran_ms
         )
 
+    def find_placed_ms(self) -> int:
+        """Returns the time from the request's arrival to its last send."""
+        return max(0, self.sent_at_ms - self.started_at_ms)
+
     def end(self) -> None:
         """Marks the request as ended and cancels its timer."""
         self.is_ended = True
--- a/src/rhubarblead/router/responder.py
+++ b/src/rhubarblead/router/responder.py
@@ -76,6 +76,8 @@
             queued_ms=request.queued_ms,
             ran_ms=request.ran_ms,
             transit_ms=request.transit_ms,
+            placed_ms=request.find_placed_ms(),
+            offer_count=len(request.refused_waits),
             config_version=self._get_version(),
         )
         self._count(request, outcome.status, took_ms)
@@ -132,6 +134,18 @@
             sent_count=request.sent_count,
         )
 
+    def log_refused_offer(
+        self, request: pending_request.PendingRequest, wait_ms: int
+    ) -> None:
+        """Logs that a busy server was offered a request."""
+        self._events.emit(
+            catalog.Event.OFFER_REFUSED,
+            request_id=request.head.request_id,
+            node_id=request.node_id,
+            wait_ms=wait_ms,
+            is_body_withheld=request.is_body_withheld,
+        )
+
     def log_disconnect(self, request: pending_request.PendingRequest) -> None:
         """Logs that the caller has disconnected."""
         self._events.emit(
@@ -168,6 +182,8 @@
             queued_ms=request.queued_ms,
             ran_ms=request.ran_ms,
             transit_ms=request.transit_ms,
+            placed_ms=request.find_placed_ms(),
+            offer_count=len(request.refused_waits),
             retry_after_ms=retry_after_ms,
             config_version=self._get_version(),
             assignment_revision=revision,
