--- a/src/rhubarblead/requests/cold_start.py
+++ b/src/rhubarblead/requests/cold_start.py
@@ -120,7 +120,7 @@
         return Warmth.WARM if self._warmup is None else self._warmth
 
     def set_warmup(self, warmup: Warmup | None, now_ms: int) -> None:
-        """Sets what cold servers of the service take; None if that is all."""
+        """Sets what cold servers take; None if that has no bound."""
         if warmup == self._warmup:
             return
         self._warmup = warmup
@@ -132,19 +132,18 @@
         self._cold_until_ms = None
         self._set(Warmth.COLD, now_ms)
 
-    def doubt(self, now_ms: int) -> None:
+    def doubt(self) -> None:
         """Records a sign that the server may have started again.
 
         The requests that it may get until it is proved warm are not more for
         that: it has got those that were sent since the last proof.
         """
-        del now_ms
         self._is_in_doubt = True
         self._doubt_heartbeat_count = 0
 
     def hold(self, now_ms: int) -> None:
         """Holds all requests until the server has said whether it is cold."""
-        self.doubt(now_ms)
+        self.doubt()
         if self._warmth is Warmth.WARM:
             self._held_at_ms = now_ms
             self._set(Warmth.HELD, now_ms)
--- a/src/rhubarblead/requests/placement.py
+++ b/src/rhubarblead/requests/placement.py
@@ -43,8 +43,8 @@
 MAX_OFFERS = 3
 """Busy servers to which a request is offered before it waits at one of them.
 
-Each offer carries the whole request. Under overload all servers are busy, and
-offers to all of them would fill their links.
+An offer takes a round trip, and most carry the whole request. Under overload
+all servers are busy, and offers to all of them would fill their links.
 """
 
 MAX_REFUSALS = 3
@@ -170,6 +170,12 @@
     is_download: bool,
     target_ms: int,
 ) -> float:
+    """Finds what a candidate costs, without crossing to another domain.
+
+    Returns:
+        The expected completion time in milliseconds. If the response will be in
+        time, the service time counts less.
+    """
     service_ms = (
         mean_ms if candidate.service_ms is None else candidate.service_ms
     )
--- a/src/rhubarblead/router/warmth_probe.py
+++ b/src/rhubarblead/router/warmth_probe.py
@@ -121,7 +121,7 @@
 
     def doubt(self) -> None:
         """Records a sign that the server may have started again."""
-        self._cold_start.doubt(self._now_ms())
+        self._cold_start.doubt()
         self._check()
 
     def hold(self) -> None:
--- a/tests/steps/requests_cold_start.py
+++ b/tests/steps/requests_cold_start.py
@@ -85,9 +85,9 @@
             case "end" | "broken":
                 self._queue.finish(number, now_ms, is_complete=kind == "end")
                 if kind == "broken":
-                    self._cold.doubt(now_ms)
+                    self._cold.doubt()
             case "break":
-                self._cold.doubt(now_ms)
+                self._cold.doubt()
             case "beat" if not self._is_away(now_ms):
                 self._beat(now_ms)
             case "probed":
@@ -235,7 +235,7 @@
     context.cold = cold_start.ColdStart(limit=rate_limit.RateLimit())
     context.cold.set_warmup(_WARMUP, 0)
     context.cold.record_statement(0, cold_start.Source.HEARTBEAT, 0)
-    context.cold.doubt(context.now_ms)
+    context.cold.doubt()
 
 
 @behave.when("a heartbeat says that it is warm")
