Drain all nodes of a failure domain with one command

Unknown names and nodes that can't be reached have their exit codes. Not built: a drain in the tables that outlasts a node's restart, and taking it back.

--- a/src/rhubarblead/cli.py
+++ b/src/rhubarblead/cli.py
@@ -153,14 +153,27 @@
             ),
         )
 
-    @_parse_as_text("node")
-    def drain(self, node: str) -> outcome.DeferredCommand:
-        """Makes a node hand over its shards and accept no new work.
+    @_parse_as_text("node", "platform", "failure_domain")
+    def drain(
+        self, node: str = "", platform: str = "", failure_domain: str = ""
+    ) -> outcome.DeferredCommand:
+        """Makes nodes hand over their shards and accept no new work.
 
         Args:
-            node: Address of the node, as IP:PORT.
+            node: Address of the node, as IP:PORT; of any node if a failure
+                domain is drained.
+            platform: Address of the platform's table service, to list nodes.
+            failure_domain: Drains all nodes of this failure domain.
         """
-        return outcome.defer(lambda: _drain(node))
+        if not failure_domain:
+            return outcome.defer(lambda: _drain(node))
+        return _defer_on_fleet(
+            discovery.Source(node=node, platform=platform),
+            lambda nodes: lookups.DrainDomainCommand(
+                client=admin.AdminClient(timeout_ms=_REQUEST_TIMEOUT_MS),
+                nodes=nodes,
+            ).run(failure_domain),
+        )
 
     @_parse_as_text(
         "node",
--- a/src/rhubarblead/operate/lookups.py
+++ b/src/rhubarblead/operate/lookups.py
@@ -138,6 +138,44 @@
         return outcome.Outcome(text=f"{authority} is draining")
 
 
+class DrainDomainCommand:
+    """Drains all nodes of a failure domain, each on its own."""
+
+    __slots__ = ("_client", "_fleet")
+
+    def __init__(
+        self, *, client: admin.AdminClient, nodes: fleet.Fleet
+    ) -> None:
+        self._client = client
+        self._fleet = nodes
+
+    def run(self, failure_domain: str) -> outcome.Outcome:
+        """Drains the nodes of the domain, and reports those that failed."""
+        match self._fleet.list_members():
+            case result.Err(failure):
+                return report_failure(failure)
+            case result.Ok(members):
+                pass
+        chosen = [
+            member
+            for member in members.members
+            if member.failure_domain == failure_domain
+        ]
+        if not chosen:
+            return outcome.reject_input(
+                f"no member is in failure domain {failure_domain!r}"
+            )
+        drain = DrainCommand(client=self._client)
+        results = [drain.run(fleet.format_authority(m)) for m in chosen]
+        return outcome.Outcome(
+            text="\n".join(item.text for item in results if item.text),
+            exit_code=max(item.exit_code for item in results),
+            diagnostics=tuple(
+                line for item in results for line in item.diagnostics
+            ),
+        )
+
+
 def report_failure(failure: admin.Failure) -> outcome.Outcome:
     """Makes the outcome of a command whose request to a node failed."""
     match failure:
--- a/tests/rhubarblead/cli.feature
+++ b/tests/rhubarblead/cli.feature
@@ -28,6 +28,8 @@
       | no fault         | owner --pool p --key 0042 --node NODE | 0 | 0042 is hashed             |
       | no fault         | owner --pool q --key k --node NODE | 2 | no pool is named 'q'          |
       | no fault         | drain --node NODE               | 0    | is draining                  |
+      | no fault         | drain --node NODE --failure_domain ipoh | 0 | is draining              |
+      | no fault         | drain --node NODE --failure_domain nowhere | 2 | no member is in failure domain 'nowhere' |
       | no fault         | timeline --node NODE            | 0    | NODE_STARTED                 |
       | no response      | timeline --node NODE            | 4    | gap: b:                      |
       | no fault         | timeline --node NODE --request r1 | 0  | request r1: started at an upstream 1 times |
@@ -53,6 +55,10 @@
       | settings check missing.json     | 2    | a readable file                  |
       | node --settings missing.json    | 2    | a readable file                  |
 
+  Scenario: A failure domain is drained with all its nodes
+    When the command "drain --node NODE --failure_domain ipoh" is run
+    Then each admin node was drained once
+
   Scenario: An invalid command line runs no command
     When the command "drain --node NODE --surplus 1" is run
     Then no admin node was drained
--- a/tests/steps/cli.py
+++ b/tests/steps/cli.py
@@ -268,6 +268,12 @@
     assert "Traceback" not in context.printed
 
 
+@behave.then("each admin node was drained once")
+def check_all_drained(context: runner.Context) -> None:
+    counts = [node.drained_count for node in context.nodes.values()]
+    assert counts == [1] * len(counts), counts
+
+
 @behave.then("no admin node was drained")
 def check_drained(context: runner.Context) -> None:
     assert not any(node.drained_count for node in context.nodes.values())
