--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -648,6 +648,20 @@
         " started.",
         "Find out what the server is short of.",
     )
+    SERVER_LIMIT_MALFORMED = _define(
+        3309,
+        _WARNING,
+        "server_id value",
+        "The local server has stated a limit that is no decimal number of 0 or"
+        " more, or stated it twice; it has no effect. Reported every 10 s.",
+        "Check the server's software.",
+    )
+    SERVER_STATES_LEAVING = _define(
+        3310,
+        _INFO,
+        "server_id source",
+        "The local server has stated in a response that it is shutting down.",
+    )
     SERVER_WARMTH_CHANGED = _define(
         3311,
         _INFO,
@@ -672,20 +686,6 @@
         " evacuated, or gets them again. `held_count` keys were still held,"
         " `waited_ms` after the request was seen.",
     )
-    SERVER_LIMIT_MALFORMED = _define(
-        3309,
-        _WARNING,
-        "server_id value",
-        "The local server has stated a limit that is no decimal number of 0 or"
-        " more, or stated it twice; it has no effect. Reported every 10 s.",
-        "Check the server's software.",
-    )
-    SERVER_STATES_LEAVING = _define(
-        3310,
-        _INFO,
-        "server_id source",
-        "The local server has stated in a response that it is shutting down.",
-    )
     LINK_UP = _define(3400, _INFO, "node_id", "A link to another node is up.")
     LINK_DOWN = _define(
         3401,
@@ -749,13 +749,6 @@
         "See `cause` for the reason, and docs/OPERATIONS.md for what to do"
         " about it.",
     )
-    OFFER_REFUSED = _define(
-        3512,
-        _DEBUG,
-        "request_id node_id wait_ms is_body_withheld",
-        "A busy server was offered a request without a key, which then goes to"
-        " another one. `wait_ms` is the wait that it expects. Counted only.",
-    )
     REQUEST_SENT_AGAIN = _define(
         3502,
         _INFO,
@@ -834,6 +827,13 @@
         " keys, until one succeeds.",
         "Look for SERVER_ANSWER_UNUSABLE, and replace the server.",
     )
+    OFFER_REFUSED = _define(
+        3512,
+        _DEBUG,
+        "request_id node_id wait_ms is_body_withheld",
+        "A busy server was offered a request without a key, which then goes to"
+        " another one. `wait_ms` is the wait that it expects. Counted only.",
+    )
     INTERNAL_ERROR = _define(
         9000,
         _ERROR,
