--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -720,10 +720,16 @@
         return 0, {}, type(error).__name__.encode()
 
 
+def _end(*_):
+    """Ends the case with its processes; a second signal must not stop that."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    sys.exit(2)
+
+
 def run(folder, main):
     """Runs a case, and exits as the issue asks."""
     folder = pathlib.Path(folder).resolve().parent
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+    signal.signal(signal.SIGTERM, _end)
     try:
         is_broken = main(folder)
     except Exception as error:
