--- a/src/rhubarblead/platform/heartbeats.py
+++ b/src/rhubarblead/platform/heartbeats.py
@@ -1,10 +1,14 @@
 """Decodes the heartbeats of servers, and encodes the grants in the replies."""
 
 import dataclasses
+from typing import Annotated
+from typing import Literal
 import urllib.parse
 
 import msgspec
 
+from rhubarblead.platform import settings
+
 MAX_REPLY_BYTES = 4_096
 """A longer answer is no acknowledgement (see the platform's documentation)."""
 
@@ -68,27 +72,48 @@
     born_ms: int = 0
 
 
+_Key = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+
+
+# All fields that a server sends are required, also those that nothing reads: a
+# call in which one is missing is of another writer, and says nothing of the
+# server.
+
+
 class _Information(msgspec.Struct):
     service: str
-    slots: int
+    version: str
+    zone: str
+    slots: Annotated[int, msgspec.Meta(ge=1)]
 
 
 class _Status(msgspec.Struct, rename="camel"):
-    state: str
-    sequence: int
-    cold_remaining_ms: float = 0.0
+    state: Literal["ready", "draining"]
+    sequence: _Count
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)]
 
 
 class _DeregistrationBody(msgspec.Struct):
-    born: int = 0
+    born: _Count = 0
 
 
 class _Body(msgspec.Struct):
+    address: str
+    born: Annotated[int, msgspec.Meta(ge=1)]
     information: _Information
     status: _Status
-    born: int = 0
-    holds: list[tuple[int, int, int]] | None = None
-    freed: list[tuple[int, int, str]] | None = None
+    # Only servers that hold keys send these.
+    holds: list[tuple[_Key, _Key, _Count]] | None = None
+    freed: list[tuple[_Key, _Key, str]] | None = None
+
+    def __post_init__(self) -> None:
+        settings.read_address(self.address)
+        if (self.holds is None) != (self.freed is None):
+            raise ValueError("one of the lists of ranges is missing")
+        for first, last, _ in (*(self.holds or ()), *(self.freed or ())):
+            if first > last:
+                raise ValueError(f"range {first}-{last} is empty")
 
 
 def decode(target: str, content: bytes) -> Heartbeat | Deregistration | None:
@@ -147,8 +172,6 @@
         body = msgspec.json.decode(content, type=_Body)
     except msgspec.MsgspecError as error:
         raise CannotDecode(str(error)) from error
-    if body.status.state not in ("ready", "draining"):
-        raise CannotDecode(f"unknown state {body.status.state!r}")
     held = None
     if body.holds is not None:
         held = tuple(
--- a/src/rhubarblead/router/heartbeat_handler.py
+++ b/src/rhubarblead/router/heartbeat_handler.py
@@ -100,6 +100,10 @@
                 f"service {heartbeat.service!r} is not this node's",
             )
             return
+        if heartbeat.held is None and self._ownership.is_keyed:
+            # Taken for an empty list, it would complete all pending releases.
+            self._refuse(exchange, "the ranges of a keyed server are missing")
+            return
         if not self._ownership.handle_heartbeat(heartbeat):
             self._finish(exchange, heartbeats.encode_reply(None, 0))
             return
@@ -143,7 +147,7 @@
     ) -> None:
         self._record_departure(call)
         if self._ownership.begin_server_leaving(
-            call.server_id, "server deregistered"
+            call.server_id, "server deregistered", call.born_ms
         ):
             self._upstream.is_serving = False
             self._upstream.crashes.expect_exit()
--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -200,6 +200,12 @@
 
     # Interface to the other tasks.
 
+    @property
+    def is_keyed(self) -> bool:
+        """Whether the servers of this service are known to hold keys."""
+        table = self._directory.table
+        return table is not None and table.is_keyed(self._state.service)
+
     @property
     def assignments(self) -> assignment_repository.AssignmentRepository:
         """Keeps the known assignments, and applies those of other nodes."""
@@ -279,18 +285,23 @@
         self.wake.set()
         return True
 
-    def begin_server_leaving(self, server_id: str, cause: str) -> bool:
+    def begin_server_leaving(
+        self, server_id: str, cause: str, born_ms: int = 0
+    ) -> bool:
         """Releases the keys of the server, which has announced its exit.
 
         Args:
             server_id: The server that is leaving.
             cause: How it has announced that; logged with the release.
+            born_ms: The Unix time of its start, 0 if that is not known.
 
         Returns:
-            Whether the named server is the current one.
+            Whether the named server process is the current one.
         """
         if self.server is None or self.server.server_id != server_id:
             return False
+        if born_ms and born_ms < self.server.born_ms:
+            return False
         self.server.is_leaving = True
         self._release_all(cause)
         self.wake.set()
@@ -309,7 +320,7 @@
     def is_grant_pending(self) -> bool:
         """Tells whether the server will probably be granted keys soon."""
         server = self.server
-        if server is None or not server.may_hold or not self._is_keyed():
+        if server is None or not server.may_hold or not self.is_keyed:
             return False
         if not (self._registration.is_registered and self._is_loaded):
             return True
@@ -359,7 +370,7 @@
 
     async def renew_before_stop(self) -> None:
         """Renews the lease so that it outlasts a restart of this node."""
-        if self._is_keyed() and self._registration.is_registered:
+        if self.is_keyed and self._registration.is_registered:
             await self._register()
 
     async def step(self) -> None:
@@ -375,7 +386,7 @@
             self._handle_row(is_ours=await self._registration.read())
             return
         is_due = self._registration.is_due(
-            is_keyed=self._is_keyed(),
+            is_keyed=self.is_keyed,
             has_server=self.server is not None,
             is_loaded=self._is_loaded,
         )
@@ -407,7 +418,7 @@
         claims = self._recovery.find_claims(self._state.node_id, own_owner)
         if claims is None:
             return
-        if claims and self._is_keyed():
+        if claims and self.is_keyed:
             await self._write_transfers(claims, "the store was restored")
             return
         self._recovery.end()
@@ -415,7 +426,7 @@
 
     async def _maintain_ownership(self) -> None:
         self._check_server()
-        if not self._is_keyed() or self._registration.find_lease_ms() <= 0:
+        if not self.is_keyed or self._registration.find_lease_ms() <= 0:
             return
         if await self._takeover.take_over_lapsed():
             return
@@ -428,13 +439,9 @@
         self._rebalance()
         await self._takeover.take_over_expired()
 
-    def _is_keyed(self) -> bool:
-        table = self._directory.table
-        return table is not None and table.is_keyed(self._state.service)
-
     async def _register(self) -> None:
         is_ours = await self._registration.write(
-            is_keyed=self._is_keyed(),
+            is_keyed=self.is_keyed,
             is_loaded=self._is_loaded,
             born_ms=self.server.born_ms if self.server is not None else 0,
             hold_ms=self._find_hold_ms(),
--- a/tests/rhubarblead/platform/adapter.feature
+++ b/tests/rhubarblead/platform/adapter.feature
@@ -105,6 +105,51 @@
     And it holds 0-4095 with fence 7
     And it has freed 4096-8191 with token "5c0e"
 
+  # OWNER: a heartbeat of another writer, without an address, was taken for that
+  # of a new server process, and the keys of the real one were given away.
+  Scenario Outline: A heartbeat with a missing or invalid field is refused
+    When the heartbeat is decoded with "<field>" as <value>
+    Then the heartbeat is refused
+
+    Examples:
+      | field                  | value                 |
+      | address                | missing               |
+      | address                | 8080                  |
+      | address                | "nowhere"             |
+      | born                   | missing               |
+      | born                   | "1700000000000"       |
+      | born                   | 1700000000000.5       |
+      | born                   | true                  |
+      | born                   | 0                     |
+      | information            | missing               |
+      | information.service    | missing               |
+      | information.service    | 7                     |
+      | information.version    | missing               |
+      | information.version    | 2                     |
+      | information.zone       | missing               |
+      | information.zone       | null                  |
+      | information.slots      | missing               |
+      | information.slots      | "nine"                |
+      | information.slots      | 0                     |
+      | status                 | missing               |
+      | status.state           | missing               |
+      | status.state           | "starting"            |
+      | status.sequence        | missing               |
+      | status.sequence        | "4"                   |
+      | status.coldRemainingMs | missing               |
+      | status.coldRemainingMs | "0"                   |
+      | status.coldRemainingMs | -1                    |
+      | holds                  | missing               |
+      | holds                  | {}                    |
+      | holds                  | [[0, 65536, 7]]       |
+      | holds                  | [[9, 8, 7]]           |
+      | freed                  | missing               |
+      | freed                  | [[0, 1, 2]]           |
+
+  Scenario: A heartbeat of a server that holds no keys has neither list
+    When the heartbeat is decoded without ranges
+    Then the heartbeat is accepted
+
   Scenario Outline: A malformed heartbeat is refused
     When the heartbeat is decoded with <fault>
     Then the heartbeat is refused
--- a/tests/rhubarblead/router/server_leaving.feature
+++ b/tests/rhubarblead/router/server_leaving.feature
@@ -34,6 +34,29 @@
     And a heartbeat says that it is ready
     Then the server is used
 
+  # OWNER: a heartbeat of another writer, without an address, was taken for that
+  # of a new server process, and the keys of the real one were given away.
+  Scenario Outline: A heartbeat of another writer has no effect on the server
+    Given a node whose server has sent a heartbeat
+    When a heartbeat without "<field>" of a later process says that it drains
+    Then the server is used, as the process that it was
+    And the heartbeat was refused and logged
+
+    Examples:
+      | field       |
+      | address     |
+      | information |
+      | holds       |
+      | freed       |
+      | holds freed |
+
+  Scenario: A late deregistration of an earlier process doesn't end a later one
+    Given a node whose server has sent a heartbeat
+    When it starts again under the same id
+    And a heartbeat says that it is ready
+    And the deregistration of the earlier process arrives
+    Then the server is used
+
   Scenario Outline: A restarted node learns from another one what its server stated
     Given a node whose server has sent no heartbeat
     When another node tells that the server "<told>" stated "<statement>"
--- a/tests/steps/platform_adapter.py
+++ b/tests/steps/platform_adapter.py
@@ -359,6 +359,39 @@
     context.heartbeat = heartbeats.decode(_HEARTBEAT_TARGET, content)
 
 
+@behave.when('the heartbeat is decoded with "{field}" as {value}')
+def decode_invalid_heartbeat(
+    context: runner.Context, field: str, value: str
+) -> None:
+    body = json.loads(json.dumps(_HEARTBEAT))
+    *parents, name = field.split(".")
+    fields = body[parents[0]] if parents else body
+    if value == "missing":
+        del fields[name]
+    else:
+        fields[name] = json.loads(value)
+    _try_decode(context, _HEARTBEAT_TARGET, json.dumps(body))
+
+
+@behave.then("the heartbeat is accepted")
+def check_accepted(context: runner.Context) -> None:
+    assert not context.is_refused
+
+
+@behave.when("the heartbeat is decoded without ranges")
+def decode_heartbeat_without_ranges(context: runner.Context) -> None:
+    body = {k: v for k, v in _HEARTBEAT.items() if k not in ("holds", "freed")}
+    _try_decode(context, _HEARTBEAT_TARGET, json.dumps(body))
+
+
+def _try_decode(context: runner.Context, target: str, content: str) -> None:
+    try:
+        heartbeats.decode(target, content.encode())
+        context.is_refused = False
+    except heartbeats.CannotDecode:
+        context.is_refused = True
+
+
 @behave.when("the heartbeat is decoded with {fault}")
 def decode_bad_heartbeat(context: runner.Context, fault: str) -> None:
     body = json.loads(json.dumps(_HEARTBEAT))
@@ -374,14 +407,10 @@
             body["information"]["slots"] = "nine"
         case "an incomplete range":
             body["holds"] = [[0]]
-    content = json.dumps(body).encode()
+    content = json.dumps(body)
     if fault == "truncated content":
         content = content[:-9]
-    try:
-        heartbeats.decode(target, content)
-        context.is_refused = False
-    except heartbeats.CannotDecode:
-        context.is_refused = True
+    _try_decode(context, target, content)
 
 
 @behave.then(
--- a/tests/steps/router_server_leaving.py
+++ b/tests/steps/router_server_leaving.py
@@ -1,5 +1,6 @@
 """Steps for servers that leave, and for what other nodes know of them."""
 
+import http
 import json
 from typing import Any
 
@@ -33,10 +34,12 @@
         self.body = json.dumps(body).encode()
 
         self.reply: dict[str, Any] | None = None
+        self.status = 0
 
     def finish(self, response: http_server.Response) -> None:
         """Records the reply."""
-        self.reply = json.loads(response.body)
+        self.status = response.status
+        self.reply = json.loads(response.body or b"null")
 
 
 class _Node:
@@ -85,16 +88,27 @@
     def send_heartbeat(self, state: str) -> None:
         """Handles the server's next heartbeat."""
         self.sequence += 1
-        self.call(
-            "heartbeat",
-            {
-                "born": self.born_ms,
-                "information": {"service": _SERVICE, "slots": 4},
-                "status": {"state": state, "sequence": self.sequence},
-                "holds": [],
-                "freed": [],
+        self.call("heartbeat", self.make_heartbeat(state))
+
+    def make_heartbeat(self, state: str) -> dict[str, Any]:
+        """Makes the server's next heartbeat."""
+        return {
+            "address": "127.0.0.1:9",
+            "born": self.born_ms,
+            "information": {
+                "service": _SERVICE,
+                "version": "v1",
+                "zone": "d1",
+                "slots": 4,
             },
-        )
+            "status": {
+                "state": state,
+                "sequence": self.sequence,
+                "coldRemainingMs": 0,
+            },
+            "holds": [],
+            "freed": [],
+        }
 
 
 @behave.given("a node whose server has sent a heartbeat")
@@ -151,6 +165,36 @@
     context.node.send_heartbeat("ready")
 
 
+@behave.when(
+    'a heartbeat without "{fields}" of a later process says that it drains'
+)
+def send_incomplete(context: runner.Context, fields: str) -> None:
+    body = context.node.make_heartbeat("draining") | {"born": _LATER_BORN_MS}
+    for field in fields.split():
+        del body[field]
+    context.node.call("heartbeat", body)
+
+
+@behave.then("the server is used, as the process that it was")
+def check_same_process(context: runner.Context) -> None:
+    check_used(context)
+    assert context.node.ownership.server.born_ms == _BORN_MS
+    assert not context.node.ownership.server.is_leaving
+
+
+@behave.then("the heartbeat was refused and logged")
+def check_refusal(context: runner.Context) -> None:
+    status = context.node.exchange.status
+    assert status == http.HTTPStatus.BAD_REQUEST, status
+    name = catalog.Event.HEARTBEAT_REFUSED.name
+    assert name in [event for event, _ in context.node.events.events]
+
+
+@behave.when("the deregistration of the earlier process arrives")
+def deregister_earlier(context: runner.Context) -> None:
+    context.node.call("deregister", {"born": _BORN_MS})
+
+
 @behave.when("it states in a response that it leaves")
 def state_leaving(context: runner.Context) -> None:
     node: _Node = context.node
