--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -513,9 +513,11 @@
     ROUTER_STOPPED = _define(
         3002,
         _INFO,
-        "pending_count waited_ms",
-        "The router has stopped; `pending_count` requests were aborted.",
-        "Look for requests that run longer than the shutdown timeout.",
+        "pending_count unsent_bytes waited_ms",
+        "The router has stopped; `pending_count` requests were aborted, and"
+        " `unsent_bytes` of responses weren't sent.",
+        "Look for requests that run longer than the shutdown timeout, and for"
+        " callers that read slowly.",
     )
     SETTINGS_READ_AGAIN = _define(
         3003,
--- a/src/rhubarblead/router/http_server.py
+++ b/src/rhubarblead/router/http_server.py
@@ -18,6 +18,12 @@
 TIMEOUT_CHECK_INTERVAL_S = 0.5
 """Between checks for connections that are idle or slow."""
 
+LINGER_S = 1.0
+"""How long a caller may still send after the last response on a connection.
+
+Closing a connection while bytes are unread resets it, and the response with it.
+"""
+
 _NO_BODY_STATUSES = frozenset({204, 304})
 
 
@@ -135,7 +141,7 @@
 
     @property
     def is_closing(self) -> bool:
-        """Whether each connection closes after its next response."""
+        """Whether the connections accept no requests behind pending ones."""
         return self._is_closing
 
     def handle(self, exchange: Exchange) -> None:
@@ -143,15 +149,30 @@
         self._handler(exchange)
 
     def close_after_responses(self) -> None:
-        """Makes each connection close after its next response."""
+        """Makes each connection close once its pending requests are answered.
+
+        An idle connection closes after the response to its next request.
+        """
         self._is_closing = True
 
     def close_idle(self) -> None:
         """Closes the connections without a pending request."""
         for connection in list(self.connections):
-            if not connection.is_busy:
+            if connection.is_idle:
                 connection.close()
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no request is read or pending, and no response unsent."""
+        return not any(
+            connection.is_busy or connection.unsent_bytes
+            for connection in self.connections
+        )
+
+    def count_unsent_bytes(self) -> int:
+        """Counts the bytes of responses that wait for their callers to read."""
+        return sum(c.unsent_bytes for c in self.connections)
+
     def count_pending(self) -> int:
         """Counts the requests without a response."""
         return sum(c.pending_count for c in self.connections)
@@ -185,6 +206,7 @@
         "_header_started_s",
         "_idle_since_s",
         "_is_ended",
+        "_is_lingering",
         "_is_reading_request",
         "_is_paused",
         "_loop",
@@ -211,6 +233,7 @@
         self._idle_since_s = self._loop.time()
         self._is_reading_request = False
         self._is_ended = False
+        self._is_lingering = False
         self._is_paused = False
         self.peer_ip = ""
 
@@ -219,6 +242,18 @@
         """Whether a request is pending or being read."""
         return bool(self._pending) or self._is_reading_request
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether the connection is open for the next request."""
+        return not self.is_busy and not self._is_ended
+
+    @property
+    def unsent_bytes(self) -> int:
+        """How many bytes of responses the system's buffers haven't taken."""
+        if self._transport is None:
+            return 0
+        return self._transport.get_write_buffer_size()
+
     @property
     def pending_count(self) -> int:
         """How many requests have no response yet."""
@@ -296,7 +331,7 @@
     def on_message_complete(self) -> None:
         """Passes on a complete request."""
         self._is_reading_request = False
-        if self._is_ended:
+        if self._is_ended or self._is_next_behind_last():
             return
         exchange = Exchange(
             connection=self,
@@ -320,11 +355,13 @@
             if response is None:
                 return
             self._pending.popleft()
-            is_last = exchange.is_last or self._server.is_closing
+            is_last = exchange.is_last or (
+                self._server.is_closing and not self._pending
+            )
             self._write(encode(response, exchange.method, is_last=is_last))
             self._idle_since_s = self._loop.time()
             if is_last:
-                self.close()
+                self._close_after_last(is_caller_done=exchange.is_last)
         self._update_reading()
 
     def close(self) -> None:
@@ -333,8 +370,40 @@
         if self._transport is not None:
             self._transport.close()
 
+    def _close_after_last(self, *, is_caller_done: bool = False) -> None:
+        """Sends what is written, and reads on until the caller has closed.
+
+        Args:
+            is_caller_done: Whether the caller has said that it sends no more.
+        """
+        self._is_ended = True
+        if self._transport is None or self._transport.is_closing():
+            return
+        if is_caller_done and not self._is_paused:
+            self._transport.close()
+            return
+        self._is_lingering = True
+        self._transport.write_eof()
+        if self._is_paused:
+            self._transport.resume_reading()
+            self._is_paused = False
+
+    def _is_next_behind_last(self) -> bool:
+        """Whether the next request counts as not read.
+
+        The connection closes after the response to one before it.
+        """
+        if not self._pending:
+            return False
+        return self._server.is_closing or self._pending[-1].is_last
+
     def check_timeouts(self, now_s: float) -> None:
         """Ends the connection if its header is late or it is idle too long."""
+        if self._is_ended:
+            lingered_s = now_s - self._idle_since_s
+            if self._is_lingering and lingered_s > LINGER_S:
+                self.close()
+            return
         limits = self._server.limits
         started_s = self._header_started_s
         if started_s is not None:
@@ -363,7 +432,8 @@
             return
         response = Response(status=status, reason=status.phrase.encode())
         self._write(encode(response, b"GET", is_last=True))
-        self.close()
+        self._idle_since_s = self._loop.time()
+        self._close_after_last()
 
     def _write(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
--- a/src/rhubarblead/router/peers.py
+++ b/src/rhubarblead/router/peers.py
@@ -30,8 +30,11 @@
 MAX_RECONNECT_MS = 800
 """Range of the reconnect interval; a node restarts in about a second."""
 
-CLOSE_LINGER_MS = 100
-"""Time to send pending replies when the process ends."""
+CLOSE_LINGER_MS = 200
+"""Time to send pending messages when the process ends.
+
+A link of 10 Mbit/s sends 250 KB in it; larger replies are acknowledged before.
+"""
 
 _MONITOR_EVENTS = (
     zmq.EVENT_HANDSHAKE_SUCCEEDED | zmq.EVENT_DISCONNECTED | zmq.EVENT_CLOSED
@@ -121,11 +124,16 @@
             traffic=self.traffic,
         )
 
-    def drop(self, node_id: str) -> None:
-        """Closes the link to a node."""
+    def drop(self, node_id: str, *, linger_ms: int = 0) -> None:
+        """Closes the link to a node.
+
+        Args:
+            node_id: The node.
+            linger_ms: How long queued messages may still be sent.
+        """
         found = self._links.pop(node_id, None)
         if found is not None:
-            found.close()
+            found.close(linger_ms=linger_ms)
 
     def is_up(self, node_id: str) -> bool:
         """Returns whether the link to a node is known to be connected."""
@@ -162,9 +170,9 @@
     def close(self) -> None:
         """Closes all sockets."""
         for node_id in list(self._links):
-            self.drop(node_id)
+            self.drop(node_id, linger_ms=CLOSE_LINGER_MS)
         self._loop.remove_reader(_get_descriptor(self._router))
-        # Lingers so that the last replies still reach their nodes.
+        # Lingers so that the last messages still reach their nodes.
         self._context.destroy(linger=CLOSE_LINGER_MS)
 
     def _read(self) -> None:
@@ -257,13 +265,13 @@
         self._loop.call_soon(self._read)
         return True
 
-    def close(self) -> None:
-        """Closes the link."""
+    def close(self, *, linger_ms: int) -> None:
+        """Closes the link; queued messages may still be sent for a time."""
         self._loop.remove_reader(_get_descriptor(self._monitor))
         self._loop.remove_reader(_get_descriptor(self._socket))
         self._socket.disable_monitor()
         self._monitor.close(linger=0)
-        self._socket.close(linger=0)
+        self._socket.close(linger=linger_ms)
         if self.is_up:
             self.is_up = False
             self._receiver.link_down(self._node_id)
--- a/src/rhubarblead/router/shutdown.py
+++ b/src/rhubarblead/router/shutdown.py
@@ -29,6 +29,9 @@
 GRACE_MARGIN_S = 0.5
 """Margin before the platform kills a process that was asked to stop."""
 
+FLUSH_S = 0.2
+"""Time to send the final responses to requests that are cut by the stop."""
+
 _POLL_INTERVAL_S = 0.05
 
 
@@ -105,9 +108,11 @@
         await self._ownership.renew_before_stop()
         await self._drain(started_at_s)
         self._dispatcher.expire_all()
+        await self._flush(self._loop.time() + FLUSH_S)
         self._events.emit(
             catalog.Event.ROUTER_STOPPED,
             pending_count=callers.count_pending(),
+            unsent_bytes=callers.count_unsent_bytes(),
             waited_ms=int((self._loop.time() - started_at_s) * 1_000),
         )
 
@@ -127,11 +132,16 @@
     def _is_idle(self) -> bool:
         running_count = self._upstream.wait_queue.running_count
         return (
-            not self._callers.count_pending()
-            and not running_count
-            and self._sender.is_idle
+            self._callers.is_idle and not running_count and self._sender.is_idle
         )
 
+    async def _flush(self, due_at_s: float) -> None:
+        """Waits until the written responses have been sent, or it is due."""
+        while self._callers.count_unsent_bytes():
+            if self._loop.time() >= due_at_s:
+                return
+            await asyncio.sleep(_POLL_INTERVAL_S)
+
     def _stop_serving(self) -> None:
         """Accepts no more requests for the local server."""
         self._heartbeat_handler.is_stopping = True
--- /dev/null
+++ b/tests/steps/router_shutdown.py
@@ -0,0 +1,123 @@
+"""Steps for planned stops, with a caller over a real socket."""
+
+import asyncio
+import socket
+from typing import Any
+from unittest import mock
+
+import behave
+from behave import runner
+
+from rhubarblead import routing_table
+from rhubarblead.events import catalog
+from rhubarblead.router import http_server
+from rhubarblead.router import shutdown
+from tests.rhubarblead.router import simulated_cluster
+
+_IP = "127.0.0.1"
+_GRACE_MS = 6_000
+_SIZE_BYTES = 8_000_000
+_BUFFER_BYTES = 4_096
+
+
+class _StoppingProcess:
+    """The callers' side of a process that is being stopped."""
+
+    def __init__(self) -> None:
+        self.loop = asyncio.new_event_loop()
+        self.events: Any = simulated_cluster.RecordingEventLog()
+        self.loop.run_until_complete(self._open())
+
+    async def _open(self) -> None:
+        self.server = http_server.Server(
+            handler=self._respond, limits=routing_table.ClientLimits
+        )
+        with socket.socket() as probe:
+            probe.bind((_IP, 0))
+            port = probe.getsockname()[1]
+        await self.server.listen(_IP, port)
+        self.caller = socket.socket()
+        self.caller.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, _BUFFER_BYTES
+        )
+        self.caller.setblocking(False)
+        await self.loop.sock_connect(self.caller, (_IP, port))
+        self.task = self.loop.create_task(self._make_shutdown().run())
+        self.started_at_s = self.loop.time()
+        await self.loop.sock_sendall(
+            self.caller, b"GET / HTTP/1.1\r\nhost: h\r\n\r\n"
+        )
+
+    def _respond(self, exchange: http_server.Exchange) -> None:
+        body = b"x" * _SIZE_BYTES
+        exchange.finish(http_server.Response(status=200, body=body))
+
+    def _make_shutdown(self) -> shutdown.Shutdown:
+        upstream: Any = mock.MagicMock(is_serving=False)
+        upstream.wait_queue.running_count = 0
+        sender: Any = mock.MagicMock(is_idle=True)
+        return shutdown.Shutdown(
+            callers=self.server,
+            requests=mock.MagicMock(),
+            local_upstream=upstream,
+            sender=sender,
+            heartbeat_handler=mock.MagicMock(),
+            key_ownership=mock.AsyncMock(),
+            promise_exchange=mock.AsyncMock(),
+            events=self.events,
+            grace_ms=_GRACE_MS,
+            broadcast_state=lambda: None,
+        )
+
+    async def read_to_end(self) -> bytes:
+        """Reads all that the caller gets."""
+        received = bytearray()
+        while data := await self.loop.sock_recv(self.caller, 65_536):
+            received += data
+        return bytes(received)
+
+    def close(self) -> None:
+        """Closes all sockets and the loop."""
+        self.task.cancel()
+        self.caller.close()
+        self.server.close()
+        self.loop.run_until_complete(asyncio.sleep(0.01))
+        self.loop.close()
+
+
+@behave.given("a process that is stopped during a slow download")
+def stop_process(context: runner.Context) -> None:
+    context.process = _StoppingProcess()
+    context.add_cleanup(context.process.close)
+
+
+@behave.when("the caller reads on {after_s:g} s after the stop")
+def read_late(context: runner.Context, after_s: float) -> None:
+    process: _StoppingProcess = context.process
+    process.loop.run_until_complete(asyncio.sleep(after_s))
+    context.was_running = not process.task.done()
+    context.received = process.loop.run_until_complete(process.read_to_end())
+
+
+@behave.then("the process has not ended before, and the caller gets all bytes")
+def check_received(context: runner.Context) -> None:
+    assert context.was_running
+    body = context.received.partition(b"\r\n\r\n")[2]
+    assert len(body) == _SIZE_BYTES, len(body)
+
+
+@behave.then("the process ends {within_s:g} s later")
+def check_ended(context: runner.Context, within_s: float) -> None:
+    process: _StoppingProcess = context.process
+    waiting = asyncio.wait_for(process.task, within_s)
+    process.loop.run_until_complete(waiting)
+
+
+@behave.then("the process ends within {most_s:g} s, and logs the unsent bytes")
+def check_bounded(context: runner.Context, most_s: float) -> None:
+    process: _StoppingProcess = context.process
+    waiting = asyncio.wait_for(process.task, most_s)
+    process.loop.run_until_complete(waiting)
+    name = catalog.Event.ROUTER_STOPPED.name
+    fields = next(f for event, f in process.events.events if event == name)
+    assert fields["unsent_bytes"] > 0, fields
