--- a/src/rhubarblead/router/http_client.py
+++ b/src/rhubarblead/router/http_client.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 client: pooled connections to one server, without pipelining."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 import contextlib
 import dataclasses
@@ -33,18 +34,34 @@
 MAX_SKIPPED_RESPONSES = 8
 """Interim and foreign responses before the expected one; one is usual."""
 
+MAX_REMEMBERED_IDS = 64
+"""Requests of a connection whose late responses are still told apart."""
+
 
 class Failure(enum.Enum):
     """Why no complete response was received."""
 
     CONNECT = "connect"
     CLOSED = "closed"
+    TIMEOUT = "timeout"
     MALFORMED = "malformed"
     TOO_LARGE = "too_large"
     TOO_MANY_SKIPPED = "too_many_skipped"
     NO_MEMORY = "no_memory"
 
 
+class Match(enum.Enum):
+    """Whether a response belongs to the outstanding request.
+
+    A response without an identification is delivered as UNKNOWN, and ends the
+    connection.
+    """
+
+    EXPECTED = "expected"
+    FOREIGN = "foreign"
+    UNKNOWN = "unknown"
+
+
 class Probe(enum.Enum):
     """What an attempt to open a connection shows about the server."""
 
@@ -72,13 +89,13 @@
 
 
 Result: TypeAlias = Response | NoResponse
-IsExpected: TypeAlias = Callable[[list[tuple[bytes, bytes]]], bool]
+Matcher: TypeAlias = Callable[[list[tuple[bytes, bytes]]], Match]
 
 
-def accept_all(fields: list[tuple[bytes, bytes]]) -> bool:
+def accept_all(fields: list[tuple[bytes, bytes]]) -> Match:
     """Accepts any response as the expected one."""
     del fields
-    return True
+    return Match.EXPECTED
 
 
 class BodyBudget:
@@ -122,7 +139,7 @@
         "_fields",
         "_has_head",
         "_has_length",
-        "_is_expected",
+        "_match",
         "_must_close",
         "_method",
         "_on_result",
@@ -130,6 +147,7 @@
         "_parser",
         "_pool",
         "_reason",
+        "_request_ids",
         "_skipped_count",
         "_transport",
         "idle_since_s",
@@ -141,7 +159,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._transport: asyncio.Transport | None = None
         self._on_result: Callable[[Result], None] | None = None
-        self._is_expected: IsExpected = accept_all
+        self._match: Matcher = accept_all
         self._method = b""
         self._fields: list[tuple[bytes, bytes]] = []
         self._body: list[bytes] = []
@@ -150,6 +168,9 @@
         self._exchange_body_bytes = 0
         self._overhead_bytes = 0
         self._skipped_count = 0
+        self._request_ids: collections.deque[str] = collections.deque(
+            maxlen=MAX_REMEMBERED_IDS
+        )
         self._reason = b""
         self._has_head = False
         self._has_length = False
@@ -161,21 +182,25 @@
         self,
         data: bytes,
         method: bytes,
-        is_expected: IsExpected,
+        match: Matcher,
         on_result: Callable[[Result], None],
+        request_id: str = "",
     ) -> None:
         """Sends one request.
 
         Args:
             data: The encoded request.
             method: Its method.
-            is_expected: Tells by its fields whether a response belongs to the
+            match: Tells by its fields whether a response belongs to the
                 request.
             on_result: Called once with the result, unless cancelled.
+            request_id: The id by which its response is recognized, if any.
         """
         assert self._transport is not None
         self._on_result = on_result
-        self._is_expected = is_expected
+        self._match = match
+        if request_id:
+            self._request_ids.append(request_id)
         self._method = method
         self._has_head = False
         self._exchange_body_bytes = 0
@@ -183,6 +208,13 @@
         self._skipped_count = 0
         self._transport.write(data)
 
+    def has_carried(self, request_id: str) -> bool:
+        """Whether a request with this id was sent on the connection lately.
+
+        A late response to it couldn't be told from that to another send.
+        """
+        return bool(request_id) and request_id in self._request_ids
+
     def enable_keepalive(self) -> None:
         """Enables TCP keep-alive probes, which detect a silent peer."""
         assert self._transport is not None
@@ -298,8 +330,10 @@
         self._has_head = False
         if self._on_result is None:
             return
-        if not self._is_expected(self._fields):
+        found = self._match(self._fields)
+        if found is not Match.EXPECTED:
             self._must_close = True
+        if found is Match.FOREIGN:
             self._skip()
             return
         on_result, self._on_result = self._on_result, None
@@ -390,23 +424,28 @@
         self._connections: set[Connection] = set()
         self.max_idle_s = max_idle_s
 
-    def acquire(self, max_idle_s: float | None = None) -> Connection | None:
+    def acquire(
+        self, max_idle_s: float | None = None, request_id: str = ""
+    ) -> Connection | None:
         """Removes the most recently used idle connection from the pool.
 
         Args:
             max_idle_s: A shorter limit on the idle time.
+            request_id: Connections that have carried a request with this id
+                are left out.
 
         Returns:
-            A connection, or None when none is open and recent enough.
+            A connection, or None when none is open, recent enough and fit.
         """
         limit_s = self.max_idle_s if max_idle_s is None else max_idle_s
         now_s = self._loop.time()
-        while self._idle:
-            connection = self._idle[-1]
+        for connection in reversed(list(self._idle)):
             if now_s - connection.idle_since_s > limit_s:
                 self._close_expired(now_s)
                 return None
-            self._idle.pop()
+            if connection.is_open and connection.has_carried(request_id):
+                continue
+            self._idle.remove(connection)
             if connection.is_open:
                 return connection
         return None
--- a/src/rhubarblead/router/outcomes.py
+++ b/src/rhubarblead/router/outcomes.py
@@ -62,6 +62,18 @@
     )
 
 
+def match_response(
+    fields: list[tuple[bytes, bytes]], expected_id: bytes
+) -> http_client.Match:
+    """Tells by the echoed id whether a response belongs to a request."""
+    found_id = dict(fields).get(headers.REQUEST_ID)
+    if found_id is None:
+        return http_client.Match.UNKNOWN
+    if found_id == expected_id:
+        return http_client.Match.EXPECTED
+    return http_client.Match.FOREIGN
+
+
 def is_refused(
     response: http_client.Response, head: headers.ResponseHead
 ) -> bool:
@@ -73,10 +85,10 @@
     response: http_client.Response, head: headers.ResponseHead
 ) -> str:
     """Returns why a response can't be forwarded, empty if it can."""
-    if not head.has_signature:
-        return "no signature"
     if not head.request_id:
         return "no request id"
+    if not head.has_signature:
+        return "no signature"
     if head.is_encoded:
         return "encoded body"
     if response.status in (408, 429, 503):
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -505,7 +505,7 @@
 
     def _connect(self, job: jobs.Job) -> None:
         max_idle_s = MAX_IDLE_ONCE_S if job.work.is_once else None
-        connection = self._pool.acquire(max_idle_s)
+        connection = self._pool.acquire(max_idle_s, job.work.request_id)
         if connection is not None:
             self._send(job, connection)
             return
@@ -576,17 +576,15 @@
         )
         expected_id = work.request_id.encode("latin-1")
 
-        def is_expected(response_fields: list[tuple[bytes, bytes]]) -> bool:
-            return (
-                dict(response_fields).get(headers.REQUEST_ID, expected_id)
-                == expected_id
-            )
+        def match(fields: list[tuple[bytes, bytes]]) -> http_client.Match:
+            return outcomes.match_response(fields, expected_id)
 
         connection.send(
             data,
             work.method,
-            is_expected,
+            match,
             lambda result: self._handle_result(job, result),
+            work.request_id,
         )
 
     def _expire(self, job: jobs.Job) -> None:
@@ -645,7 +643,7 @@
         response: http_client.Response,
         head: headers.ResponseHead,
     ) -> wire.Outcome:
-        if outcomes.is_refused(response, head):
+        if head.request_id and outcomes.is_refused(response, head):
             self._events.emit(
                 catalog.Event.SERVER_REFUSED,
                 request_id=job.work.request_id,
--- a/src/rhubarblead/router/warmth_probe.py
+++ b/src/rhubarblead/router/warmth_probe.py
@@ -165,8 +165,10 @@
             TIMEOUT_S, self._abandon_probe, connection
         )
 
-        def is_expected(fields: list[tuple[bytes, bytes]]) -> bool:
-            return headers.read_health(fields).server_id == server_id
+        def match(fields: list[tuple[bytes, bytes]]) -> http_client.Match:
+            if headers.read_health(fields).server_id == server_id:
+                return http_client.Match.EXPECTED
+            return http_client.Match.FOREIGN
 
         def handle(result: http_client.Result) -> None:
             timer.cancel()
@@ -178,7 +180,7 @@
                 )
 
         connection.send(
-            headers.encode_probe(self._health_path), b"GET", is_expected, handle
+            headers.encode_probe(self._health_path), b"GET", match, handle
         )
 
     def _abandon_probe(self, connection: http_client.Connection) -> None:
--- a/tests/steps/router_http.py
+++ b/tests/steps/router_http.py
@@ -39,6 +39,12 @@
             return head + b"content-length: 4\r\n\r\nbody"
 
 
+def _match(fields: list[tuple[bytes, bytes]]) -> http_client.Match:
+    if dict(fields).get(b"id") == _EXPECTED_ID:
+        return http_client.Match.EXPECTED
+    return http_client.Match.FOREIGN
+
+
 async def _exchange(
     actions: list[str], body_budget: http_client.BodyBudget
 ) -> tuple[http_client.Result, bool]:
@@ -80,7 +86,7 @@
     connection.send(
         b"GET / HTTP/1.1\r\nhost: h\r\n\r\n",
         b"GET",
-        lambda fields: dict(fields).get(b"id") == _EXPECTED_ID,
+        _match,
         done.set_result,
     )
     async with asyncio.timeout(_WAIT_S):
