--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -565,6 +565,13 @@
     STORE_CALLS_RESUMED = _define(
         3201, _INFO, "call", "The store responds to this node again."
     )
+    CONFIG_FEED_SILENT = _define(
+        3202,
+        _WARNING,
+        "version waited_ms",
+        "A check has found changes that the waiting call hadn't delivered;"
+        " `version` is the one in force before. The call is made again.",
+    )
     STORE_RESTORED = _define(
         3210,
         _WARNING,
--- a/src/rhubarblead/platform/headers.py
+++ b/src/rhubarblead/platform/headers.py
@@ -97,6 +97,12 @@
     cold_remaining_ms: int
 
 
+def read_request_id(fields: Iterable[tuple[bytes, bytes]]) -> str:
+    """Returns the id of a request for the log, empty if it has none."""
+    found = next((value for name, value in fields if name == REQUEST_ID), b"")
+    return found.decode("latin-1")
+
+
 def read_request(fields: Iterable[Field]) -> RequestHead:
     """Reads the header fields of a request.
 
--- a/src/rhubarblead/router/config_feed.py
+++ b/src/rhubarblead/router/config_feed.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import random
 import time
 
 from rhubarblead import routing_table
@@ -9,11 +10,10 @@
 from rhubarblead.keyspace import revisions
 from rhubarblead.platform import configuration
 from rhubarblead.platform import store
+from rhubarblead.router import config_polling
 from rhubarblead.router import event_log
 from rhubarblead.router import store_client
-
-LONG_POLL_MS = 29_000
-"""Below the store's limit of 30 s for a long poll."""
+from rhubarblead.router import tasks
 
 POLL_INTERVAL_S = 0.5
 """Pause after a change, which limits the calls made in a burst of changes.
@@ -28,22 +28,39 @@
 """
 
 RETRY_DELAY_S = 0.8
-"""Pause after a failed call; changes must take effect within 2 s."""
+"""Pause after a failed call; changes must take effect within 2 s.
+
+There is none after the first call in doubt, whose connection may just have
+been closed.
+"""
+
+MIN_MISSED_S = 0.2
+"""Time after which a waiting call would have delivered a known version."""
+
+_STORE = "store"
 
 
 class ConfigFeed:
     """The newest valid configuration, and the evacuated failure domains."""
 
     __slots__ = (
+        "_check_task",
+        "_confirmed_at_s",
+        "_count_nodes",
         "_decoder",
         "_evacuated",
         "_events",
+        "_has_failed",
         "_keep_missing_until_s",
         "_last_revision",
+        "_on_checked",
         "_on_evacuated",
+        "_on_read",
         "_on_table",
+        "_random",
         "_revision",
         "_store",
+        "_waiting_since_s",
         "content",
         "table",
     )
@@ -55,6 +72,10 @@
         events: event_log.EventLog,
         on_table: Callable[[routing_table.RoutingTable], None],
         on_evacuated: Callable[[frozenset[str], str], None],
+        on_checked: Callable[[], None],
+        on_read: Callable[[int], None],
+        count_nodes: Callable[[], int],
+        random_source: random.Random,
     ) -> None:
         """Creates a feed that has read nothing yet.
 
@@ -64,8 +85,21 @@
             on_table: Called with each version that comes into force.
             on_evacuated: Called with the evacuated failure domains, and where
                 they were read, after each read.
+            on_checked: Called after each check that `check` has started.
+            on_read: Called with each version from the store that comes into
+                force.
+            count_nodes: Counts the nodes that read from the store.
+            random_source: Spreads the calls of the nodes.
         """
         self._store = client
+        self._on_checked = on_checked
+        self._on_read = on_read
+        self._count_nodes = count_nodes
+        self._random = random_source
+        self._check_task: asyncio.Task[None] | None = None
+        self._confirmed_at_s: float | None = None
+        self._waiting_since_s = 0.0
+        self._has_failed = False
         self._decoder = configuration.Decoder()
         self._events = events
         self._on_table = on_table
@@ -83,6 +117,12 @@
         """The version in force, or -1 if no configuration was applied yet."""
         return self.table.version if self.table is not None else -1
 
+    def find_age_s(self) -> float | None:
+        """Returns when the store has confirmed the version last, if ever."""
+        if self._confirmed_at_s is None:
+            return None
+        return time.monotonic() - self._confirmed_at_s
+
     def apply(self, content: bytes, source: str) -> bool:
         """Applies a configuration if it is valid and newer than the last.
 
@@ -114,6 +154,8 @@
         self.content = content
         self.table = table
         self._on_table(table)
+        if source == _STORE:
+            self._on_read(table.version)
         return True
 
     async def run(self) -> None:
@@ -124,11 +166,82 @@
                 outcome = await self._store.read(configuration.TABLE)
             else:
                 assert self._revision is not None
+                self._waiting_since_s = time.monotonic()
                 outcome = await self._store.wait_for_changes(
                     configuration.TABLE, self._revision, self._find_wait_ms()
                 )
             await asyncio.sleep(self._handle_outcome(outcome))
 
+    def check(self) -> None:
+        """Starts to ask the store for changes, beside the call that waits."""
+        if self._check_task is None:
+            self._check_task = tasks.start(
+                self._check(), name="configuration check", events=self._events
+            )
+
+    def check_missed(self) -> None:
+        """Checks for a version that another node has and this one doesn't.
+
+        While no call waits, the next one brings it.
+        """
+        waited_s = time.monotonic() - self._waiting_since_s
+        if self._store.is_waiting and waited_s >= MIN_MISSED_S:
+            self.check()
+
+    async def _check(self) -> None:
+        revision = self._revision
+        try:
+            if revision is not None:
+                self._handle_check(
+                    await self._store.read_changes(
+                        configuration.TABLE, revision
+                    )
+                )
+        finally:
+            self._check_task = None
+            self._on_checked()
+
+    def _handle_check(self, outcome: store.ReadOutcome) -> None:
+        """Applies what a check has found; a new era is left to the reads."""
+        match outcome:
+            case store.Rows(rows=()) if self._is_same_era(outcome.revision):
+                self._confirmed_at_s = time.monotonic()
+            case store.Rows() if self._is_same_era(outcome.revision):
+                self._confirmed_at_s = time.monotonic()
+                if self._store.is_waiting:
+                    self._report_silent()
+                self._apply_evacuations(outcome.rows)
+                self._apply_newest(outcome.rows)
+                self._revision = max(self._revision or 0, outcome.revision)
+                self._store.abandon_wait()
+            case store.Rows() | store.HistoryGone():
+                self._store.abandon_wait()
+            case _:
+                self._report_failure("config check", outcome)
+
+    def _is_same_era(self, revision: int) -> bool:
+        last = self._last_revision
+        is_read = self._revision is not None and last is not None
+        return is_read and revisions.is_same_era(revision, last or 0)
+
+    def _report_silent(self) -> None:
+        waited_s = time.monotonic() - self._waiting_since_s
+        self._events.emit(
+            catalog.Event.CONFIG_FEED_SILENT,
+            version=self.version,
+            waited_ms=int(waited_s * 1_000),
+        )
+
+    def _report_failure(
+        self, call: str, outcome: store.NotDone | store.InDoubt
+    ) -> None:
+        self._events.emit(
+            catalog.Event.STORE_CALL_FAILED,
+            call=call,
+            outcome=type(outcome).__name__,
+            reason=outcome.reason,
+        )
+
     def _must_read(self) -> bool:
         """Tells whether all rows must be read, not only the changes."""
         if self._keep_missing_until_s is not None:
@@ -139,15 +252,18 @@
 
     def _find_wait_ms(self) -> int:
         """Returns how long to wait for a change."""
+        wait_ms = config_polling.find_wait_ms(self._count_nodes(), self._random)
         if self._keep_missing_until_s is None:
-            return LONG_POLL_MS
+            return wait_ms
         left_s = max(0.0, self._keep_missing_until_s - time.monotonic())
-        return min(LONG_POLL_MS, int(left_s * 1_000))
+        return min(wait_ms, int(left_s * 1_000))
 
     def _handle_outcome(self, outcome: store.ReadOutcome) -> float:
         """Handles the store's reply; returns the pause before the next call."""
+        is_first_failure, self._has_failed = not self._has_failed, False
         match outcome:
             case store.Rows():
+                self._confirmed_at_s = time.monotonic()
                 is_restored = self._record_era(outcome.revision)
                 self._apply_evacuations(outcome.rows)
                 self._apply_newest(outcome.rows)
@@ -161,19 +277,17 @@
                 self._revision = None
                 return 0.0
             case _:
-                self._events.emit(
-                    catalog.Event.STORE_CALL_FAILED,
-                    call="config",
-                    outcome=type(outcome).__name__,
-                    reason=outcome.reason,
-                )
+                self._has_failed = True
+                self._report_failure("config", outcome)
+                if is_first_failure and isinstance(outcome, store.InDoubt):
+                    return 0.0
                 return RETRY_DELAY_S
 
     def _apply_newest(self, rows: tuple[store.Row, ...]) -> None:
         """Applies the last valid one of the versions that changes contain."""
         for row in reversed(rows):
             is_config = row.key == configuration.KEY and not row.is_removed
-            if is_config and self.apply(row.value, "store"):
+            if is_config and self.apply(row.value, _STORE):
                 return
 
     def _apply_evacuations(self, rows: tuple[store.Row, ...]) -> None:
@@ -188,7 +302,7 @@
         self._evacuated = frozenset(
             name for name, is_evacuated in found.items() if is_evacuated
         )
-        self._on_evacuated(self._evacuated, "store")
+        self._on_evacuated(self._evacuated, _STORE)
 
     def _has_reread(self) -> bool:
         """Tells whether rows that are missing in a read were withdrawn."""
--- a/src/rhubarblead/router/dispatcher.py
+++ b/src/rhubarblead/router/dispatcher.py
@@ -15,6 +15,7 @@
 from rhubarblead.requests import offer_history
 from rhubarblead.requests import placement
 from rhubarblead.requests import returns
+from rhubarblead.router import config_feed
 from rhubarblead.router import directory
 from rhubarblead.router import event_log
 from rhubarblead.router import http_server
@@ -22,6 +23,7 @@
 from rhubarblead.router import peers
 from rhubarblead.router import pending_request
 from rhubarblead.router import responder
+from rhubarblead.router import unknown_routes
 from rhubarblead.router import upstream
 from rhubarblead.router import wire
 
@@ -73,6 +75,7 @@
         "_park_timer",
         "_random",
         "_split_credits",
+        "_unknown_routes",
         "_upstream",
         "is_closed",
     )
@@ -85,6 +88,7 @@
         local_upstream: upstream.Upstream,
         watch: peer_watch.PeerWatch,
         retry_budget: cluster_retry_budget.ClusterRetryBudget,
+        config: config_feed.ConfigFeed,
         events: event_log.EventLog,
         now_ms: Callable[[], int],
         own_ip: str,
@@ -106,6 +110,9 @@
         self._own_id = cluster_directory.own_state.node_id
         self._own_service = cluster_directory.own_state.service
         self._random = random_source
+        self._unknown_routes = unknown_routes.UnknownRoutes(
+            config=config, refuse=self._refuse, dispatch=self.handle
+        )
         self._outstanding: dict[int, pending_request.PendingRequest] = {}
         self._parked: list[pending_request.PendingRequest] = []
         self._park_timer: asyncio.TimerHandle | None = None
@@ -120,27 +127,30 @@
 
     def handle(self, exchange: http_server.Exchange) -> None:
         """Validates one request of a caller and dispatches it."""
-        now_ms = self._now_ms()
+        waited_s = self._loop.time() - exchange.received_at_s
+        now_ms = self._now_ms() - int(waited_s * 1_000)
         table = self._directory.table
         if self.is_closed:
-            self._refuse_stopping(exchange)
+            self._refuse(
+                exchange, http.HTTPStatus.SERVICE_UNAVAILABLE, "node stopping"
+            )
             return
         try:
             head = headers.read_request(exchange.fields)
         except headers.CannotRead as error:
-            self._responder.refuse_undispatched(exchange, 400, "", str(error))
+            self._refuse(exchange, http.HTTPStatus.BAD_REQUEST, str(error))
             return
         if table is None:
-            self._responder.refuse_undispatched(
-                exchange, 503, head.request_id, "no configuration"
+            self._refuse(
+                exchange,
+                http.HTTPStatus.SERVICE_UNAVAILABLE,
+                "no configuration",
             )
             return
         path = http_server.read_path(exchange.target)
         route = table.find_route(head.host, path)
         if route is None:
-            self._responder.refuse_undispatched(
-                exchange, 404, head.request_id, "no route"
-            )
+            self._unknown_routes.handle(exchange)
             return
         service = self._choose_service(route)
         request = pending_request.PendingRequest(
@@ -159,15 +169,13 @@
             ),
         )
         if request.is_keyed and head.key is None:
-            self._responder.refuse_undispatched(
-                exchange, 400, head.request_id, "no key"
-            )
+            self._refuse(exchange, http.HTTPStatus.BAD_REQUEST, "no key")
             return
         self._recognize_return(request)
         self._retry_budget.record_request(service, now_ms)
         exchange.on_disconnect = lambda: self._handle_disconnect(request)
         request.timer = self._loop.call_later(
-            max(0, request.deadline_at_ms - now_ms) / 1_000,
+            max(0, request.deadline_at_ms - self._now_ms()) / 1_000,
             self._expire,
             request,
         )
@@ -286,11 +294,19 @@
             if not request.is_ended:
                 self._expire(request)
 
-    def _refuse_stopping(self, exchange: http_server.Exchange) -> None:
-        request_id = http_server.find_field(exchange.fields, headers.REQUEST_ID)
-        self._responder.refuse_undispatched(
-            exchange, 503, request_id.decode("latin-1"), "node stopping"
-        )
+    def handle_config_checked(self) -> None:
+        """Handles the requests that wait for a confirmed configuration."""
+        self._unknown_routes.handle_checked()
+
+    def _refuse(
+        self,
+        exchange: http_server.Exchange,
+        status: http.HTTPStatus,
+        cause: str,
+    ) -> None:
+        """Responds to a request that isn't dispatched."""
+        request_id = headers.read_request_id(exchange.fields)
+        self._responder.refuse_undispatched(exchange, status, request_id, cause)
 
     def _choose_service(self, route: routing_table.Route) -> str:
         """Chooses a route's service by smooth weighted round-robin."""
--- a/src/rhubarblead/router/metrics_exporter.py
+++ b/src/rhubarblead/router/metrics_exporter.py
@@ -31,6 +31,7 @@
     WARMTH_PROBES = "warmth_probes"
     EVACUATED = "server_is_evacuated"
     CONFIG_VERSION = "config_version"
+    CONFIG_AGE = "config_age_ms"
     HELD_KEYS = "held_keys"
     LEASE_LEFT = "right_left_ms"
     KNOWN_NODES = "known_nodes"
@@ -59,6 +60,9 @@
         " evacuated"
     ),
     Gauge.CONFIG_VERSION: "configuration version in force, -1 if there is none",
+    Gauge.CONFIG_AGE: (
+        "time since the store has confirmed the configuration, -1 before that"
+    ),
     Gauge.HELD_KEYS: "keys in the latest grant to the local server",
     Gauge.LEASE_LEFT: "time for which this node may still grant keys",
     Gauge.KNOWN_NODES: "nodes known to this one, including itself",
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -20,6 +20,7 @@
 from rhubarblead.requests import link_load
 from rhubarblead.requests import transfers
 from rhubarblead.router import config_feed
+from rhubarblead.router import config_polling
 from rhubarblead.router import crash_sync
 from rhubarblead.router import directory
 from rhubarblead.router import dispatcher
@@ -79,6 +80,7 @@
         "_ownership",
         "_peer_watch",
         "_promise_exchange",
+        "_random",
         "_relay",
         "_remote_jobs",
         "_response_sender",
@@ -99,6 +101,7 @@
     def __init__(self, *, deployment: settings.Deployment) -> None:
         self._deployment = deployment
         self._loop = asyncio.get_running_loop()
+        self._random = random.Random(secrets.randbits(64))
         self._events = event_log.EventLog(instance=deployment.instance)
         self._is_stopping = False
         self._stop = asyncio.Event()
@@ -176,6 +179,10 @@
             on_evacuated=lambda names, source: self._evacuation.apply(
                 names, source
             ),
+            on_checked=lambda: self._dispatcher.handle_config_checked(),
+            on_read=self._schedule_notice,
+            count_nodes=self._directory.count_nodes,
+            random_source=self._random,
         )
         self._evacuation = evacuation.Evacuation(
             cluster_directory=self._directory,
@@ -457,6 +464,7 @@
                 window_ms=bounds.retry_window_ms,
                 extra_count=bounds.retry_extra_count,
             ),
+            config=self._config,
             events=self._events,
             now_ms=read_now_ms,
             own_ip=self._deployment.upstream.ip,
@@ -613,6 +621,7 @@
             ),
             metrics_exporter.Gauge.EVACUATED: self._evacuation.is_stopped,
             metrics_exporter.Gauge.CONFIG_VERSION: self._config.version,
+            metrics_exporter.Gauge.CONFIG_AGE: self._find_config_age_ms(),
             metrics_exporter.Gauge.HELD_KEYS: self._ownership.count_held(),
             metrics_exporter.Gauge.LEASE_LEFT: (
                 self._ownership.find_effective_lease_ms()
@@ -623,6 +632,17 @@
             ),
         }
 
+    def _schedule_notice(self, version: int) -> None:
+        """Tells other nodes later of a version from the store."""
+        delay_s = config_polling.find_notice_delay_s(self._random)
+        self._loop.call_later(
+            delay_s, self._broadcaster.notify_version, version
+        )
+
+    def _find_config_age_ms(self) -> float:
+        age_s = self._config.find_age_s()
+        return -1.0 if age_s is None else age_s * 1_000
+
     def _broadcast_state(self) -> None:
         self._broadcaster.broadcast()
 
--- a/src/rhubarblead/router/state_broadcaster.py
+++ b/src/rhubarblead/router/state_broadcaster.py
@@ -102,6 +102,21 @@
         self._links.broadcast(self.refresh())
         self._sent_load = self._state.load
 
+    def notify_version(self, version: int) -> None:
+        """Tells all nodes of a configuration, unless another node has.
+
+        Args:
+            version: The version that this node has read from the store.
+        """
+        is_known = version < self._config.version or any(
+            state.load.config_version >= version
+            for state in self._directory.list_states()
+        )
+        if is_known:
+            return
+        self._sent_load = self.refresh().load
+        self._links.broadcast(self._make_message(self._sent_load))
+
     async def run(self) -> None:
         """Sends changes of the load, and a sign of life every few times."""
         count = 0
--- a/src/rhubarblead/router/state_sync.py
+++ b/src/rhubarblead/router/state_sync.py
@@ -17,8 +17,14 @@
 CATCH_UP_DELAY_S = 0.4
 """Delay before a missed value is requested; it may still arrive on its own."""
 
+CHECK_DELAY_S = 0.3
+"""Delay before the store is asked for a version that another node has.
+
+A call that waits for changes delivers it within milliseconds.
+"""
+
 FEED_DELAY_S = 1.1
-"""The same for the configuration while the store answers this node.
+"""Delay before another node is asked for it while the store answers this one.
 
 A new version is read from the store within about 0.8 s.
 """
@@ -116,10 +122,18 @@
             delay_s = CATCH_UP_DELAY_S
             if value == CONFIG and self._is_store_working():
                 delay_s = FEED_DELAY_S
+                self._loop.call_later(
+                    CHECK_DELAY_S, self._check_store, revision
+                )
             self._loop.call_later(
                 delay_s, self._check_missed, state.node_id, value, revision
             )
 
+    def _check_store(self, version: int) -> None:
+        """Asks the store for a version that hasn't arrived since."""
+        if version > self._find_revision(CONFIG):
+            self._config.check_missed()
+
     def _list_newer(self, state: wire.State) -> list[tuple[str, int]]:
         """Lists the values that are newer at another node, with revisions."""
         newer = [
--- a/src/rhubarblead/router/store_client.py
+++ b/src/rhubarblead/router/store_client.py
@@ -17,14 +17,16 @@
 PREFER_RELAY_MS = 3_000
 """Time after a failure for which calls try the relay first."""
 
-LONG_POLL_MARGIN_S = 1.5
-"""Added to the time for which the store may hold a long poll."""
-
 MAX_IDLE_S = 4.0
 """Older connections may be dead; leases are renewed at about this interval."""
 
 
 Relay: TypeAlias = Callable[[store.Call], Awaitable[http_client.Result]]
+_OnConnection: TypeAlias = Callable[[http_client.Connection | None], None]
+
+
+def _ignore(connection: http_client.Connection | None) -> None:
+    del connection
 
 
 class StoreClient:
@@ -42,6 +44,7 @@
         "_pool",
         "_refused_eras",
         "_timeout",
+        "_waiting",
         "clock_reading",
         "era",
         "on_received",
@@ -74,6 +77,8 @@
         self._now_ms = now_ms
         self._failed_at_ms: int | None = None
         self._failing_since_ms: int | None = None
+        # Carries the call that waits for changes.
+        self._waiting: http_client.Connection | None = None
         # Calls the store through another node; None if there is no relay.
         self.relay: Relay | None = None
         # Called with the size of each response's body.
@@ -162,12 +167,41 @@
     async def wait_for_changes(
         self, table: str, after_revision: int, wait_ms: int
     ) -> store.ReadOutcome:
-        """Waits until a table has changed or the wait time has passed."""
+        """Waits until a table has changed or the wait time has passed.
+
+        A store that has lost the response keeps the connection open, so that
+        only the timeout shows it.
+        """
         call = store.encode_feed(table, after_revision, wait_ms)
-        timeout_s = wait_ms / 1_000 + LONG_POLL_MARGIN_S
-        result = await self._call_with_timeout(call, timeout_s)
+        timeout_ms = self._timeout.find_ms()
+        sent_at_ms = self._now_ms()
+        result = await self._call_with_timeout(
+            call, (wait_ms + timeout_ms) / 1_000, self._set_waiting
+        )
+        if self._now_ms() - sent_at_ms >= wait_ms + timeout_ms:
+            self._timeout.record_timeout(timeout_ms)
         return self._decode(result)
 
+    async def read_changes(
+        self, table: str, after_revision: int
+    ) -> store.ReadOutcome:
+        """Reads the changes of a table, also through another node."""
+        call = store.encode_feed(table, after_revision, 0)
+        return self._decode(await self._call(call))
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a call is waiting for changes."""
+        return self._waiting is not None
+
+    def abandon_wait(self) -> None:
+        """Ends the wait for changes, whose outcome is then in doubt."""
+        if self._waiting is not None:
+            self._waiting.close()
+
+    def _set_waiting(self, connection: http_client.Connection | None) -> None:
+        self._waiting = connection
+
     @property
     def is_working(self) -> bool:
         """Whether the store has answered the last direct call of this node."""
@@ -207,7 +241,7 @@
         If one route fails, the other is tried. Repeating a call is safe: each
         write expects the revisions of rows that the write itself changes.
         """
-        is_in_doubt = False
+        failure = None
         for is_direct in self._order_routes():
             if is_direct:
                 result = await self._call_directly(call)
@@ -217,12 +251,10 @@
                 continue
             if _is_answered(result):
                 return result
-            if isinstance(result, http_client.NoResponse):
-                is_in_doubt = is_in_doubt or result.is_sent
-        if is_in_doubt:
-            return http_client.NoResponse(
-                failure=http_client.Failure.CLOSED, is_sent=True
-            )
+            if isinstance(result, http_client.NoResponse) and result.is_sent:
+                failure = failure or result.failure
+        if failure is not None:
+            return http_client.NoResponse(failure=failure, is_sent=True)
         return result
 
     def _order_routes(self) -> tuple[bool, bool]:
@@ -245,9 +277,14 @@
         return result
 
     async def _call_with_timeout(
-        self, call: store.Call, timeout_s: float
+        self,
+        call: store.Call,
+        timeout_s: float,
+        on_connection: _OnConnection = _ignore,
     ) -> http_client.Result:
-        result = self._check_era(await self._exchange(call, timeout_s))
+        result = self._check_era(
+            await self._exchange(call, timeout_s, on_connection)
+        )
         if _is_answered(result):
             self._failed_at_ms = None
             self._failing_since_ms = None
@@ -282,7 +319,7 @@
         )
 
     async def _exchange(
-        self, call: store.Call, timeout_s: float
+        self, call: store.Call, timeout_s: float, on_connection: _OnConnection
     ) -> http_client.Result:
         connection = self._pool.acquire()
         if connection is None:
@@ -319,14 +356,17 @@
             http_client.accept_all,
             finish,
         )
+        on_connection(connection)
         try:
             async with asyncio.timeout(timeout_s):
                 return await done
         except TimeoutError:
             connection.cancel()
             return http_client.NoResponse(
-                failure=http_client.Failure.CLOSED, is_sent=True
+                failure=http_client.Failure.TIMEOUT, is_sent=True
             )
+        finally:
+            on_connection(None)
 
 
 def are_current(expected: tuple[store.Expected, ...], era: int | None) -> bool:
--- a/tests/rhubarblead/router/dispatcher.feature
+++ b/tests/rhubarblead/router/dispatcher.feature
@@ -36,6 +36,23 @@
       | has no key   | 400    |
       | has no route | 404    |
 
+  # CONFIG, DENIED: a node that was behind refused a route that had been added.
+  Scenario Outline: A request without a route is refused by a confirmed configuration only
+    Given a dispatcher whose keys are owned by node n2
+    And the store has confirmed the configuration 2 s ago
+    When a request arrives that has a route added later
+    Then the request waits, and the configuration is checked
+    When <end>
+    Then it was sent <count> times
+    And <result>
+
+    Examples:
+      | end                                           | count | result                          |
+      | a check of the configuration finds the route  | 1     | the caller has no response yet  |
+      | a check of the configuration finds no change  | 0     | the caller receives the status 404 |
+      | a check of the configuration fails            | 0     | the caller receives the status 503 |
+      | 0.5 s pass without an answer of the store     | 0     | the caller receives the status 503 |
+
   Scenario: Requests are refused while the node has no configuration
     Given a dispatcher without a configuration
     When a repeatable request arrives and its sends end with ""
--- a/tests/rhubarblead/router/http.feature
+++ b/tests/rhubarblead/router/http.feature
@@ -26,6 +26,23 @@
       | b-id b-id b-id b-id b-id b-id b-id b-id a-id keep | the complete response | closed |
       | interim interim interim interim b-id b-id b-id b-id b-id a-id keep | too_many_skipped | closed |
 
+  # MIXED, ORDER: a server stopped in the middle of its head and closed, and its
+  # callers got a 200 with an empty body.
+  Scenario Outline: A response that breaks off at any byte isn't complete
+    When a server sends each beginning of a response <framing>, and <end>
+    Then the client reports no response to any
+
+    Examples: without a length, the end of the connection is the end of the body
+      | framing                          | end    |
+      | with a length                    | closes |
+      | with a length                    | resets |
+      | in chunks                        | closes |
+      | in chunks                        | resets |
+      | without a body                   | closes |
+      | whose head has no length         | closes |
+      | whose body ends with a reset     | resets |
+      | after an interim one             | closes |
+
   Scenario: The incomplete bodies of a process share a limit
     Given a limit of 3 bytes for all bodies
     When a server sends "chunked-a-id keep"
--- a/tests/router_doubles.py
+++ b/tests/router_doubles.py
@@ -12,6 +12,25 @@
         """Discards an event."""
 
 
+class RecordingLinks:
+    """Links that record what is broadcast, and drop all else."""
+
+    def __init__(self) -> None:
+        self.broadcasts: list[wire.Message] = []
+
+    def connect(self, node_id: str, address: str) -> None:
+        """Does nothing."""
+
+    def send(self, node_id: str, message: wire.Message) -> bool:
+        """Returns that the message wasn't sent."""
+        del node_id, message
+        return False
+
+    def broadcast(self, message: wire.Message) -> None:
+        """Records a message."""
+        self.broadcasts.append(message)
+
+
 def make_state(
     node_id: str, service: str, *, incarnation: str = "i"
 ) -> wire.State:
--- a/tests/steps/platform_adapter.py
+++ b/tests/steps/platform_adapter.py
@@ -281,6 +281,10 @@
         events=event_log,
         on_table=lambda table: context.applied.append(table.version),
         on_evacuated=lambda names, source: None,
+        on_checked=lambda: None,
+        on_read=lambda version: None,
+        count_nodes=lambda: 1,
+        random_source=random.Random(1),
     )
     feed._handle_outcome(
         store.Rows(
--- a/tests/steps/router_dispatcher.py
+++ b/tests/steps/router_dispatcher.py
@@ -80,6 +80,22 @@
         return self.left_ms
 
 
+class _Config:
+    """The configuration feed; `age_s` is the age of its confirmation."""
+
+    def __init__(self) -> None:
+        self.age_s = 0.0
+        self.check_count = 0
+
+    def find_age_s(self) -> float:
+        """Returns what the test has set."""
+        return self.age_s
+
+    def check(self) -> None:
+        """Counts the checks."""
+        self.check_count += 1
+
+
 def _make_route(
     name: str, kind: routing_table.RouteKind, *shares: tuple[str, float]
 ) -> routing_table.Route:
@@ -99,7 +115,8 @@
     )
 
 
-def _make_table() -> routing_table.RoutingTable:
+def _make_table(*, also: str = "") -> routing_table.RoutingTable:
+    added = [_make_route(also, _KINDS["repeatable"], ("keyed", 1.0))]
     return routing_table.RoutingTable(
         version=1,
         routes=(
@@ -108,6 +125,7 @@
             _make_route(
                 "split", _KINDS["repeatable"], ("p1", 90.0), ("p2", 10.0)
             ),
+            *(added if also else ()),
         ),
         services=tuple(
             routing_table.Service(name=name, is_keyed=name == "keyed")
@@ -142,6 +160,8 @@
     links: Any = context.links
     local_upstream: Any = _Upstream()
     context.local_upstream = local_upstream
+    config: Any = _Config()
+    context.config_feed = config
     silent_event_log: Any = router_doubles.SilentEventLog()
     context.watch = peer_watch.PeerWatch(
         links=links,
@@ -158,6 +178,7 @@
         retry_budget=cluster_retry_budget.ClusterRetryBudget(
             ratio=0.2, window_ms=10_000, extra_count=62
         ),
+        config=config,
         events=silent_event_log,
         now_ms=lambda: context.now_ms,
         own_ip=_OWN_IP,
@@ -192,7 +213,7 @@
         method=b"GET",
         target=target.encode(),
         fields=[field for field in fields if field[0] not in omitted],
-        received_at_s=0.0,
+        received_at_s=context.loop.time(),
     )
     exchange.body = body
     context.dispatcher.handle(exchange)
@@ -243,12 +264,43 @@
     context.loop.run_until_complete(_send_request(context, kind, []))
 
 
+@behave.given("the store has confirmed the configuration {age_s:g} s ago")
+def set_config_age(context: runner.Context, age_s: float) -> None:
+    context.config_feed.age_s = age_s
+
+
+@behave.when("a check of the configuration {result}")
+def end_check(context: runner.Context, result: str) -> None:
+    async def handle() -> None:
+        context.dispatcher.handle_config_checked()
+
+    match result:
+        case "finds the route":
+            context.directory.table = _make_table(also="added")
+            context.config_feed.age_s = 0.0
+        case "finds no change":
+            context.config_feed.age_s = 0.0
+    context.loop.run_until_complete(handle())
+
+
+@behave.when("{passed_s:g} s pass without an answer of the store")
+def pass_time(context: runner.Context, passed_s: float) -> None:
+    context.loop.run_until_complete(asyncio.sleep(passed_s))
+
+
+@behave.then("the request waits, and the configuration is checked")
+def check_waits(context: runner.Context) -> None:
+    assert context.exchange.response is None
+    assert context.config_feed.check_count == 1
+
+
 @behave.when("a request arrives that {fault}")
 def send_faulty(context: runner.Context, fault: str) -> None:
     target, omitted = {
         "has no id": ("/once/x", headers.REQUEST_ID),
         "has no key": ("/once/x", headers.KEY),
         "has no route": ("/nowhere/x", b""),
+        "has a route added later": ("/added/x", b""),
     }[fault]
     context.exchange = context.loop.run_until_complete(
         _receive(context, target, omitted)
--- a/tests/steps/router_evacuation.py
+++ b/tests/steps/router_evacuation.py
@@ -1,6 +1,7 @@
 """Steps for evacuations of failure domains."""
 
 import asyncio
+import random
 from typing import Any
 from unittest import mock
 
@@ -228,6 +229,10 @@
         events=log,
         on_table=lambda table: None,
         on_evacuated=record,
+        on_checked=lambda: None,
+        on_read=lambda version: None,
+        count_nodes=lambda: 1,
+        random_source=random.Random(1),
     )
 
 
--- a/tests/steps/router_http.py
+++ b/tests/steps/router_http.py
@@ -105,6 +105,76 @@
     )
 
 
+_OPEN_HEAD = b"HTTP/1.1 200 OK\r\nid: a\r\nx: y\r\n\r\n"
+_RESPONSES = {
+    "with a length": _make_response("a-id").replace(
+        b"content-length: 4\r\n", b"content-length: 4\r\nx: y\r\n"
+    ),
+    "in chunks": _make_response("chunked-a-id"),
+    "without a body": b"HTTP/1.1 204 No Content\r\nid: a\r\nx: y\r\n\r\n",
+    "whose head has no length": _OPEN_HEAD,
+    "whose body ends with a reset": _OPEN_HEAD + b"body",
+    "after an interim one": _make_response("interim") + _make_response("a-id"),
+}
+
+
+async def _receive_beginnings(
+    content: bytes, *, is_reset: bool
+) -> list[http_client.Result]:
+    """Returns the client's results for all beginnings of a response."""
+    lengths = iter(range(len(content)))
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(content[: next(lengths)])
+        await writer.drain()
+        if is_reset:
+            await asyncio.sleep(0.002)
+            _reset_on_close(writer.get_extra_info("socket"))
+        writer.close()
+
+    server = await asyncio.start_server(serve, _IP, 0)
+    pool = http_client.Pool(
+        ip=_IP, port=server.sockets[0].getsockname()[1], max_idle_s=60.0
+    )
+    results = []
+    for _ in range(len(content)):
+        connection = await pool.open()
+        assert connection is not None
+        done = asyncio.get_running_loop().create_future()
+        connection.send(
+            b"GET / HTTP/1.1\r\nhost: h\r\n\r\n",
+            b"GET",
+            _match,
+            done.set_result,
+        )
+        results.append(await asyncio.wait_for(done, _WAIT_S))
+    pool.close()
+    server.close()
+    return results
+
+
+@behave.when(
+    "a server sends each beginning of a response {framing}, and {end:w}"
+)
+def send_beginnings(context: runner.Context, framing: str, end: str) -> None:
+    context.results = asyncio.run(
+        _receive_beginnings(_RESPONSES[framing], is_reset=end == "resets")
+    )
+
+
+@behave.then("the client reports no response to any")
+def check_no_response(context: runner.Context) -> None:
+    found = [
+        (length, result)
+        for length, result in enumerate(context.results)
+        if not isinstance(result, http_client.NoResponse)
+    ]
+    assert not found, found
+
+
 @behave.given("a limit of {most:d} bytes for all bodies")
 def limit_bodies(context: runner.Context, most: int) -> None:
     context.body_budget = http_client.BodyBudget(max_bytes=most)
--- a/tests/steps/router_state_sync.py
+++ b/tests/steps/router_state_sync.py
@@ -42,6 +42,11 @@
 
     def __init__(self) -> None:
         self.version = 1_000
+        self.check_count = 0
+
+    def check_missed(self) -> None:
+        """Counts the checks for a missed version."""
+        self.check_count += 1
 
 
 class _Ownership:
--- a/tools/config_storm.py
+++ b/tools/config_storm.py
@@ -161,6 +161,11 @@
             )
         return True
 
+    # The configuration, as the exchange of states uses it.
+
+    def check_missed(self) -> None:
+        """Does nothing; the store delivers each version in time."""
+
     async def run(self) -> Result:
         """Plays the storm and the time after it."""
         tasks = [
