Refuse requests in time during a stop whatever the store does (LOST)

Reported by another operator: requests that came late in the grace of a planned stop were taken, passed on and cut at its end with no answer.

By reading: the renewal of the lease delayed the drain, the times until requests are refused didn't depend on the grace, and a request that waits to be sent again had no final answer.

Change: the renewal runs beside the drain; requests are refused after half of the grace at the latest; delayed requests are expired as well.

--- a/src/rhubarblead/router/dispatcher.py
+++ b/src/rhubarblead/router/dispatcher.py
@@ -59,6 +59,7 @@
     __slots__ = (
         "_retry_budget",
         "_returning_callers",
+        "_delayed",
         "_directory",
         "_responder",
         "_links",
@@ -115,6 +116,8 @@
         )
         self._outstanding: dict[int, pending_request.PendingRequest] = {}
         self._parked: list[pending_request.PendingRequest] = []
+        # Refused by their server, and sent again after a delay.
+        self._delayed: dict[int, pending_request.PendingRequest] = {}
         self._park_timer: asyncio.TimerHandle | None = None
         self._split_credits: dict[str, dict[str, float]] = {}
         self._next_number = 0
@@ -286,13 +289,16 @@
 
     def count_pending(self) -> int:
         """Counts the requests that wait for an outcome."""
-        return len(self._outstanding) + len(self._parked)
+        return len(self._outstanding) + len(self._parked) + len(self._delayed)
 
     def expire_all(self) -> None:
         """Ends all requests when the process ends."""
-        for request in [*self._parked, *self._outstanding.values()]:
-            if not request.is_ended:
-                self._expire(request)
+        for request in (
+            *self._parked,
+            *self._delayed.values(),
+            *self._outstanding.values(),
+        ):
+            self._expire(request)
 
     def handle_config_checked(self) -> None:
         """Handles the requests that wait for a confirmed configuration."""
@@ -577,6 +583,7 @@
             return
         self._responder.log_resend(request, "shed")
         if request.is_keyed:
+            self._delayed[id(request)] = request
             self._loop.call_later(
                 SHED_RETRY_DELAY_S, self._dispatch_after_delay, request
             )
@@ -587,6 +594,7 @@
     def _dispatch_after_delay(
         self, request: pending_request.PendingRequest
     ) -> None:
+        del self._delayed[id(request)]
         if not request.is_ended:
             self._dispatch(request)
 
--- a/src/rhubarblead/router/shutdown.py
+++ b/src/rhubarblead/router/shutdown.py
@@ -11,6 +11,7 @@
 from rhubarblead.router import ownership
 from rhubarblead.router import promise_exchange
 from rhubarblead.router import response_sender
+from rhubarblead.router import tasks
 from rhubarblead.router import upstream
 from rhubarblead.router import wire
 
@@ -26,6 +27,9 @@
 Callers leave after two failed readiness checks, which are a second apart.
 """
 
+MAX_ACCEPTING_SHARE = 0.5
+"""Limits both times to a share of the grace, so that requests can complete."""
+
 GRACE_MARGIN_S = 0.5
 """Margin before the platform kills a process that was asked to stop."""
 
@@ -104,9 +108,12 @@
         self._ownership.is_stopping = True
         callers.close_after_responses()
         self._broadcast_state()
-        await self._promise_exchange.leave()
-        await self._ownership.renew_before_stop()
-        await self._drain(started_at_s)
+        # Runs beside the drain: without the store it takes seconds.
+        renewal = tasks.start(
+            self._renew(), name="renewal before the stop", events=self._events
+        )
+        await self._drain(started_at_s, renewal)
+        renewal.cancel()
         self._dispatcher.expire_all()
         await self._flush(self._loop.time() + FLUSH_S)
         self._events.emit(
@@ -116,16 +123,26 @@
             waited_ms=int((self._loop.time() - started_at_s) * 1_000),
         )
 
-    async def _drain(self, started_at_s: float) -> None:
+    async def _renew(self) -> None:
+        """Makes the lease outlast the restart of this process."""
+        await self._promise_exchange.leave()
+        await self._ownership.renew_before_stop()
+
+    async def _drain(
+        self, started_at_s: float, renewal: "asyncio.Task[None]"
+    ) -> None:
+        longest_s = self._grace_s * MAX_ACCEPTING_SHARE
+        stop_after_s = min(STOP_SERVING_AFTER_S, longest_s)
+        close_after_s = min(CLOSE_DISPATCHER_AFTER_S, longest_s)
         deadline_s = started_at_s + self._grace_s - GRACE_MARGIN_S
         while self._loop.time() < deadline_s:
             waited_s = self._loop.time() - started_at_s
-            if waited_s >= STOP_SERVING_AFTER_S:
+            if waited_s >= stop_after_s:
                 self._stop_serving()
                 self._callers.close_idle()
-                if self._is_idle():
+                if self._is_idle() and renewal.done():
                     return
-            if waited_s >= CLOSE_DISPATCHER_AFTER_S:
+            if waited_s >= close_after_s:
                 self._dispatcher.is_closed = True
             await asyncio.sleep(_POLL_INTERVAL_S)
 
--- a/tests/rhubarblead/router/dispatcher.feature
+++ b/tests/rhubarblead/router/dispatcher.feature
@@ -53,6 +53,13 @@
       | a check of the configuration fails            | 0     | the caller receives the status 503 |
       | 0.5 s pass without an answer of the store     | 0     | the caller receives the status 503 |
 
+  # LOST: a request that waited to be sent again was cut when the process ended.
+  Scenario: A request that a server has refused gets a final answer when the process ends
+    Given a dispatcher whose keys are owned by node n2
+    When a repeatable request arrives, is refused by its server, and the process ends
+    Then it was sent 1 times
+    And the caller receives the status 503
+
   Scenario: Requests are refused while the node has no configuration
     Given a dispatcher without a configuration
     When a repeatable request arrives and its sends end with ""
--- a/tests/steps/router_dispatcher.py
+++ b/tests/steps/router_dispatcher.py
@@ -259,6 +259,23 @@
     )
 
 
+@behave.when(
+    "a {kind:w} request arrives, is refused by its server, and the process ends"
+)
+def send_before_end(context: runner.Context, kind: str) -> None:
+    async def send() -> None:
+        context.exchange = await _receive(context, f"/{kind}/x")
+        work = context.links.list_work()[-1]
+        context.dispatcher.handle_outcome(
+            "n2", _make_outcome("shed", work.number)
+        )
+        assert context.dispatcher.count_pending() == 1
+        context.dispatcher.expire_all()
+        await asyncio.sleep(dispatcher.SHED_RETRY_DELAY_S * 2)
+
+    context.loop.run_until_complete(send())
+
+
 @behave.when('a {kind:w} request arrives and its sends end with ""')
 def send_unanswered(context: runner.Context, kind: str) -> None:
     context.loop.run_until_complete(_send_request(context, kind, []))
