Promise only in terms of the same granter process (OWNER)

Cause: a heartbeat to a granter names the term and not its process, so that a restarted one promised in a term in which its earlier process had taken over the keys.

Evidence: before the change, promise_exchange.feature fails.

Change: heartbeats and requests to leave name the granter's process, as the row does; another process doesn't answer. Earlier versions name none, and are answered as before.

Result: the scenarios and upgrade.feature pass.

--- a/src/rhubarblead/router/promise_exchange.py
+++ b/src/rhubarblead/router/promise_exchange.py
@@ -120,7 +120,15 @@
         message: wire.LeaseHeartbeat | wire.LeaseLeave,
         reply: Callable[[wire.Message], None],
     ) -> None:
-        """Handles a message of a node that has chosen this one as granter."""
+        """Handles a message of a node that has chosen this one as granter.
+
+        An earlier process of this node may have taken over the keys in a term
+        of which this one knows nothing.
+        """
+        own = self._directory.own_state
+        process = name_process(own.node_id, own.incarnation)
+        if message.granter and message.granter != process:
+            return
         match message:
             case wire.LeaseHeartbeat():
                 self._handle_heartbeat(message, reply)
@@ -172,6 +180,7 @@
                 node_id=own.node_id,
                 incarnation=own.incarnation,
                 term=self.holder.term_number,
+                granter=self.holder.granter,
             ),
         )
 
@@ -187,6 +196,7 @@
                 sequence=sequence,
                 row_revision=row_revision,
                 is_bound=is_bound,
+                granter=self.holder.granter,
             ),
         )
 
--- a/src/rhubarblead/router/wire.py
+++ b/src/rhubarblead/router/wire.py
@@ -282,7 +282,8 @@
 class LeaseHeartbeat(msgspec.Struct, tag=9, array_like=True, kw_only=True):
     """A node's request to its granter for a promise.
 
-    `row_revision` is the revision of the node's row in the store. See
+    `row_revision` is the revision of the node's row in the store. `granter` is
+    the process that the row names, empty from earlier versions. See
     `keyspace.promises` for the protocol.
     """
 
@@ -292,6 +293,7 @@
     sequence: int
     row_revision: int
     is_bound: bool
+    granter: str = ""
 
 
 class Promise(msgspec.Struct, tag=10, array_like=True, kw_only=True):
@@ -307,6 +309,7 @@
     node_id: str
     incarnation: str
     term: int
+    granter: str = ""
 
 
 class Release(msgspec.Struct, tag=12, array_like=True, kw_only=True):
