--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -189,8 +189,9 @@
             + int(longest_ms * holdings.MAX_CLOCK_SLOWDOWN)
         )
         self._is_loaded = False
-        # Set if other nodes may have taken over keys of this one.
-        self._is_assignment_stale = False
+        # Set if other nodes may have taken over keys of this one, or of an
+        # earlier process; then nothing is granted before the rows are read.
+        self._is_assignment_stale = not is_first_start
         self._rebalance_at_ms = 0
         self._recent_shifts = recent_shifts.RecentShifts()
         self.is_evacuated = False
--- a/tests/rhubarblead/router/ownership.feature
+++ b/tests/rhubarblead/router/ownership.feature
@@ -180,6 +180,19 @@
       | 1273 |
       | 1353 |
 
+  # OWNER: a restarted node granted the keys that it had had before by an old
+  # assignment of another node, before it had read the rows.
+  Scenario: A restarted node grants nothing before it has read the assignment
+    Given a settled simulated cluster of 6 nodes
+    When the process of n1 is lost for 5000 ms, and its reads of all rows are lost then
+    And another node sends it the assignment of before
+    And 3000 ms pass in the simulation
+    Then n1 has registered, and its server has been granted no keys
+    When the reads of n1 are answered again
+    And 12000 ms pass in the simulation
+    Then n1's server holds keys
+    And no key had two holders
+
   Scenario: A node whose keys were taken over grants none by its old assignment
     Then the random fault schedule with seed 1264 and drains keeps all invariants
 
--- a/tests/rhubarblead/router/simulated_cluster.py
+++ b/tests/rhubarblead/router/simulated_cluster.py
@@ -310,6 +310,11 @@
     async def read(self, table: str) -> store.ReadOutcome:
         """Reads all rows."""
         del table
+        if not self._node.can_read_rows:
+            return store.InDoubt(reason="no answer")
+        return self._read()
+
+    def _read(self) -> store.ReadOutcome:
         cluster = self._cluster
         if not cluster.is_store_up or not self._is_reachable:
             return store.NotDone(reason="status 503")
@@ -323,7 +328,8 @@
 
     async def read_row(self, table: str, key: str) -> store.ReadOutcome:
         """Reads one row."""
-        outcome = await self.read(table)
+        del table
+        outcome = self._read()
         if not isinstance(outcome, store.Rows):
             return outcome
         rows = tuple(row for row in outcome.rows if row.key == key)
@@ -483,6 +489,8 @@
         self.is_frozen = False
         self.receives_heartbeats = True
         self.has_store = True
+        # Whether reads of all rows are answered.
+        self.can_read_rows = True
         # Whether calls that fail are made through another node.
         self.has_relay = False
         self.rates: dict[int, float] = {}
--- a/tests/steps/router_late_response.py
+++ b/tests/steps/router_late_response.py
@@ -108,6 +108,10 @@
 
 async def _open(context: runner.Context) -> None:
     listener = await asyncio.start_server(context.server.serve, _IP, 0)
+    # Lets the server's tasks end once the connections are closed.
+    context.add_cleanup(
+        lambda: context.loop.run_until_complete(asyncio.sleep(0.01))
+    )
     context.add_cleanup(listener.close)
     event_log: Any = router_doubles.SilentEventLog()
     context.upstream = upstream.Upstream(
--- a/tests/steps/router_ownership.py
+++ b/tests/steps/router_ownership.py
@@ -217,6 +217,48 @@
     _cut_links(cluster, name)
 
 
+@behave.when(
+    "the process of {name:w} is lost for {away:d} ms, and its reads of all rows"
+    " are lost then"
+)
+def restart_unread(context: runner.Context, name: str, away: int) -> None:
+    cluster = context.cluster
+    node = cluster.nodes[name]
+    context.assignment_before = node.ownership.assignments.get()
+    node.stop()
+    cluster.run(away)
+    node.can_read_rows = False
+    # What other nodes know would tell it of the takeover.
+    _cut_links(cluster, name)
+    node.start()
+
+
+@behave.when("another node sends it the assignment of before")
+def send_earlier(context: runner.Context) -> None:
+    cluster = context.cluster
+    node = cluster.nodes["n1"]
+    node.server.held = []
+    key_assignment, revision = context.assignment_before
+    node.ownership.assignments.apply_snapshot(
+        simulated_cluster.SERVICE, key_assignment.encode(), revision
+    )
+
+
+@behave.then("{name:w} has registered, and its server has been granted no keys")
+def check_ungranted(context: runner.Context, name: str) -> None:
+    node = context.cluster.nodes[name]
+    assert node.ownership.get_own_revision()
+    assert node.ownership.find_effective_lease_ms() > 0
+    assert not node.server.list_held()
+    check_one_holder(context)
+
+
+@behave.when("the reads of {name:w} are answered again")
+def answer_reads(context: runner.Context, name: str) -> None:
+    context.cluster.nodes[name].can_read_rows = True
+    context.cluster.cut_links.clear()
+
+
 @behave.when("the servers of {count:d} nodes drain at the same time")
 def drain_many(context: runner.Context, count: int) -> None:
     cluster = context.cluster
