--- a/src/rhubarblead/router/directory.py
+++ b/src/rhubarblead/router/directory.py
@@ -98,6 +98,14 @@
         """Lists the newest states of the other reachable nodes."""
         return list(self._states.values())
 
+    def list_stopping(self) -> frozenset[str]:
+        """Lists the processes that are being stopped, this one among them."""
+        return frozenset(
+            state.incarnation
+            for state in (self._own_state, *self._states.values())
+            if state.is_stopping
+        )
+
     def count_nodes(self) -> int:
         """Counts the reachable nodes, including this one."""
         return len(self._states) + 1
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -579,7 +579,11 @@
         if silent_ms < self._deployment.heartbeat_ms * MAX_SILENT_HEARTBEATS:
             return
         if self._upstream.is_stuck():
-            self._upstream.stop_serving(wire.Reason.SERVER_GONE)
+            # A planned stop breaks off no request, also where the silence is
+            # that of a late heartbeat.
+            self._upstream.stop_serving(
+                wire.Reason.SERVER_GONE, self._directory.list_stopping()
+            )
             self._broadcast_state()
 
     async def _run_watchdog(self) -> None:
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -373,15 +373,23 @@
             return False
         return self._now_ms() - self._last_response_at_ms > STUCK_MS
 
-    def stop_serving(self, reason: wire.Reason) -> None:
-        """Stops using a server that is gone.
+    def stop_serving(
+        self, reason: wire.Reason, kept_origins: frozenset[str] = frozenset()
+    ) -> None:
+        """Stops using a server that seems to be gone.
 
         Running requests that may be repeated end, so that they can run
         elsewhere.
+
+        Args:
+            reason: Why requests are refused.
+            kept_origins: Processes whose running requests don't end, as the
+                server's silence doesn't prove that it has ended.
         """
         self.refuse_all(reason)
         for job in list(self._jobs.values()):
-            if job.is_sent and not job.work.is_once:
+            is_kept = job.work.is_once or job.work.origin in kept_origins
+            if job.is_sent and not is_kept:
                 self._log_unusable(job, "server silent")
                 self._stop_running(job)
                 self._finish(job, outcomes.make_doubtful(job.work))
