Read the change: an abandoned wait is no failure, one maker of test upstreams

A wait for changes that is abandoned because another call was answered no longer counts as a failure of the store, after which calls take the detour through other nodes for a time. A connection that only lingers isn't busy, and gets no 100 Continue.

--- a/src/rhubarblead/router/config_feed.py
+++ b/src/rhubarblead/router/config_feed.py
@@ -118,7 +118,7 @@
         return self.table.version if self.table is not None else -1
 
     def find_age_s(self) -> float | None:
-        """Returns when the store has confirmed the version last, if ever."""
+        """Returns how long ago the store has confirmed the version, if ever."""
         if self._confirmed_at_s is None:
             return None
         return time.monotonic() - self._confirmed_at_s
@@ -220,9 +220,9 @@
                 self._report_failure("config check", outcome)
 
     def _is_same_era(self, revision: int) -> bool:
-        last = self._last_revision
-        is_read = self._revision is not None and last is not None
-        return is_read and revisions.is_same_era(revision, last or 0)
+        if self._revision is None or self._last_revision is None:
+            return False
+        return revisions.is_same_era(revision, self._last_revision)
 
     def _report_silent(self) -> None:
         waited_s = time.monotonic() - self._waiting_since_s
--- a/src/rhubarblead/router/http_server.py
+++ b/src/rhubarblead/router/http_server.py
@@ -240,7 +240,8 @@
     @property
     def is_busy(self) -> bool:
         """Whether a request is pending or being read."""
-        return bool(self._pending) or self._is_reading_request
+        is_reading = self._is_reading_request and not self._is_ended
+        return bool(self._pending) or is_reading
 
     @property
     def is_idle(self) -> bool:
@@ -317,7 +318,8 @@
     def on_headers_complete(self) -> None:
         """Ends the header, and asks for the body where that is expected."""
         self._header_started_s = None
-        if any(name == b"expect" for name, _ in self._fields):
+        has_expectation = any(name == b"expect" for name, _ in self._fields)
+        if has_expectation and not self._is_ended:
             self._write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
--- a/src/rhubarblead/router/store_client.py
+++ b/src/rhubarblead/router/store_client.py
@@ -40,6 +40,7 @@
         "_failed_at_ms",
         "_failing_since_ms",
         "_host",
+        "_is_wait_abandoned",
         "_now_ms",
         "_pool",
         "_refused_eras",
@@ -79,6 +80,7 @@
         self._failing_since_ms: int | None = None
         # Carries the call that waits for changes.
         self._waiting: http_client.Connection | None = None
+        self._is_wait_abandoned = False
         # Calls the store through another node; None if there is no relay.
         self.relay: Relay | None = None
         # Called with the size of each response's body.
@@ -180,6 +182,9 @@
         )
         if self._now_ms() - sent_at_ms >= wait_ms + timeout_ms:
             self._timeout.record_timeout(timeout_ms)
+        if self._is_wait_abandoned:
+            self._is_wait_abandoned = False
+            self._record_answered()
         return self._decode(result)
 
     async def read_changes(
@@ -195,8 +200,12 @@
         return self._waiting is not None
 
     def abandon_wait(self) -> None:
-        """Ends the wait for changes, whose outcome is then in doubt."""
+        """Ends the wait for changes, as another call was answered meanwhile.
+
+        Its outcome is then in doubt.
+        """
         if self._waiting is not None:
+            self._is_wait_abandoned = True
             self._waiting.close()
 
     def _set_waiting(self, connection: http_client.Connection | None) -> None:
@@ -286,14 +295,17 @@
             await self._exchange(call, timeout_s, on_connection)
         )
         if _is_answered(result):
-            self._failed_at_ms = None
-            self._failing_since_ms = None
+            self._record_answered()
         else:
             self._failed_at_ms = self._now_ms()
             if self._failing_since_ms is None:
                 self._failing_since_ms = self._failed_at_ms
         return result
 
+    def _record_answered(self) -> None:
+        self._failed_at_ms = None
+        self._failing_since_ms = None
+
     def _check_era(self, result: http_client.Result) -> http_client.Result:
         """Records the era of a response, and discards one that is outdated."""
         if not isinstance(result, http_client.Response):
--- a/src/rhubarblead/router/unknown_routes.py
+++ b/src/rhubarblead/router/unknown_routes.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Callable
 import http
+from typing import TypeAlias
 
 from rhubarblead.router import config_feed
 from rhubarblead.router import http_server
@@ -20,7 +21,7 @@
 MAX_WAITING_COUNT = 1_000
 """Limit for the memory that waiting requests hold."""
 
-Refuse = Callable[[http_server.Exchange, http.HTTPStatus, str], None]
+Refuse: TypeAlias = Callable[[http_server.Exchange, http.HTTPStatus, str], None]
 
 
 class UnknownRoutes:
--- a/tests/router_doubles.py
+++ b/tests/router_doubles.py
@@ -1,7 +1,12 @@
 """Test doubles for the parts of a router."""
 
+import asyncio
 from typing import Any
 
+from rhubarblead.platform import headers
+from rhubarblead.platform import settings
+from rhubarblead.requests import link_load
+from rhubarblead.router import upstream
 from rhubarblead.router import wire
 
 
@@ -48,3 +53,55 @@
         assignments={},
         load=wire.ServerLoad(),
     )
+
+
+def open_upstream(ip: str, port: int) -> upstream.Upstream:
+    """Makes an upstream that serves and holds all keys."""
+    loop = asyncio.get_running_loop()
+    event_log: Any = SilentEventLog()
+    opened = upstream.Upstream(
+        address=settings.Address(ip=ip, port=port),
+        events=event_log,
+        now_ms=lambda: int(loop.time() * 1_000),
+        is_held=lambda key: True,
+        is_owned=lambda key: True,
+        link=link_load.LinkLoad(
+            bytes_per_ms=1_250, min_bytes=8_000, find_queued_bytes=lambda: 0
+        ),
+        count_servers=lambda: 1,
+        broadcast=lambda message: None,
+    )
+    opened.set_server("i-1", 18, born_ms=1)
+    opened.is_serving = True
+    return opened
+
+
+def make_work(
+    request_id: str,
+    *,
+    number: int = 1,
+    origin: str = "o",
+    is_once: bool = True,
+    deadline_ms: int = 1_000,
+) -> wire.Work:
+    """Makes a request without a key, as another node sends it."""
+    fields = [(headers.REQUEST_ID, request_id.encode())]
+    return wire.Work(
+        origin=origin,
+        number=number,
+        target_incarnation="i",
+        request_id=request_id,
+        service="s",
+        route="r",
+        priority=1,
+        is_call=False,
+        is_once=is_once,
+        key=wire.NO_KEY,
+        target_ms=deadline_ms,
+        deadline_ms=deadline_ms,
+        may_wait=True,
+        method=b"GET",
+        target=b"/",
+        head=headers.encode_forwarded(fields, "s"),
+        body=b"",
+    )
