--- a/tools/verify.py
+++ b/tools/verify.py
@@ -9,6 +9,7 @@
 import json
 import os
 import pathlib
+import re
 import subprocess
 import sys
 import tempfile
@@ -19,6 +20,7 @@
 _KNOWN_FAILURES = _ROOT / "KNOWN-RED.txt"
 _PASSED = "passed"
 _MAX_ERROR_CHARACTERS = 2_000
+_SCENARIO = re.compile(r"^ *(?:Scenario|Feature)\b", re.MULTILINE)
 
 
 def read_known_failures(path: pathlib.Path) -> frozenset[str]:
@@ -64,23 +66,28 @@
     return ""
 
 
-def run_behave(arguments: list[str]) -> tuple[int, list[dict[str, Any]]]:
+def run_behave(
+    arguments: list[str],
+) -> tuple[int, list[dict[str, Any]], str]:
     """Runs behave.
 
     Args:
         arguments: Additional command-line arguments for behave.
 
     Returns:
-        The exit code and the JSON report.
+        The exit code, the JSON report and the plain report.
     """
     with tempfile.TemporaryDirectory() as folder:
         report = pathlib.Path(folder) / "report.json"
+        plain = pathlib.Path(folder) / "plain.txt"
         command = [
             sys.executable,
             "-m",
             "behave",
             "--format=json",
             f"--outfile={report}",
+            "--format=plain",
+            f"--outfile={plain}",
             "--format=progress",
             *(arguments or ["tests"]),
         ]
@@ -89,18 +96,39 @@
             command, cwd=_ROOT, env=environment, check=False
         ).returncode
         if not report.exists():
-            return code, []
-        return code, json.loads(report.read_text(encoding="utf-8"))
+            return code, [], ""
+        return (
+            code,
+            json.loads(report.read_text(encoding="utf-8")),
+            plain.read_text(encoding="utf-8"),
+        )
+
+
+def find_details(plain: str, name: str) -> str:
+    """Finds the steps of a scenario, with the traceback of one that raised.
+
+    The JSON report has the errors of failed assertions only.
+
+    Args:
+        plain: Behave's plain report.
+        name: The scenario.
+    """
+    _, found, rest = plain.partition(f": {name}\n")
+    if not found:
+        return ""
+    block = _SCENARIO.split(rest, maxsplit=1)[0]
+    return textwrap.dedent(block).strip()[-_MAX_ERROR_CHARACTERS:]
 
 
 def count_results(
-    report: list[dict[str, Any]], known_failures: frozenset[str]
+    report: list[dict[str, Any]], known_failures: frozenset[str], plain: str
 ) -> collections.Counter[str]:
     """Counts scenarios by result and prints those that did not pass.
 
     Args:
         report: Behave's JSON report.
         known_failures: Scenarios whose failures are not counted as failed.
+        plain: Behave's plain report.
 
     Returns:
         Counts under "passed", "failed" and "known".
@@ -116,16 +144,16 @@
         )
         kind = "known" if is_known else "failed"
         print(f"{kind}: {name} ({status})")
-        if error:
-            print(textwrap.indent(error, "  "))
+        if details := error or find_details(plain, name):
+            print(textwrap.indent(details, "  "))
         counts[kind] += 1
     return counts
 
 
 def main(arguments: list[str]) -> int:
     """Runs the tests; returns 0 if all failures are known ones."""
-    code, report = run_behave(arguments)
-    counts = count_results(report, read_known_failures(_KNOWN_FAILURES))
+    code, report, plain = run_behave(arguments)
+    counts = count_results(report, read_known_failures(_KNOWN_FAILURES), plain)
     is_accounted_for = code == 0 or counts["known"] or counts["failed"]
     if not report or not is_accounted_for:
         print(f"behave did not complete (exit code {code})")
