Log where a server turns to serving, ignored calls, and the use of the retry budget

SERVER_SERVING_CHANGED says when and why the local server gets requests or no longer does, SERVER_CALL_IGNORED which call of a server had no effect and what was known, REQUEST_SENT_AGAIN names the service and the node's use of its budget, and the series retry_budget_left_requests is a gauge of what is left by service.

No decision changes.

--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -695,6 +695,23 @@
         " evacuated, or gets them again. `held_count` keys were still held,"
         " `waited_ms` after the request was seen.",
     )
+    SERVER_SERVING_CHANGED = _define(
+        3314,
+        _INFO,
+        "server is_serving cause",
+        "The local server gets requests, or no longer gets any. `server` is"
+        " its process: its id and its start.",
+    )
+    SERVER_CALL_IGNORED = _define(
+        3315,
+        _WARNING,
+        "call server_id born_ms sequence known_server_id known_born_ms"
+        " known_sequence",
+        "A call of a server had no effect, as it is out of order, or of"
+        " another process than the one that is known.",
+        "Nothing if it is a single one. If each heartbeat is ignored, look for"
+        " SERVER_SEEN: which process is known, and does it live?",
+    )
     LINK_UP = _define(3400, _INFO, "node_id", "A link to another node is up.")
     LINK_DOWN = _define(
         3401,
@@ -761,8 +778,10 @@
     REQUEST_SENT_AGAIN = _define(
         3502,
         _INFO,
-        "request_id route node_id cause sent_count",
-        "A request is retried.",
+        "request_id route service node_id cause sent_count used_count"
+        " allowed_count",
+        "A request is retried. `used_count` of the `allowed_count` retries to"
+        " the service that this node may send in the window have been sent.",
     )
     CALLER_GONE = _define(
         3503,
--- a/src/rhubarblead/requests/cluster_retry_budget.py
+++ b/src/rhubarblead/requests/cluster_retry_budget.py
@@ -6,11 +6,20 @@
 """
 
 import collections
+import dataclasses
 
 SAFETY_FACTOR = 0.8
 """Share of the limit in use; covers node changes and sliding windows."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Use:
+    """Retries to a service within the window, and how many are allowed."""
+
+    used_count: float
+    allowed_count: float
+
+
 class ClusterRetryBudget:
     """Counts requests and retries per service in a sliding window."""
 
@@ -53,16 +62,31 @@
         Returns:
             Whether the retry is allowed.
         """
-        requests = self._count(self._requests, service, now_ms)
-        retries = self._count(self._retries, service, now_ms)
-        allowed = SAFETY_FACTOR * (
-            self._ratio * requests + self._extra_count / max(1, node_count)
-        )
-        if retries + 1 > allowed:
+        use = self.find_use(service, now_ms, node_count)
+        if use.used_count + 1 > use.allowed_count:
             return False
         self._add(self._retries, service, now_ms)
         return True
 
+    def find_use(self, service: str, now_ms: int, node_count: int) -> Use:
+        """Returns how much of the budget of a service is used.
+
+        Args:
+            service: The service.
+            now_ms: Current time in milliseconds.
+            node_count: Number of nodes that share the limit.
+        """
+        requests = self._count(self._requests, service, now_ms)
+        return Use(
+            used_count=self._count(self._retries, service, now_ms),
+            allowed_count=SAFETY_FACTOR
+            * (self._ratio * requests + self._extra_count / max(1, node_count)),
+        )
+
+    def list_services(self) -> list[str]:
+        """Lists the services to which there have been requests."""
+        return list(self._requests)
+
     def _add(
         self,
         moments: dict[str, collections.deque[int]],
--- a/src/rhubarblead/router/dispatcher.py
+++ b/src/rhubarblead/router/dispatcher.py
@@ -581,7 +581,7 @@
         if not self._may_send_again(request):
             self._finish_unserved(request, "shed", 0)
             return
-        self._responder.log_resend(request, "shed")
+        self._log_resend(request, "shed")
         if request.is_keyed:
             self._delayed[id(request)] = request
             self._loop.call_later(
@@ -611,7 +611,7 @@
         if not is_repeatable or not self._may_send_again(request):
             self._responder.fail(request, http.HTTPStatus.BAD_GATEWAY, cause)
             return
-        self._responder.log_resend(request, cause)
+        self._log_resend(request, cause)
         if not request.is_keyed:
             request.excluded.add(request.node_id)
         self._dispatch(request)
@@ -623,6 +623,23 @@
             request.service, self._now_ms(), self._directory.count_nodes()
         )
 
+    def _log_resend(
+        self, request: pending_request.PendingRequest, cause: str
+    ) -> None:
+        use = self._retry_budget.find_use(
+            request.service, self._now_ms(), self._directory.count_nodes()
+        )
+        self._responder.log_resend(request, cause, use)
+
+    def find_retry_use(self) -> dict[str, cluster_retry_budget.Use]:
+        """Returns the use of the retry budget by service."""
+        return {
+            service: self._retry_budget.find_use(
+                service, self._now_ms(), self._directory.count_nodes()
+            )
+            for service in self._retry_budget.list_services()
+        }
+
     def _park(self, request: pending_request.PendingRequest) -> None:
         """Holds a request until a node that may run it is reachable."""
         now_ms = self._now_ms()
--- a/src/rhubarblead/router/evacuation.py
+++ b/src/rhubarblead/router/evacuation.py
@@ -126,7 +126,9 @@
         self._ownership.is_evacuated = False
         server = self._ownership.server
         if was_stopped and server is not None:
-            self._upstream.is_serving = server.may_hold
+            self._upstream.set_serving(
+                server.may_hold, cause="evacuation ended"
+            )
         # Servers are often cold after an evacuation.
         self._upstream.warmth.hold()
         self._report()
--- a/src/rhubarblead/router/heartbeat_handler.py
+++ b/src/rhubarblead/router/heartbeat_handler.py
@@ -105,6 +105,12 @@
             self._refuse(exchange, "the ranges of a keyed server are missing")
             return
         if not self._ownership.handle_heartbeat(heartbeat):
+            self._report_ignored(
+                "heartbeat",
+                heartbeat.server_id,
+                heartbeat.born_ms,
+                heartbeat.sequence,
+            )
             self._finish(exchange, heartbeats.encode_reply(None, 0))
             return
         local_upstream = self._upstream
@@ -121,8 +127,9 @@
                 heartbeat.server_id, "server had deregistered"
             )
         is_leaving = self._ownership.is_server_leaving
-        local_upstream.is_serving = not (
-            is_leaving or self.is_stopping or self.is_evacuated()
+        local_upstream.set_serving(
+            not (is_leaving or self.is_stopping or self.is_evacuated()),
+            cause=f"heartbeat {heartbeat.sequence}",
         )
         delay_s = MAX_REPLY_DELAY_S if is_first else 0.0
         self._reply(exchange, asyncio.get_running_loop().time() + delay_s)
@@ -149,11 +156,32 @@
         if self._ownership.begin_server_leaving(
             call.server_id, "server deregistered", call.born_ms
         ):
-            self._upstream.is_serving = False
+            self._upstream.set_serving(False, cause="deregistered")
             self._upstream.crashes.expect_exit()
             self._begin_leaving(call.server_id, has_deregistered=True)
+        else:
+            self._report_ignored("deregistration", call.server_id, call.born_ms)
         self._finish(exchange, b"{}")
 
+    def _report_ignored(
+        self,
+        call: str,
+        server_id: str,
+        born_ms: int,
+        sequence: int | None = None,
+    ) -> None:
+        known = self._ownership.server
+        self._events.emit(
+            catalog.Event.SERVER_CALL_IGNORED,
+            call=call,
+            server_id=server_id,
+            born_ms=born_ms,
+            sequence=sequence,
+            known_server_id="" if known is None else known.server_id,
+            known_born_ms=None if known is None else known.born_ms,
+            known_sequence=None if known is None else known.sequence,
+        )
+
     def _record_departure(self, call: heartbeats.Deregistration) -> None:
         """Remembers a server that is gone, also if none is known here yet."""
         self._departed.pop(call.server_id, None)
--- a/src/rhubarblead/router/metrics_exporter.py
+++ b/src/rhubarblead/router/metrics_exporter.py
@@ -1,12 +1,14 @@
 """Counters, latencies and gauges of one process in Prometheus text format."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 import enum
 import http
 from typing import Any
 
 from hdrh import histogram
 
+from rhubarblead.requests import cluster_retry_budget
 from rhubarblead.router import event_log
 from rhubarblead.router import http_server
 from rhubarblead.router import link_traffic
@@ -81,6 +83,9 @@
         "time from sending a request to another node to receiving its outcome,"
         " without the time that it waited or ran there"
     ),
+    'retry_budget_left_requests{service="NAME"}': (
+        "retries to the service that this node may still send in the window"
+    ),
     'events_total{event="NAME"}': "events, including those not logged",
     'link_bytes_total{kind="NAME",direction="NAME"}': (
         "bytes sent to and received from other nodes and the store, by kind of"
@@ -102,7 +107,14 @@
     Events are counted by the event log.
     """
 
-    __slots__ = ("_events", "_gauges", "_histograms", "_statuses", "_traffic")
+    __slots__ = (
+        "_events",
+        "_gauges",
+        "_histograms",
+        "_retry_use",
+        "_statuses",
+        "_traffic",
+    )
 
     def __init__(
         self,
@@ -110,6 +122,7 @@
         events: event_log.EventLog,
         gauges: Callable[[], dict[Gauge, float]],
         traffic: link_traffic.LinkTraffic | None = None,
+        retry_use: Callable[[], Mapping[str, cluster_retry_budget.Use]] = dict,
     ) -> None:
         """Initializes the exporter without observations.
 
@@ -117,7 +130,9 @@
             events: The event log, which counts events by name.
             gauges: Returns the current values of the gauges.
             traffic: Counts the bytes on the links.
+            retry_use: Returns the use of the retry budget by service.
         """
+        self._retry_use = retry_use
         self._traffic = traffic or link_traffic.LinkTraffic()
         self._events = events
         self._gauges = gauges
@@ -189,6 +204,11 @@
                 f'direction="{direction}"}} {count}'
                 for kind, count in sorted(bytes_by_kind.items())
             )
+        lines.extend(
+            f'{PREFIX}retry_budget_left_requests{{service="{service}"}}'
+            f" {use.allowed_count - use.used_count:g}"
+            for service, use in sorted(self._retry_use().items())
+        )
         lines.extend(
             f"{PREFIX}{name} {value:g}"
             for name, value in sorted(self._gauges().items())
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -242,6 +242,7 @@
             events=self._events,
             gauges=self._read_gauges,
             traffic=self._links.traffic,
+            retry_use=self._dispatcher.find_retry_use,
         )
         self._dispatcher.responder.observe = self._metrics.observe
         self._dispatcher.responder.observe_delays = self._metrics.observe_delays
@@ -558,7 +559,7 @@
     def _handle_ownership_change(self) -> None:
         server = self._ownership.server
         if server is not None and server.is_silent:
-            self._upstream.is_serving = False
+            self._upstream.set_serving(False, cause="no heartbeats")
             self._broadcast_state()
         self._upstream.set_owned(self._ownership.list_spans())
         self._upstream.refuse_unowned()
--- a/src/rhubarblead/router/responder.py
+++ b/src/rhubarblead/router/responder.py
@@ -5,6 +5,7 @@
 
 from rhubarblead.events import catalog
 from rhubarblead.platform import headers
+from rhubarblead.requests import cluster_retry_budget
 from rhubarblead.router import directory
 from rhubarblead.router import event_log
 from rhubarblead.router import http_server
@@ -122,13 +123,19 @@
         )
 
     def log_resend(
-        self, request: pending_request.PendingRequest, cause: str
+        self,
+        request: pending_request.PendingRequest,
+        cause: str,
+        use: cluster_retry_budget.Use,
     ) -> None:
-        """Logs that a request is sent again."""
+        """Logs that a request is sent again, and the use of the budget."""
         self._events.emit(
             catalog.Event.REQUEST_SENT_AGAIN,
             request_id=request.head.request_id,
             route=request.route.name,
+            service=request.service,
+            used_count=round(use.used_count, 1),
+            allowed_count=round(use.allowed_count, 1),
             node_id=request.node_id,
             cause=cause,
             sent_count=request.sent_count,
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -70,6 +70,7 @@
         "_closed_reason",
         "_traffic",
         "_is_held",
+        "_is_serving",
         "_is_owned",
         "_jobs",
         "_link_load",
@@ -81,7 +82,6 @@
         "_wait_queue",
         "_check_timer",
         "crashes",
-        "is_serving",
         "server_id",
         "statements",
         "warmth",
@@ -150,7 +150,7 @@
         )
         self.warmth.on_change = self.start_waiting
         self.server_id = ""
-        self.is_serving = False
+        self._is_serving = False
         self.crashes = crashes.CrashDetector(
             pool=self._pool,
             events=events,
@@ -170,6 +170,28 @@
         """The slots and the queue."""
         return self._wait_queue
 
+    @property
+    def is_serving(self) -> bool:
+        """Whether the server gets requests."""
+        return self._is_serving
+
+    def set_serving(self, is_serving: bool, *, cause: str) -> None:
+        """Sets whether the server gets requests, and logs a change.
+
+        Args:
+            is_serving: Whether it does.
+            cause: What has decided that, for the event log.
+        """
+        if is_serving == self._is_serving:
+            return
+        self._is_serving = is_serving
+        self._events.emit(
+            catalog.Event.SERVER_SERVING_CHANGED,
+            server=self.statements.server,
+            is_serving=is_serving,
+            cause=cause,
+        )
+
     def find_rates(self) -> dict[int, float]:
         """Returns the requests per second by key, of the keys it owns."""
         return self._traffic.find_rates(self._now_ms())
@@ -363,7 +385,7 @@
 
     def refuse_all(self, reason: wire.Reason) -> None:
         """Accepts no more requests, and refuses those that wait."""
-        self.is_serving = False
+        self.set_serving(False, cause=reason.name.lower())
         self._closed_reason = reason
         self._refuse_matching(reason, lambda job: True)
 
--- a/tests/router_doubles.py
+++ b/tests/router_doubles.py
@@ -72,7 +72,7 @@
         broadcast=lambda message: None,
     )
     opened.set_server("i-1", 18, born_ms=1)
-    opened.is_serving = True
+    opened.set_serving(True, cause="test")
     return opened
 
 
--- a/tests/steps/bench.py
+++ b/tests/steps/bench.py
@@ -10,6 +10,7 @@
 from tools.bench import comparison
 from tools.bench import entries
 from tools.bench import losses
+from tools.bench import retry_use
 from tools.bench import slot_use
 
 _MACHINES_COST = 0.1
@@ -77,10 +78,24 @@
 
 @behave.given("the log lines")
 def read_log(context: runner.Context) -> None:
-    context.usage = slot_use.read(context.text.splitlines())
+    context.log_lines = context.text.splitlines()
 
 
 @behave.then("the table of service {service:w} is")
 def check_table(context: runner.Context, service: str) -> None:
-    found = slot_use.format_service(context.usage, service)
+    usage = slot_use.read(context.log_lines)
+    found = slot_use.format_service(usage, service)
     assert found == context.text.splitlines(), found
+
+
+@behave.then(
+    "the most retries to service {service:w} are {count:d}, until {end:d} ms,"
+    " with {allowed:g} allowed"
+)
+def check_retries(
+    context: runner.Context, service: str, count: int, end: int, allowed: float
+) -> None:
+    peaks = retry_use.find_peaks(context.log_lines)
+    assert peaks[service] == retry_use.Peak(
+        ends_ms=end, retry_count=count, allowed_count=allowed
+    ), peaks
--- a/tests/steps/router_crashes.py
+++ b/tests/steps/router_crashes.py
@@ -180,7 +180,7 @@
         self.upstream.set_server(
             f"{self.name}-{self.server.life_count}", _SLOT_COUNT, born_ms=1
         )
-        self.upstream.is_serving = True
+        self.upstream.set_serving(True, cause="test")
 
     async def restart_server(self) -> None:
         """Starts the server again."""
--- a/tests/steps/router_evacuation.py
+++ b/tests/steps/router_evacuation.py
@@ -82,7 +82,7 @@
     context.add_cleanup(made.close)
     made.set_server("i-1", slots, born_ms=1)
     made.warmth.record_heartbeat(0)
-    made.is_serving = True
+    made.set_serving(True, cause="test")
     context.upstream = made
     context.state = router_doubles.make_state("n", _SERVICE)
     context.state.failure_domain = name
--- a/tests/steps/router_full_server.py
+++ b/tests/steps/router_full_server.py
@@ -58,7 +58,7 @@
     )
     context.stack.callback(context.upstream.close)
     context.upstream.set_server("i-1", 1, born_ms=1)
-    context.upstream.is_serving = True
+    context.upstream.set_serving(True, cause="test")
 
 
 @behave.given("somebody else takes the server's slot")
--- a/tests/steps/router_server_statements.py
+++ b/tests/steps/router_server_statements.py
@@ -49,7 +49,7 @@
         broadcast=lambda message: None,
     )
     made.set_server("i-1", _SLOTS, born_ms=1)
-    made.is_serving = True
+    made.set_serving(True, cause="test")
     return made
 
 
--- a/tests/steps/router_upstream.py
+++ b/tests/steps/router_upstream.py
@@ -52,7 +52,7 @@
         broadcast=lambda message: None,
     )
     context.upstream.set_server("i-1", 18, born_ms=1)
-    context.upstream.is_serving = True
+    context.upstream.set_serving(True, cause="test")
 
 
 def _make_work(number: int, key: int) -> wire.Work:
--- a/tests/steps/router_withheld_body.py
+++ b/tests/steps/router_withheld_body.py
@@ -90,7 +90,7 @@
         broadcast=lambda message: None,
     )
     made.set_server("i-1", slots, born_ms=1)
-    made.is_serving = True
+    made.set_serving(True, cause="test")
     context.upstream = made
     state = router_doubles.make_state("n", _SERVICE, incarnation=_INCARNATION)
     context.jobs = remote_jobs.RemoteJobs(
@@ -244,7 +244,7 @@
 
 @behave.then("the next request with its body runs")
 def check_next(context: runner.Context) -> None:
-    context.upstream.is_serving = True
+    context.upstream.set_serving(True, cause="test")
 
     async def run() -> None:
         _submit(context, withheld=False, may_wait=False)
--- a/tests/tools/bench.feature
+++ b/tests/tools/bench.feature
@@ -33,3 +33,15 @@
            0 |  0.25    0    0
            2 |  0.25    1    1
       """
+
+  Scenario: The retries of all nodes are summed by service and window
+    Given the log lines
+      """
+        1.0 node-1 {"event":"REQUEST_SENT_AGAIN","service":"s","allowed_count":5}
+        2.0 node-1 {"event":"REQUEST_SENT_AGAIN","service":"s","allowed_count":6}
+        3.0 node-2 {"event":"REQUEST_SENT_AGAIN","service":"s","allowed_count":4}
+        4.0 node-2 {"event":"REQUEST_SENT_AGAIN","service":"t","allowed_count":4}
+       13.5 node-2 {"event":"REQUEST_SENT_AGAIN","service":"s","allowed_count":4}
+      """
+    Then the most retries to service s are 3, until 3000 ms, with 10 allowed
+    And the most retries to service t are 1, until 4000 ms, with 4 allowed
--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -3,6 +3,7 @@
 Usage: ./run python -m tools.bench compare BEFORE AFTER [--journal FOLDER]
        ./run python -m tools.bench losses REASON [--journal FOLDER]
        ./run python -m tools.bench slots LOG SERVICE
+       ./run python -m tools.bench retries LOG
 
 BEFORE, AFTER and REASON are text in the reason that was given for the plays.
 """
@@ -14,6 +15,7 @@
 from tools.bench import comparison
 from tools.bench import entries
 from tools.bench import losses
+from tools.bench import retry_use
 from tools.bench import slot_use
 
 MIN_COST = 0.0005
@@ -69,6 +71,21 @@
             print(f"{day.name} {day.seed}: {', '.join(day.broken_rules)}")
 
 
+def print_retries(log: str) -> None:
+    """Prints the most retries to each service within a window.
+
+    Args:
+        log: File with the printed logs of all nodes of a day.
+    """
+    with open(log, encoding="utf-8") as lines:
+        peaks = retry_use.find_peaks(lines)
+    for service, peak in sorted(peaks.items()):
+        print(
+            f"{service}: {peak.retry_count} retries in the window until"
+            f" {peak.ends_ms / 1_000:.1f} s, {peak.allowed_count:.0f} allowed"
+        )
+
+
 def print_slots(log: str, service: str) -> None:
     """Prints how the slots of a service's servers were used.
 
@@ -87,5 +104,10 @@
 
 if __name__ == "__main__":
     fire.Fire(
-        {"compare": compare, "losses": print_losses, "slots": print_slots}
+        {
+            "compare": compare,
+            "losses": print_losses,
+            "retries": print_retries,
+            "slots": print_slots,
+        }
     )
--- a/tools/bench/slot_use.py
+++ b/tools/bench/slot_use.py
@@ -8,9 +8,9 @@
 import dataclasses
 from typing import Any
 
-import msgspec
+from tools.bench import log_lines
 
-SECOND_MS = 1_000
+SECOND_MS = log_lines.SECOND_MS
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -44,21 +44,11 @@
     """Reads the use of the slots from the printed logs of a day.
 
     Args:
-        lines: Lines of a time in seconds, an instance and an event in JSON;
-            others are passed over.
+        lines: Printed logs of all nodes of a day.
         window_ms: Length of a window.
     """
     usage = Usage(window_ms=window_ms)
-    for line in lines:
-        fields = line.split(maxsplit=2)
-        if len(fields) < 3 or not fields[2].startswith("{"):
-            continue
-        try:
-            event = msgspec.json.decode(fields[2])
-            at_ms = float(fields[0]) * SECOND_MS
-        except (msgspec.DecodeError, ValueError):
-            # Other programs print to the same place.
-            continue
+    for at_ms, _, event in log_lines.read(lines):
         _add(usage, event, at_ms)
     return usage
 
