Keep the shared limit on retries through cuts and restarts (BUDGET)

Cause: each node took its part of the extra retries by the nodes that it reached, so that nodes behind a cut took more, and a restarted one took its part again. Calls of servers raised the allowance, and the calls of repeated runs weren't counted as repeats.

Change: all known nodes share the extra retries, reached or not; a process takes none before a whole window, or before it has read the rows of all nodes; a retry counts until a window after its end; requests on routes that servers call don't count; nodes report the calls per run of their server, and a retry counts at the services that its run calls.

--- a/src/rhubarblead/requests/calls.py
+++ b/src/rhubarblead/requests/calls.py
@@ -50,3 +50,7 @@
         share += NEWEST_WEIGHT * (may_be_call - share)
         self._shares[route] = share
         return may_be_call and share >= CALLED_SHARE
+
+    def is_called(self, route: str) -> bool:
+        """Returns whether servers call a route, by its latest requests."""
+        return self._shares.get(route, 0.0) >= CALLED_SHARE
--- a/src/rhubarblead/router/directory.py
+++ b/src/rhubarblead/router/directory.py
@@ -117,6 +117,20 @@
             for state in (self._own_state, *self._states.values())
         )
 
+    def find_nested_calls(self, service: str) -> dict[str, float]:
+        """Returns the nested calls that a run at a service makes, by service.
+
+        The servers of a service differ by chance, or have made few runs; the
+        largest number counts.
+        """
+        most: dict[str, float] = {}
+        for state in (self._own_state, *self._states.values()):
+            if state.service != service:
+                continue
+            for called, count in state.load.nested_calls.items():
+                most[called] = max(count, most.get(called, 0.0))
+        return most
+
     def list_servers(
         self, service: str, now_ms: int
     ) -> Iterator[tuple[wire.State, int]]:
--- a/src/rhubarblead/router/dispatcher.py
+++ b/src/rhubarblead/router/dispatcher.py
@@ -59,6 +59,8 @@
     __slots__ = (
         "_retry_budget",
         "_returning_callers",
+        "_called_routes",
+        "_count_members",
         "_delayed",
         "_directory",
         "_responder",
@@ -89,6 +91,7 @@
         local_upstream: upstream.Upstream,
         watch: peer_watch.PeerWatch,
         retry_budget: cluster_retry_budget.ClusterRetryBudget,
+        count_members: Callable[[], int | None],
         config: config_feed.ConfigFeed,
         events: event_log.EventLog,
         now_ms: Callable[[], int],
@@ -101,6 +104,8 @@
         self._upstream = local_upstream
         self._peer_watch = watch
         self._retry_budget = retry_budget
+        self._count_members = count_members
+        self._called_routes = calls.CalledRoutes()
         self._returning_callers = returns.ReturningCallers()
         self._offers = offer_history.OfferHistory()
         self._responder = responder.Responder(
@@ -175,7 +180,7 @@
             self._refuse(exchange, http.HTTPStatus.BAD_REQUEST, "no key")
             return
         self._recognize_return(request)
-        self._retry_budget.record_request(service, now_ms)
+        self._record_request(request)
         exchange.on_disconnect = lambda: self._handle_disconnect(request)
         request.timer = self._loop.call_later(
             max(0, request.deadline_at_ms - self._now_ms()) / 1_000,
@@ -184,6 +189,16 @@
         )
         self._dispatch(request)
 
+    def _record_request(self, request: pending_request.PendingRequest) -> None:
+        """Counts a request for the retry budget, or as a nested call."""
+        route = request.route.name
+        if self._called_routes.record(route, request.may_be_call):
+            self._upstream.nested_calls.record_call(request.service)
+        if not self._called_routes.is_called(route):
+            self._retry_budget.record_request(
+                request.service, request.started_at_ms
+            )
+
     def _recognize_return(
         self, request: pending_request.PendingRequest
     ) -> None:
@@ -619,15 +634,22 @@
     def _may_send_again(self, request: pending_request.PendingRequest) -> bool:
         if request.sent_count >= request.route.max_attempts:
             return False
-        return self._retry_budget.take_retry(
-            request.service, self._now_ms(), self._directory.count_nodes()
+        retry = self._retry_budget.take_retry(
+            request.service,
+            self._now_ms(),
+            self._count_members(),
+            self._directory.find_nested_calls(request.service),
         )
+        if retry is None:
+            return False
+        request.retries.append(retry)
+        return True
 
     def _log_resend(
         self, request: pending_request.PendingRequest, cause: str
     ) -> None:
         use = self._retry_budget.find_use(
-            request.service, self._now_ms(), self._directory.count_nodes()
+            request.service, self._now_ms(), self._count_members()
         )
         self._responder.log_resend(request, cause, use)
 
@@ -635,7 +657,7 @@
         """Returns the use of the retry budget by service."""
         return {
             service: self._retry_budget.find_use(
-                service, self._now_ms(), self._directory.count_nodes()
+                service, self._now_ms(), self._count_members()
             )
             for service in self._retry_budget.list_services()
         }
@@ -687,7 +709,7 @@
         if request.is_ended:
             return
         self._cancel_outstanding(request)
-        request.end()
+        request.end(self._now_ms())
         self._responder.log_disconnect(request)
 
     def _cancel_outstanding(
--- a/src/rhubarblead/router/load_reports.py
+++ b/src/rhubarblead/router/load_reports.py
@@ -18,6 +18,10 @@
 """Change of a service time; a hop to another node costs 4 ms."""
 
 
+MIN_CALL_CHANGE = 0.2
+"""Change of the nested calls per run, a small part of a retry."""
+
+
 def is_worth_sending(previous: wire.ServerLoad, now: wire.ServerLoad) -> bool:
     """Returns whether other nodes would decide differently by a report.
 
@@ -56,6 +60,19 @@
     ) or _has_changed(previous.capacity_per_s, now.capacity_per_s, 1)
 
 
+def have_calls_changed(previous: wire.ServerLoad, now: wire.ServerLoad) -> bool:
+    """Returns whether runs make other nested calls than was reported.
+
+    Args:
+        previous: The report that was sent last.
+        now: The present load.
+    """
+    return any(
+        abs(count - previous.nested_calls.get(service, 0.0)) > MIN_CALL_CHANGE
+        for service, count in now.nested_calls.items()
+    )
+
+
 def _has_changed(previous: int, now: int, least: int) -> bool:
     change = abs(now - previous)
     return change >= least and change > MIN_SHARE_CHANGE * previous
--- a/src/rhubarblead/router/metrics_exporter.py
+++ b/src/rhubarblead/router/metrics_exporter.py
@@ -206,7 +206,7 @@
             )
         lines.extend(
             f'{PREFIX}retry_budget_left_requests{{service="{service}"}}'
-            f" {use.allowed_count - use.used_count:g}"
+            f" {use.left_count:g}"
             for service, use in sorted(self._retry_use().items())
         )
         lines.extend(
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -464,7 +464,9 @@
                 ratio=bounds.retry_ratio,
                 window_ms=bounds.retry_window_ms,
                 extra_count=bounds.retry_extra_count,
+                started_at_ms=read_now_ms(),
             ),
+            count_members=self._count_members,
             config=self._config,
             events=self._events,
             now_ms=read_now_ms,
@@ -472,6 +474,15 @@
             random_source=random.Random(secrets.randbits(64)),
         )
 
+    def _count_members(self) -> int | None:
+        """Counts the nodes that this one has known, None if it may miss some.
+
+        A node that can't be reached may still send requests.
+        """
+        if not self._ownership.has_loaded:
+            return None
+        return self._links.count_known()
+
     def _make_shutdown(self) -> shutdown.Shutdown:
         return shutdown.Shutdown(
             callers=self._servers["callers"],
--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -74,6 +74,7 @@
         "_find_rates",
         "_batcher",
         "_heartbeat_ms",
+        "_has_loaded",
         "_holdings",
         "_is_assignment_stale",
         "_is_loaded",
@@ -189,6 +190,7 @@
             + int(longest_ms * holdings.MAX_CLOCK_SLOWDOWN)
         )
         self._is_loaded = False
+        self._has_loaded = False
         # Set if other nodes may have taken over keys of this one, or of an
         # earlier process; then nothing is granted before the rows are read.
         self._is_assignment_stale = not is_first_start
@@ -222,6 +224,11 @@
         """Takes over the keys of lost nodes."""
         return self._takeover
 
+    @property
+    def has_loaded(self) -> bool:
+        """Whether this process has read the rows of all nodes."""
+        return self._has_loaded
+
     def get_own_revision(self) -> int:
         """Returns the revision of the node's row in the store."""
         return self._registration.revision
@@ -476,6 +483,7 @@
         if not self._assignments.apply_rows(found.rows):
             self._assignments.keep_without_row()
         self._is_loaded = True
+        self._has_loaded = True
         self._is_assignment_stale = False
         self._recovery.record_store_seen()
         for row in found.rows:
--- a/src/rhubarblead/router/peers.py
+++ b/src/rhubarblead/router/peers.py
@@ -135,6 +135,10 @@
         if found is not None:
             found.close(linger_ms=linger_ms)
 
+    def count_known(self) -> int:
+        """Counts the nodes to which links were made, and this one."""
+        return len(self._links) + 1
+
     def is_up(self, node_id: str) -> bool:
         """Returns whether the link to a node is known to be connected."""
         found = self._links.get(node_id)
--- a/src/rhubarblead/router/pending_request.py
+++ b/src/rhubarblead/router/pending_request.py
@@ -5,6 +5,7 @@
 
 from rhubarblead import routing_table
 from rhubarblead.platform import headers
+from rhubarblead.requests import cluster_retry_budget
 from rhubarblead.requests import poison
 from rhubarblead.router import http_server
 from rhubarblead.router import jobs
@@ -28,7 +29,8 @@
     `retry_delays_ms` holds those that full queues have named for it.
     `is_body_withheld` is set while the outstanding send has gone without its
     body, so that it can't run yet.
-    `excluded` holds the nodes that are not chosen again.
+    `excluded` holds the nodes that are not chosen again. `retries` are those
+    that the budget has allowed for it.
     """
 
     exchange: http_server.Exchange
@@ -59,6 +61,9 @@
     retry_delays_ms: list[int] = dataclasses.field(default_factory=list)
     is_body_withheld: bool = False
     excluded: set[str] = dataclasses.field(default_factory=set)
+    retries: list[cluster_retry_budget.Retry] = dataclasses.field(
+        default_factory=list
+    )
 
     @property
     def is_return(self) -> bool:
@@ -86,8 +91,10 @@
         """Returns the time from the request's arrival to its last send."""
         return max(0, self.sent_at_ms - self.started_at_ms)
 
-    def end(self) -> None:
+    def end(self, now_ms: int) -> None:
         """Marks the request as ended and cancels its timer."""
         self.is_ended = True
+        for retry in self.retries:
+            retry.ended_at_ms = now_ms
         if self.timer is not None:
             self.timer.cancel()
--- a/src/rhubarblead/router/responder.py
+++ b/src/rhubarblead/router/responder.py
@@ -56,7 +56,7 @@
         self, request: pending_request.PendingRequest, outcome: wire.Outcome
     ) -> None:
         """Forwards a server's response to the caller."""
-        request.end()
+        request.end(self._now_ms())
         request.exchange.finish(
             http_server.Response(
                 status=outcome.status,
@@ -170,7 +170,7 @@
         cause: str,
         retry_after_ms: int,
     ) -> None:
-        request.end()
+        request.end(self._now_ms())
         request_id = request.head.request_id
         request.exchange.finish(
             _make_response(status, request_id, retry_after_ms)
--- a/src/rhubarblead/router/state_broadcaster.py
+++ b/src/rhubarblead/router/state_broadcaster.py
@@ -143,7 +143,11 @@
             self.broadcast()
             return
         load = self.refresh().load
-        is_keepalive = count % LOADS_PER_KEEPALIVE == 0
+        # All nodes need the nested calls, which change seldom.
+        is_keepalive = (
+            count % LOADS_PER_KEEPALIVE == 0
+            or load_reports.have_calls_changed(self._sent_load, load)
+        )
         if not is_keepalive and not load_reports.is_worth_sending(
             self._sent_load, load
         ):
@@ -187,4 +191,5 @@
             has_store=self._client.is_working,
             config_version=self._config.version,
             link_backlog_ms=int(self._upstream.link_load.find_backlog_ms()),
+            nested_calls=self._upstream.nested_calls.find_per_run(),
         )
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -11,6 +11,7 @@
 from rhubarblead.requests import calls
 from rhubarblead.requests import circuit_breaker
 from rhubarblead.requests import link_load
+from rhubarblead.requests import nested_calls
 from rhubarblead.requests import waiting
 from rhubarblead.router import crashes
 from rhubarblead.router import event_log
@@ -82,6 +83,7 @@
         "_wait_queue",
         "_check_timer",
         "crashes",
+        "nested_calls",
         "server_id",
         "statements",
         "warmth",
@@ -149,6 +151,7 @@
             is_wanted=lambda: self.is_serving,
         )
         self.warmth.on_change = self.start_waiting
+        self.nested_calls = nested_calls.NestedCalls()
         self.server_id = ""
         self._is_serving = False
         self.crashes = crashes.CrashDetector(
@@ -599,6 +602,8 @@
         )
         job.connection = connection
         job.is_sent = True
+        if not job.ticket.is_call:
+            self.nested_calls.record_run()
         job.server = self.statements.server
         self.crashes.begin(job.ticket.number, work)
         job.timer = self._loop.call_later(
--- a/src/rhubarblead/router/wire.py
+++ b/src/rhubarblead/router/wire.py
@@ -176,7 +176,8 @@
     request for a slot, `call_wait_ms` that of a call from another server.
     `has_store` is set if the store answers the node. `link_backlog_ms` is the
     time that the node's link needs for the large responses that are queued or
-    expected.
+    expected. `nested_calls` holds how many calls a run at the server makes on
+    average, by called service.
     """
 
     wait_ms: int = 0
@@ -187,6 +188,7 @@
     has_store: bool = False
     config_version: int = -1
     link_backlog_ms: int = 0
+    nested_calls: dict[str, float] = msgspec.field(default_factory=dict)
 
 
 class State(msgspec.Struct, tag=4, array_like=True, kw_only=True):
--- a/tests/rhubarblead/router/dispatcher.feature
+++ b/tests/rhubarblead/router/dispatcher.feature
@@ -150,6 +150,30 @@
       | 1200 | 900      | a call    |
       | 1200 | 1200     | a call    |
 
+  # BUDGET: calls raised the allowance, which is for requests of callers only.
+  Scenario Outline: Only requests of callers raise the retry budget
+    Given a dispatcher whose keys are owned by node n2
+    And a local server whose longest run has <left> ms left
+    When 100 requests with a deadline of 900 ms arrive from the instance's own address
+    Then <allowed> retries are allowed to their service
+
+    Examples: 12.4 extra retries are this node's
+      | left | allowed |
+      | 0    | 28.4    |
+      | 1200 | 12.4    |
+
+  # BUDGET: the nested calls of repeated runs were not counted.
+  Scenario Outline: A request isn't retried beyond what its nested calls may repeat
+    Given a dispatcher whose keys are owned by node n2
+    And runs at n2 make <calls> calls to "p1" each
+    When a repeatable request arrives and its sends end with "shed ran"
+    Then the caller receives the status <status>
+
+    Examples: 12.4 retries to p1 are this node's
+      | calls | status |
+      | 2     | 200    |
+      | 13    | 503    |
+
   # Returning callers counted as new ones, and their targets began anew.
   Scenario Outline: A caller that comes back after a refusal keeps its target
     Given a dispatcher whose keys are owned by node n2
--- a/tests/steps/router_dispatcher.py
+++ b/tests/steps/router_dispatcher.py
@@ -11,6 +11,7 @@
 from rhubarblead.keyspace import assignment
 from rhubarblead.platform import headers
 from rhubarblead.requests import cluster_retry_budget
+from rhubarblead.requests import nested_calls
 from rhubarblead.requests import waiting
 from rhubarblead.router import directory
 from rhubarblead.router import dispatcher
@@ -22,6 +23,7 @@
 _HOST = b"one.example"
 _OWN_IP = "127.0.0.8"
 _BUSY_REQUEST_COUNT = 20
+_WINDOW_MS = 10_000
 _KINDS = {
     "repeatable": routing_table.RouteKind.REPEATABLE,
     "once": routing_table.RouteKind.ONCE,
@@ -74,6 +76,7 @@
         self.left_ms = 0
         self.crashes = _Crashes()
         self.wait_queue = waiting.WaitQueue(slot_count=1)
+        self.nested_calls = nested_calls.NestedCalls()
 
     def find_left_ms(self) -> int:
         """Returns what the test has set."""
@@ -170,14 +173,19 @@
         on_silent=lambda node_id: context.dispatcher.handle_silent(node_id),
     )
     context.add_cleanup(context.watch.close)
+    context.retry_budget = cluster_retry_budget.ClusterRetryBudget(
+        ratio=0.2,
+        window_ms=_WINDOW_MS,
+        extra_count=62,
+        started_at_ms=-_WINDOW_MS,
+    )
     context.dispatcher = dispatcher.RequestDispatcher(
         cluster_directory=context.directory,
         links=links,
         local_upstream=local_upstream,
         watch=context.watch,
-        retry_budget=cluster_retry_budget.ClusterRetryBudget(
-            ratio=0.2, window_ms=10_000, extra_count=62
-        ),
+        retry_budget=context.retry_budget,
+        count_members=lambda: 4,
         config=config,
         events=silent_event_log,
         now_ms=lambda: context.now_ms,
@@ -324,6 +332,36 @@
     )
 
 
+@behave.when(
+    "{count:d} requests with a deadline of {deadline:d} ms arrive from the"
+    " instance's own address"
+)
+def send_many(context: runner.Context, count: int, deadline: int) -> None:
+    for _ in range(count):
+        context.loop.run_until_complete(
+            _receive(
+                context,
+                "/repeatable/x",
+                deadline_ms=deadline,
+                peer_ip=_OWN_IP,
+            )
+        )
+
+
+@behave.then("{count:g} retries are allowed to their service")
+def check_budget(context: runner.Context, count: float) -> None:
+    use = context.dispatcher.find_retry_use().get("keyed")
+    if use is None:
+        use = context.retry_budget.find_use("keyed", context.now_ms, 4)
+    assert round(use.left_count, 3) == count, use
+
+
+@behave.given('runs at n2 make {count:g} calls to "{service}" each')
+def set_calls(context: runner.Context, count: float, service: str) -> None:
+    state = context.directory.find_state("n2")
+    state.load.nested_calls = {service: count}
+
+
 @behave.when("{passed:d} ms later a request for {target:S} arrives")
 def send_later(context: runner.Context, passed: int, target: str) -> None:
     context.now_ms += passed
--- a/tests/steps/router_load_reports.py
+++ b/tests/steps/router_load_reports.py
@@ -9,6 +9,7 @@
 
 from rhubarblead import routing_table
 from rhubarblead.requests import link_load
+from rhubarblead.requests import nested_calls
 from rhubarblead.requests import waiting
 from rhubarblead.router import directory
 from rhubarblead.router import load_reports
@@ -87,6 +88,7 @@
         )
         self.crashes = self
         self.is_serving = True
+        self.nested_calls = nested_calls.NestedCalls()
 
     def compute_digest(self) -> int:
         """Returns the digest of no crashes."""
