Use no server again that has announced its exit (DRAIN)

Cause: a deregistration that names no start, at a node that knew no server, was answered with 200 and remembered with the start 0, so that the delayed heartbeat that followed was taken for a later process. Other announcements that seemed out of order, or of an earlier process, were acknowledged and had no effect either.

Change: such a deregistration holds for all earlier starts; a tracker judges heartbeats and remembers announcements, and one function applies them; what has no effect is not acknowledged (409); a process that goes on sending heartbeats is believed; nodes tell the next process of another one; a request whose connection was being opened isn't sent.

--- a/src/rhubarblead/router/heartbeat_handler.py
+++ b/src/rhubarblead/router/heartbeat_handler.py
@@ -9,12 +9,10 @@
 from rhubarblead.router import event_log
 from rhubarblead.router import http_server
 from rhubarblead.router import ownership
+from rhubarblead.router import server_process
 from rhubarblead.router import upstream
 from rhubarblead.router import wire
 
-MAX_DEPARTED_COUNT = 64
-"""Servers remembered as gone; an instance has one server at a time."""
-
 MAX_REPLY_DELAY_S = 0.6
 """How long the first heartbeat of a server process waits for its keys.
 
@@ -39,6 +37,7 @@
         "_ownership",
         "_service",
         "_upstream",
+        "_wall_ms",
     )
 
     def __init__(
@@ -48,6 +47,7 @@
         local_upstream: upstream.Upstream,
         service: str,
         events: event_log.EventLog,
+        wall_ms: Callable[[], int],
         on_change: Callable[[], None],
         is_evacuated: Callable[[], bool] = lambda: False,
     ) -> None:
@@ -58,6 +58,7 @@
             local_upstream: The local server.
             service: The service that the server must belong to.
             events: The event log.
+            wall_ms: The Unix time in milliseconds.
             on_change: Called when the server's state has changed and the other
                 nodes must be notified.
             is_evacuated: Tells whether the server is to get no requests.
@@ -65,11 +66,12 @@
         self._ownership = key_ownership
         self._upstream = local_upstream
         self._service = service
+        self._wall_ms = wall_ms
         self._events = events
         self._on_change = on_change
         self.is_evacuated = is_evacuated
-        # The start of each server process that has deregistered last, by id.
-        self._departed: dict[str, int] = {}
+        # The last server process whose exit was announced.
+        self._departed = ""
         self.is_stopping = False
 
     def handle(self, exchange: http_server.Exchange) -> None:
@@ -94,25 +96,44 @@
     def _handle_heartbeat(
         self, exchange: http_server.Exchange, heartbeat: heartbeats.Heartbeat
     ) -> None:
-        if heartbeat.service != self._service:
-            self._refuse(
-                exchange,
-                f"service {heartbeat.service!r} is not this node's",
-            )
+        fault = self._find_fault(heartbeat)
+        if fault:
+            self._refuse(exchange, fault)
             return
+        match self._ownership.handle_heartbeat(heartbeat):
+            case server_process.Standing.EARLIER:
+                self._ignore_heartbeat(exchange, heartbeat)
+            case server_process.Standing.LATE if not heartbeat.is_draining:
+                self._ignore_heartbeat(exchange, heartbeat)
+            case server_process.Standing.LATE:
+                self._apply_departure(has_deregistered=False)
+                self._finish(exchange, heartbeats.encode_reply(None, 0))
+            case _:
+                self._apply_heartbeat(exchange, heartbeat)
+
+    def _find_fault(self, heartbeat: heartbeats.Heartbeat) -> str:
+        """Returns why a heartbeat can't be the server's, empty if it can."""
+        if heartbeat.service != self._service:
+            return f"service {heartbeat.service!r} is not this node's"
         if heartbeat.held is None and self._ownership.is_keyed:
             # Taken for an empty list, it would complete all pending releases.
-            self._refuse(exchange, "the ranges of a keyed server are missing")
-            return
-        if not self._ownership.handle_heartbeat(heartbeat):
-            self._report_ignored(
-                "heartbeat",
-                heartbeat.server_id,
-                heartbeat.born_ms,
-                heartbeat.sequence,
-            )
-            self._finish(exchange, heartbeats.encode_reply(None, 0))
-            return
+            return "the ranges of a keyed server are missing"
+        return ""
+
+    def _ignore_heartbeat(
+        self, exchange: http_server.Exchange, heartbeat: heartbeats.Heartbeat
+    ) -> None:
+        self._report_ignored(
+            "heartbeat",
+            heartbeat.server_id,
+            heartbeat.born_ms,
+            heartbeat.sequence,
+        )
+        self._reject(exchange)
+
+    def _apply_heartbeat(
+        self, exchange: http_server.Exchange, heartbeat: heartbeats.Heartbeat
+    ) -> None:
         local_upstream = self._upstream
         was_serving = local_upstream.is_serving
         is_new = heartbeat.server_id != local_upstream.server_id
@@ -121,11 +142,6 @@
             heartbeat.server_id, heartbeat.slots, born_ms=heartbeat.born_ms
         )
         local_upstream.warmth.record_heartbeat(heartbeat.cold_remaining_ms)
-        # A heartbeat may have been sent before the server began to leave.
-        if self._has_departed(heartbeat):
-            self._ownership.begin_server_leaving(
-                heartbeat.server_id, "server had deregistered"
-            )
         is_leaving = self._ownership.is_server_leaving
         local_upstream.set_serving(
             not (is_leaving or self.is_stopping or self.is_evacuated()),
@@ -133,9 +149,8 @@
         )
         delay_s = MAX_REPLY_DELAY_S if is_first else 0.0
         self._reply(exchange, asyncio.get_running_loop().time() + delay_s)
-        if is_leaving and was_serving:
-            self._begin_leaving(heartbeat.server_id, has_deregistered=False)
-        elif is_new or was_serving != local_upstream.is_serving:
+        self._apply_departure(has_deregistered=False)
+        if is_new or was_serving != local_upstream.is_serving:
             self._on_change()
 
     def _reply(self, exchange: http_server.Exchange, due_at_s: float) -> None:
@@ -152,15 +167,15 @@
         exchange: http_server.Exchange,
         call: heartbeats.Deregistration,
     ) -> None:
-        self._record_departure(call)
-        if self._ownership.begin_server_leaving(
-            call.server_id, "server deregistered", call.born_ms
+        if not self._ownership.handle_deregistration(
+            call.server_id, call.born_ms, self._wall_ms()
         ):
-            self._upstream.set_serving(False, cause="deregistered")
-            self._upstream.crashes.expect_exit()
-            self._begin_leaving(call.server_id, has_deregistered=True)
-        else:
             self._report_ignored("deregistration", call.server_id, call.born_ms)
+            self._reject(exchange)
+            return
+        if self._upstream.server_id == call.server_id:
+            self._upstream.crashes.expect_exit()
+            self._apply_departure(has_deregistered=True)
         self._finish(exchange, b"{}")
 
     def _report_ignored(
@@ -182,31 +197,21 @@
             known_sequence=None if known is None else known.sequence,
         )
 
-    def _record_departure(self, call: heartbeats.Deregistration) -> None:
-        """Remembers a server that is gone, also if none is known here yet."""
-        self._departed.pop(call.server_id, None)
-        self._departed[call.server_id] = call.born_ms
-        if len(self._departed) > MAX_DEPARTED_COUNT:
-            del self._departed[next(iter(self._departed))]
-
-    def _has_departed(self, heartbeat: heartbeats.Heartbeat) -> bool:
-        departed_born_ms = self._departed.get(heartbeat.server_id, -1)
-        return heartbeat.born_ms <= departed_born_ms
-
     def handle_stated_leaving(self) -> None:
         """Handles the statement in a response that the server is leaving."""
-        server_id = self._upstream.server_id
-        is_current = self._ownership.begin_server_leaving(
-            server_id, "server states that it leaves"
-        )
-        if is_current and self._upstream.is_serving:
-            self._begin_leaving(server_id, has_deregistered=False)
+        self._ownership.handle_stated_leaving()
+        self._apply_departure(has_deregistered=False)
 
-    def _begin_leaving(self, server_id: str, *, has_deregistered: bool) -> None:
+    def _apply_departure(self, *, has_deregistered: bool) -> None:
+        """Stops using the server once it has announced its exit."""
+        process = self._upstream.statements.server
+        if not self._ownership.is_server_leaving or process == self._departed:
+            return
+        self._departed = process
         wait_queue = self._upstream.wait_queue
         self._events.emit(
             catalog.Event.SERVER_LEAVING,
-            server_id=server_id,
+            server_id=self._upstream.server_id,
             has_deregistered=has_deregistered,
             waiting_count=wait_queue.waiting_count,
             running_count=wait_queue.running_count,
@@ -222,6 +227,14 @@
             )
         )
 
+    def _reject(self, exchange: http_server.Exchange) -> None:
+        """Responds to a call without effect, which is not acknowledged.
+
+        An acknowledgement would bind this node: if the call is that of the
+        process that lives, it must be sent again.
+        """
+        exchange.finish(http_server.Response(status=http.HTTPStatus.CONFLICT))
+
     def _refuse(self, exchange: http_server.Exchange, error: str) -> None:
         self._events.emit(catalog.Event.HEARTBEAT_REFUSED, error=error)
         exchange.finish(
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -61,6 +61,11 @@
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
 
 
+def read_wall_ms() -> int:
+    """Reads the Unix time in milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
 class Node:
     """Owns all tasks of a router process."""
 
@@ -230,6 +235,7 @@
             local_upstream=self._upstream,
             service=deployment.service,
             events=self._events,
+            wall_ms=read_wall_ms,
             on_change=self._broadcast_state,
             is_evacuated=lambda: self._evacuation.is_stopped,
         )
--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -5,7 +5,6 @@
 
 import asyncio
 from collections.abc import Callable
-import dataclasses
 
 from rhubarblead.events import catalog
 from rhubarblead.keyspace import assignment
@@ -24,6 +23,7 @@
 from rhubarblead.router import peers
 from rhubarblead.router import promise_exchange
 from rhubarblead.router import registration
+from rhubarblead.router import server_process
 from rhubarblead.router import store_access
 from rhubarblead.router import store_client
 from rhubarblead.router import takeover
@@ -41,24 +41,6 @@
 """How long the server may hold its keys while this node restarts."""
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class ServerState:
-    """State of the local server process by its latest heartbeat."""
-
-    server_id: str
-    born_ms: int
-    sequence: int
-    last_heartbeat_at_ms: int
-    is_leaving: bool = False
-    is_silent: bool = False
-    heartbeat_count: int = 0
-
-    @property
-    def may_hold(self) -> bool:
-        """Whether the server may keep its keys."""
-        return not (self.is_leaving or self.is_silent)
-
-
 class Ownership:
     """Manages this node's share of the keys of its service.
 
@@ -89,9 +71,9 @@
         "_started_at_ms",
         "_state",
         "_takeover",
+        "_tracker",
         "is_evacuated",
         "is_stopping",
-        "server",
         "wake",
     )
 
@@ -198,7 +180,7 @@
         self._recent_shifts = recent_shifts.RecentShifts()
         self.is_evacuated = False
         self.is_stopping = False
-        self.server: ServerState | None = None
+        self._tracker = server_process.ServerTracker(interval_ms=heartbeat_ms)
         self.wake = asyncio.Event()
 
     # Interface to the other tasks.
@@ -262,24 +244,45 @@
 
     # Heartbeats of the server.
 
-    def handle_heartbeat(self, heartbeat: heartbeats.Heartbeat) -> bool:
+    @property
+    def server(self) -> server_process.ServerState | None:
+        """The server process that lives, None before its first heartbeat."""
+        return self._tracker.current
+
+    def handle_heartbeat(
+        self, heartbeat: heartbeats.Heartbeat
+    ) -> server_process.Standing:
         """Handles a heartbeat of the server.
 
         Returns:
-            Whether it is the newest heartbeat of the newest server process;
-            others have no effect.
+            What it says of its sender. One that is late has no other effect
+            than to announce the exit, one of an earlier process none.
         """
         now_ms = self._now_ms()
+        standing = self._tracker.judge(heartbeat, now_ms)
+        if heartbeat.is_draining:
+            self._tracker.record_leaving(heartbeat.server_id, heartbeat.born_ms)
+        match standing:
+            case server_process.Standing.EARLIER:
+                pass
+            case server_process.Standing.LATE:
+                self._apply_departure("server is draining")
+            case server_process.Standing.NEW:
+                self._replace_server(heartbeat, now_ms)
+                self._apply_heartbeat(heartbeat, now_ms)
+            case server_process.Standing.NEXT:
+                self._apply_heartbeat(heartbeat, now_ms)
+        return standing
+
+    def _apply_heartbeat(
+        self, heartbeat: heartbeats.Heartbeat, now_ms: int
+    ) -> None:
         server = self.server
-        if server is not None and _is_stale(heartbeat, server):
-            return False
-        if server is None or heartbeat.born_ms != server.born_ms:
-            server = self._replace_server(heartbeat, now_ms)
+        assert server is not None
         server.sequence = heartbeat.sequence
         server.last_heartbeat_at_ms = now_ms
         server.is_silent = False
         server.heartbeat_count += 1
-        server.is_leaving = server.is_leaving or heartbeat.is_draining
         held = [(g.first, g.last, g.fence) for g in heartbeat.held or ()]
         self._recovery.record_heartbeat([(h[0], h[1]) for h in held])
         self._holdings.record_heartbeat(
@@ -288,32 +291,54 @@
             freed=[(f.first, f.last, f.handover) for f in heartbeat.freed],
             now_ms=now_ms,
         )
-        if server.is_leaving:
-            self._release_all("server is draining")
+        self._apply_departure("server is draining")
         self.wake.set()
-        return True
 
-    def begin_server_leaving(
-        self, server_id: str, cause: str, born_ms: int = 0
+    def handle_deregistration(
+        self, server_id: str, born_ms: int, wall_ms: int
     ) -> bool:
-        """Releases the keys of the server, which has announced its exit.
+        """Handles a server's notice that it sends no more heartbeats.
 
         Args:
-            server_id: The server that is leaving.
-            cause: How it has announced that; logged with the release.
+            server_id: The server.
             born_ms: The Unix time of its start, 0 if that is not known.
+            wall_ms: The Unix time.
 
         Returns:
-            Whether the named server process is the current one.
+            Whether it holds for the server whenever that sends a heartbeat.
+            One of an earlier process under the same id doesn't.
         """
-        if self.server is None or self.server.server_id != server_id:
-            return False
-        if born_ms and born_ms < self.server.born_ms:
-            return False
-        self.server.is_leaving = True
+        server = self.server
+        is_known = server is not None and server.server_id == server_id
+        if not born_ms:
+            # A heartbeat sent before may still arrive; a later start may not.
+            born_ms = server.born_ms if server and is_known else wall_ms
+        self._tracker.record_deregistration(server_id, born_ms)
+        self._apply_departure("server deregistered")
+        return not is_known or self.is_server_leaving
+
+    def handle_stated_leaving(self) -> None:
+        """Handles the statement in a response that the server leaves."""
+        server = self.server
+        if server is None:
+            return
+        self._tracker.record_leaving(server.server_id, server.born_ms)
+        self._apply_departure("server states that it leaves")
+
+    def _apply_departure(self, cause: str) -> None:
+        """Releases the keys of the server if it has announced its exit.
+
+        Args:
+            cause: How it has announced that; logged with the release.
+        """
+        server = self.server
+        if server is None:
+            return
+        if not self._tracker.has_left(server.server_id, server.born_ms):
+            return
+        server.is_leaving = True
         self._release_all(cause)
         self.wake.set()
-        return True
 
     @property
     def is_server_leaving(self) -> bool:
@@ -548,17 +573,11 @@
 
     def _replace_server(
         self, heartbeat: heartbeats.Heartbeat, now_ms: int
-    ) -> ServerState:
+    ) -> None:
         if self.server is not None:
             # The previous server process has ended, and holds nothing.
             self._holdings = holdings.Holdings(held_until_ms=now_ms)
-        server = ServerState(
-            server_id=heartbeat.server_id,
-            born_ms=heartbeat.born_ms,
-            sequence=-1,
-            last_heartbeat_at_ms=now_ms,
-        )
-        self.server = server
+        self._tracker.begin(heartbeat, now_ms)
         self._update_holdings()
         self._events.emit(
             catalog.Event.SERVER_SEEN,
@@ -566,7 +585,6 @@
             born_ms=heartbeat.born_ms,
             slot_count=heartbeat.slots,
         )
-        return server
 
     def _check_server(self) -> None:
         now_ms = self._now_ms()
@@ -612,7 +630,7 @@
             item for item in self._list_owned() if item.owner == own_owner
         )
 
-    def _make_owner_name(self, server: ServerState) -> str:
+    def _make_owner_name(self, server: server_process.ServerState) -> str:
         return assignment.format_owner(self._state.node_id, server.born_ms)
 
     def _release_all(self, cause: str) -> None:
@@ -773,10 +791,3 @@
             cause = "overload"
         if transfers:
             self._start_release(transfers, cause)
-
-
-def _is_stale(heartbeat: heartbeats.Heartbeat, server: ServerState) -> bool:
-    """Tells whether a heartbeat is out of order or of an earlier process."""
-    if heartbeat.born_ms != server.born_ms:
-        return heartbeat.born_ms < server.born_ms
-    return heartbeat.sequence <= server.sequence
--- a/src/rhubarblead/router/server_notices.py
+++ b/src/rhubarblead/router/server_notices.py
@@ -38,18 +38,18 @@
             node_id: The node beside the server.
             outcome: The outcome of a request there.
         """
-        statement = outcome.statement
-        if statement is not None:
-            self._statements[node_id] = statement
-            self._statements.move_to_end(node_id)
-            if len(self._statements) > MAX_REMEMBERED_COUNT:
-                oldest, _ = self._statements.popitem(last=False)
-                self._told.pop(oldest, None)
+        if outcome.statement is not None:
+            self._record(node_id, outcome.statement)
         elif outcome.verdict == wire.Verdict.RAN:
             self._forget_limit(node_id)
 
     def handle_state(self, state: wire.State) -> None:
-        """Tells the statement to a new process of the server's node."""
+        """Records the statement in a node's state.
+
+        A new process of the node, which doesn't know it, is told.
+        """
+        if state.statement is not None:
+            self._record(state.node_id, state.statement)
         if state.node_id not in self._statements:
             return
         if self._told.get(state.node_id) != state.incarnation:
@@ -62,6 +62,13 @@
         if statement is not None:
             self._links.send(node_id, wire.ServerNotice(statement=statement))
 
+    def _record(self, node_id: str, statement: wire.ServerStatement) -> None:
+        self._statements[node_id] = statement
+        self._statements.move_to_end(node_id)
+        if len(self._statements) > MAX_REMEMBERED_COUNT:
+            oldest, _ = self._statements.popitem(last=False)
+            self._told.pop(oldest, None)
+
     def _forget_limit(self, node_id: str) -> None:
         statement = self._statements.get(node_id)
         if statement is not None and not statement.is_leaving:
--- /dev/null
+++ b/src/rhubarblead/router/server_process.py
@@ -0,0 +1,190 @@
+"""Tells which process of the local server lives, by its heartbeats.
+
+A later start proves the end of the process before, and a lower sequence number
+that a call was delayed. Both are statements of whoever has sent the call: one
+call of another writer would shut the server out for good. A process that goes
+on sending heartbeats, while the one that is taken to live has ceased to, is the
+one that lives.
+"""
+
+import dataclasses
+import enum
+from typing import TypeVar
+
+from rhubarblead.platform import heartbeats
+
+_Key = TypeVar("_Key")
+_Value = TypeVar("_Value")
+
+MAX_SILENT_INTERVALS = 1.6
+"""Heartbeat intervals after which the known process may be a mistaken one."""
+
+MIN_SPACING_INTERVALS = 0.5
+"""Delayed heartbeats arrive together; those of a live process, apart."""
+
+MAX_DEPARTED_COUNT = 64
+"""Processes remembered as leaving; an instance has one server at a time."""
+
+
+class Standing(enum.Enum):
+    """What a heartbeat says of its sender."""
+
+    NEXT = enum.auto()
+    """It is the next one of the known process."""
+    NEW = enum.auto()
+    """It is of a process that takes the place of the known one."""
+    LATE = enum.auto()
+    """It is of the known process, but was sent before its newest one."""
+    EARLIER = enum.auto()
+    """It is of another process that has ended, as far as is known."""
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class ServerState:
+    """State of the local server process by its latest heartbeat."""
+
+    server_id: str
+    born_ms: int
+    sequence: int
+    last_heartbeat_at_ms: int
+    is_leaving: bool = False
+    is_silent: bool = False
+    heartbeat_count: int = 0
+
+    @property
+    def may_hold(self) -> bool:
+        """Whether the server may keep its keys."""
+        return not (self.is_leaving or self.is_silent)
+
+    def is_of(self, server_id: str, born_ms: int) -> bool:
+        """Returns whether this is the process with an id and a start."""
+        return (self.server_id, self.born_ms) == (server_id, born_ms)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Unexpected:
+    """A heartbeat that had no effect when it arrived."""
+
+    server_id: str
+    born_ms: int
+    sequence: int
+    arrived_at_ms: int
+
+
+class ServerTracker:
+    """Judges the heartbeats that arrive, and remembers which servers leave.
+
+    `current` is the process that is taken to live, None before its first
+    heartbeat.
+    """
+
+    __slots__ = (
+        "_deregistered",
+        "_interval_ms",
+        "_leaving",
+        "_seen",
+        "current",
+    )
+
+    def __init__(self, *, interval_ms: int) -> None:
+        """Creates a tracker that knows no server.
+
+        Args:
+            interval_ms: Interval of the heartbeats.
+        """
+        self._interval_ms = interval_ms
+        # A heartbeat that the known process can't have sent in that order.
+        self._seen: _Unexpected | None = None
+        # Processes that have said that they leave, the oldest first.
+        self._leaving: dict[tuple[str, int], None] = {}
+        # The latest start of a process that has deregistered, by its id.
+        self._deregistered: dict[str, int] = {}
+        self.current: ServerState | None = None
+
+    def judge(self, heartbeat: heartbeats.Heartbeat, now_ms: int) -> Standing:
+        """Judges a heartbeat.
+
+        Args:
+            heartbeat: The heartbeat.
+            now_ms: When it has arrived.
+        """
+        current = self.current
+        if current is None:
+            return Standing.NEW
+        is_same = current.is_of(heartbeat.server_id, heartbeat.born_ms)
+        if is_same and heartbeat.sequence > current.sequence:
+            self._seen = None
+            return Standing.NEXT
+        if heartbeat.born_ms > current.born_ms:
+            self._seen = None
+            return Standing.NEW
+        if self._shows_life(heartbeat, current, now_ms):
+            self._seen = None
+            return Standing.NEW
+        return Standing.LATE if is_same else Standing.EARLIER
+
+    def begin(
+        self, heartbeat: heartbeats.Heartbeat, now_ms: int
+    ) -> ServerState:
+        """Makes the sender of a heartbeat the process that lives."""
+        self.current = ServerState(
+            server_id=heartbeat.server_id,
+            born_ms=heartbeat.born_ms,
+            sequence=-1,
+            last_heartbeat_at_ms=now_ms,
+        )
+        return self.current
+
+    def record_leaving(self, server_id: str, born_ms: int) -> None:
+        """Remembers that a process has said that it leaves."""
+        _remember(self._leaving, (server_id, born_ms), None)
+
+    def record_deregistration(self, server_id: str, born_ms: int) -> None:
+        """Remembers that a process has deregistered; those before it ended."""
+        latest_ms = max(born_ms, self._deregistered.get(server_id, 0))
+        _remember(self._deregistered, server_id, latest_ms)
+
+    def has_left(self, server_id: str, born_ms: int) -> bool:
+        """Returns whether a process has announced its exit."""
+        return (
+            born_ms <= self._deregistered.get(server_id, -1)
+            or (server_id, born_ms) in self._leaving
+        )
+
+    def _shows_life(
+        self,
+        heartbeat: heartbeats.Heartbeat,
+        current: ServerState,
+        now_ms: int,
+    ) -> bool:
+        """Returns whether the sender lives although it should not."""
+        seen = self._seen
+        is_next = (
+            seen is not None
+            and seen.arrived_at_ms > current.last_heartbeat_at_ms
+            and (seen.server_id, seen.born_ms)
+            == (heartbeat.server_id, heartbeat.born_ms)
+            and seen.sequence < heartbeat.sequence
+        )
+        if seen is None or not is_next:
+            self._seen = _Unexpected(
+                server_id=heartbeat.server_id,
+                born_ms=heartbeat.born_ms,
+                sequence=heartbeat.sequence,
+                arrived_at_ms=now_ms,
+            )
+            return False
+        silent_ms = now_ms - current.last_heartbeat_at_ms
+        spacing_ms = now_ms - seen.arrived_at_ms
+        return (
+            silent_ms >= MAX_SILENT_INTERVALS * self._interval_ms
+            and spacing_ms >= MIN_SPACING_INTERVALS * self._interval_ms
+        )
+
+
+def _remember(memory: dict[_Key, _Value], key: _Key, value: _Value) -> None:
+    """Adds an entry as the newest one; drops the oldest if there are many."""
+    memory.pop(key, None)
+    memory[key] = value
+    if len(memory) > MAX_DEPARTED_COUNT:
+        del memory[next(iter(memory))]
--- a/src/rhubarblead/router/state_broadcaster.py
+++ b/src/rhubarblead/router/state_broadcaster.py
@@ -94,6 +94,7 @@
         state.slot_count = self._upstream.wait_queue.slot_count
         state.assignments = self._directory.list_revisions()
         state.load = self._measure_load()
+        state.statement = self._upstream.statements.make_statement()
         state.crash_digest = self._upstream.crashes.compute_digest()
         return state
 
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -570,6 +570,11 @@
             self._pool.release(connection)
             self._finish(job, outcomes.make_refusal(work, wire.Reason.TOO_LATE))
             return
+        if not self.is_serving:
+            # The server has announced its exit while it was connected to.
+            self._pool.release(connection)
+            self._finish(job, outcomes.make_refusal(work, self._closed_reason))
+            return
         if not self._is_ready(job.ticket):
             self._pool.release(connection)
             self._finish(
--- a/src/rhubarblead/router/wire.py
+++ b/src/rhubarblead/router/wire.py
@@ -199,6 +199,8 @@
     server started, which identifies its incarnation; it is 0 while unknown.
     `crash_digest` identifies the crashes on record, 0 if there are none.
     `requests_bodies` is set if the node can accept requests before their body.
+    `statement` is what the server has stated about itself, None if that is
+    nothing.
     """
 
     node_id: str
@@ -214,6 +216,7 @@
     load: ServerLoad
     crash_digest: int = 0
     requests_bodies: bool = False
+    statement: ServerStatement | None = None
 
 
 class Load(msgspec.Struct, tag=15, array_like=True, kw_only=True):
--- a/tests/rhubarblead/router/server_leaving.feature
+++ b/tests/rhubarblead/router/server_leaving.feature
@@ -15,14 +15,29 @@
       | a heartbeat says that it drains   | it states in a response that it leaves |
       | it states in a response that it leaves | it states in a response that it leaves |
 
-  # DRAIN: a delayed heartbeat brought a server back that had deregistered.
+  # DRAIN: a delayed heartbeat brought a server back that had deregistered; again
+  # where the node had restarted, as deregistrations don't say which start ends.
   Scenario Outline: A delayed heartbeat doesn't bring a server back that has deregistered
     Given a node whose server <known>
-    When it deregisters
+    When it <deregisters>
     And a heartbeat says that it is ready
     Then the server is not used
 
     Examples: a restarted node may hear of the deregistration first
+      | known                  | deregisters                                     |
+      | has sent a heartbeat   | deregisters                                     |
+      | has sent no heartbeat  | deregisters                                     |
+      | has sent a heartbeat   | deregisters without saying when it has started  |
+      | has sent no heartbeat  | deregisters without saying when it has started  |
+
+  Scenario Outline: A server that starts again under the same id is used after any deregistration
+    Given a node whose server <known>
+    When it deregisters without saying when it has started
+    And it starts again under the same id
+    And a heartbeat says that it is ready
+    Then the server is used
+
+    Examples:
       | known                  |
       | has sent a heartbeat   |
       | has sent no heartbeat  |
@@ -50,6 +65,50 @@
       | freed       |
       | holds freed |
 
+  # DRAIN: an announcement that seemed out of order, or of an earlier process,
+  # was acknowledged and had no effect, so that requests reached the server.
+  Scenario Outline: An acknowledged announcement holds, whatever came before it
+    Given a node whose server has sent a heartbeat
+    When a heartbeat of another writer, with <odd>, says that it is ready
+    And <announcement>
+    Then the call was <result>
+
+    Examples: a call that can't be believed isn't acknowledged, so that it is sent again
+      | odd                            | announcement                    | result                                    |
+      | a far higher sequence          | a heartbeat says that it drains | acknowledged, and the server is not used  |
+      | a far higher sequence          | it deregisters                  | acknowledged, and the server is not used  |
+      | another id, and the same start | a heartbeat says that it drains | acknowledged, and the server is not used  |
+      | another id, and the same start | it deregisters                  | acknowledged, and the server is not used  |
+      | a later start                  | a heartbeat says that it drains | not acknowledged                          |
+      | a later start                  | it deregisters                  | not acknowledged                          |
+
+  # OWNER, DRAIN: one heartbeat of another writer shut the server out for good.
+  Scenario Outline: A server that goes on sending heartbeats is believed again
+    Given a node whose server has sent a heartbeat
+    When a heartbeat of another writer, with <odd>, says that it <state>
+    And the node's server sends 3 more heartbeats
+    Then the server is used again, as the process that it was
+
+    Examples:
+      | odd                            | state    |
+      | a later start                  | is ready |
+      | a later start                  | drains   |
+      | a far higher sequence          | is ready |
+      | another id, and a later start  | is ready |
+      | another id, and a later start  | drains   |
+
+  Scenario Outline: A server that was taken for another one announces its exit
+    Given a node whose server has sent a heartbeat
+    When a heartbeat of another writer, with a later start, says that it is ready
+    And <announcement>
+    And the node's server sends 3 more heartbeats
+    Then the server is not used
+
+    Examples:
+      | announcement                    |
+      | a heartbeat says that it drains |
+      | it deregisters                  |
+
   Scenario: A late deregistration of an earlier process doesn't end a later one
     Given a node whose server has sent a heartbeat
     When it starts again under the same id
@@ -70,6 +129,12 @@
       | i-1@100 | 0.3       | is used with a limit of 0.3     |
       | i-1@99  | 0.3       | is used without a limit         |
 
+  # DRAIN: a restarted node believed a heartbeat from before the deregistration.
+  Scenario: A node learns from another one's state that its server leaves
+    Given a node that has seen the state of "n2", whose server leaves
+    When the state of process "b" of "n2" arrives
+    Then it has told "n2" that its server leaves
+
   Scenario: A node tells a restarted one what its server stated, once a process
     Given a node that has passed on a response in which the server of "n2" stated a limit of 5
     When the state of process "a" of "n2" arrives
--- a/tests/rhubarblead/router/simulated_cluster.py
+++ b/tests/rhubarblead/router/simulated_cluster.py
@@ -23,6 +23,7 @@
 from rhubarblead.router import directory
 from rhubarblead.router import ownership
 from rhubarblead.router import promise_exchange
+from rhubarblead.router import server_process
 from rhubarblead.router import store_client
 from rhubarblead.router import wire
 from tools.standins import held_keys
@@ -419,7 +420,30 @@
         if not (node.is_running and node.receives_heartbeats):
             return
         self.sequence += 1
-        heartbeat = heartbeats.Heartbeat(
+        standing = node.ownership.handle_heartbeat(self._make_heartbeat(node))
+        self.freed = []
+        if standing not in _ACCEPTED:
+            return
+        answer = json.loads(node.ownership.make_reply())
+        if "holds" in answer:
+            self._apply_grants(answer["holds"], answer["holdMs"])
+
+    def send_foreign(
+        self, node: "Node", *, born_ms: int, sequence: int, is_draining: bool
+    ) -> None:
+        """Sends what another writer has made of the server's heartbeat."""
+        heartbeat = dataclasses.replace(
+            self._make_heartbeat(node),
+            born_ms=born_ms,
+            sequence=sequence,
+            is_draining=is_draining,
+            held=(),
+            freed=(),
+        )
+        node.ownership.handle_heartbeat(heartbeat)
+
+    def _make_heartbeat(self, node: "Node") -> heartbeats.Heartbeat:
+        return heartbeats.Heartbeat(
             server_id=self.server_id,
             born_ms=self.born_ms,
             service=SERVICE,
@@ -435,12 +459,6 @@
                 for a, b, token in self.freed
             ),
         )
-        self.freed = []
-        if not node.ownership.handle_heartbeat(heartbeat):
-            return
-        answer = json.loads(node.ownership.make_reply())
-        if "holds" in answer:
-            self._apply_grants(answer["holds"], answer["holdMs"])
 
     def _apply_grants(self, rows: list[list[Any]], hold_ms: int) -> None:
         cluster = self._cluster
@@ -700,3 +718,5 @@
 
 
 KEY_COUNT = assignment.KEY_COUNT
+
+_ACCEPTED = (server_process.Standing.NEXT, server_process.Standing.NEW)
--- a/tests/steps/router_load_reports.py
+++ b/tests/steps/router_load_reports.py
@@ -87,6 +87,7 @@
             bytes_per_ms=1_250, min_bytes=8_000, find_queued_bytes=lambda: 0
         )
         self.crashes = self
+        self.statements = self
         self.is_serving = True
         self.nested_calls = nested_calls.NestedCalls()
 
@@ -94,6 +95,9 @@
         """Returns the digest of no crashes."""
         return 0
 
+    def make_statement(self) -> None:
+        """Returns that the server states nothing."""
+
     def find_capacity_per_s(self) -> float:
         """Returns a fixed capacity."""
         return 30.0
--- a/tests/steps/router_ownership.py
+++ b/tests/steps/router_ownership.py
@@ -538,3 +538,20 @@
     else:
         server.is_draining = False
         server.start()
+
+
+@behave.when(
+    "a heartbeat of another writer, with a {what}, says that {name:w}'s server"
+    " {state}"
+)
+def send_foreign_heartbeat(
+    context: runner.Context, what: str, name: str, state: str
+) -> None:
+    node = context.cluster.nodes[name]
+    is_later = what == "later start"
+    node.server.send_foreign(
+        node,
+        born_ms=node.server.born_ms + (1 if is_later else 0),
+        sequence=1 if is_later else node.server.sequence + 1_000_000,
+        is_draining=state == "drains",
+    )
--- a/tests/steps/router_server_leaving.py
+++ b/tests/steps/router_server_leaving.py
@@ -23,15 +23,21 @@
 _BORN_MS = 100
 _LATER_BORN_MS = 200
 _SETTLE_MS = 9_000
+_WALL_MS = (_BORN_MS + _LATER_BORN_MS) // 2
+_HEARTBEAT_MS = 870
+_ADDRESS = settings.Address(ip="127.0.0.1", port=9)
+_DOMAIN = "d1"
 _SERVICE = simulated_cluster.SERVICE
 
 
 class _Exchange:
     """One call of the server."""
 
-    def __init__(self, call: str, body: dict[str, Any]) -> None:
-        self.target = f"/rpc?call=instances.{call}&of={_SERVER_ID}".encode()
-        self.body = json.dumps(body).encode()
+    def __init__(
+        self, call: str, body: dict[str, Any] | None, *, server_id: str
+    ) -> None:
+        self.target = f"/rpc?call=instances.{call}&of={server_id}".encode()
+        self.body = b"" if body is None else json.dumps(body).encode()
 
         self.reply: dict[str, Any] | None = None
         self.status = 0
@@ -55,7 +61,7 @@
 
     async def _open(self) -> None:
         self.upstream = upstream.Upstream(
-            address=settings.Address(ip="127.0.0.1", port=9),
+            address=_ADDRESS,
             events=self.events,
             now_ms=lambda: self.cluster.now_ms,
             is_held=lambda key: True,
@@ -71,13 +77,20 @@
             local_upstream=self.upstream,
             service=_SERVICE,
             events=self.events,
+            wall_ms=lambda: _WALL_MS,
             on_change=lambda: None,
         )
         self.upstream.statements.on_leaving = self.handler.handle_stated_leaving
 
-    def call(self, name: str, body: dict[str, Any]) -> None:
+    def call(
+        self,
+        name: str,
+        body: dict[str, Any] | None,
+        *,
+        server_id: str = _SERVER_ID,
+    ) -> None:
         """Handles a call of the server."""
-        exchange: Any = _Exchange(name, body)
+        exchange: Any = _Exchange(name, body, server_id=server_id)
         self.exchange = exchange
 
         async def handle() -> None:
@@ -93,12 +106,12 @@
     def make_heartbeat(self, state: str) -> dict[str, Any]:
         """Makes the server's next heartbeat."""
         return {
-            "address": "127.0.0.1:9",
+            "address": str(_ADDRESS),
             "born": self.born_ms,
             "information": {
                 "service": _SERVICE,
                 "version": "v1",
-                "zone": "d1",
+                "zone": _DOMAIN,
                 "slots": 4,
             },
             "status": {
@@ -215,6 +228,11 @@
     context.node.call("deregister", {"born": context.node.born_ms})
 
 
+@behave.when("it deregisters without saying when it has started")
+def deregister_unborn(context: runner.Context) -> None:
+    context.node.call("deregister", None)
+
+
 @behave.when("it starts again under the same id")
 def start_again(context: runner.Context) -> None:
     context.node.born_ms = _LATER_BORN_MS
@@ -299,6 +317,27 @@
     )
 
 
+_LEAVING = wire.ServerStatement(server="i-2@1", is_leaving=True)
+
+
+@behave.given(
+    'a node that has seen the state of "{node_id}", whose server leaves'
+)
+def make_told_notices(context: runner.Context, node_id: str) -> None:
+    context.links = _RecordingLinks()
+    context.notices = server_notices.ServerNotices(links=context.links)
+    state = router_doubles.make_state(node_id, _SERVICE, incarnation="a")
+    state.statement = _LEAVING
+    context.notices.handle_state(state)
+    context.links.sent.clear()
+
+
+@behave.then('it has told "{node_id}" that its server leaves')
+def check_told_leaving(context: runner.Context, node_id: str) -> None:
+    notice = wire.ServerNotice(statement=_LEAVING)
+    assert context.links.sent == [(node_id, notice)], context.links.sent
+
+
 @behave.when('it passes on a response of "{node_id}" without a statement')
 def pass_on(context: runner.Context, node_id: str) -> None:
     context.notices.record_outcome(
@@ -321,3 +360,76 @@
         statement=wire.ServerStatement(server="i-2@1", limit_per_s=limit)
     )
     assert context.links.sent == [(node_id, notice)] * count, context.links.sent
+
+
+# What another writer changes in a copy of the server's heartbeat.
+_ODD: dict[str, dict[str, Any]] = {
+    "a far later start": {"born": 10**12},
+    "a start beyond all numbers": {"born": 2**63},
+    "another address": {"address": "127.0.0.2:9"},
+    "a port out of range": {"address": "127.0.0.1:99999"},
+    "another zone": {"information": {"zone": "d9"}},
+    "too many slots": {"information": {"slots": 10**9}},
+    "a sequence beyond all numbers": {"status": {"sequence": 2**60}},
+    "a cold time of a year": {"status": {"coldRemainingMs": 3.2e10}},
+    "a token without end": {"freed": [[0, 9, "x" * 5_000]]},
+    # These can't be told from the server's own.
+    "a later start": {"born": _LATER_BORN_MS},
+    "a far higher sequence": {"status": {"sequence": 10**9}},
+    "another id, and the same start": {"id": "i-2"},
+    "another id, and a later start": {"id": "i-2", "born": _LATER_BORN_MS},
+}
+
+
+@behave.when("a heartbeat of another writer, with {what}, says that it {state}")
+def send_odd(context: runner.Context, what: str, state: str) -> None:
+    node: _Node = context.node
+    node.sequence += 1
+    body = node.make_heartbeat("draining" if state == "drains" else "ready")
+    changes = dict(_ODD[what])
+    server_id = changes.pop("id", _SERVER_ID)
+    for name, value in changes.items():
+        if isinstance(value, dict):
+            body[name].update(value)
+        else:
+            body[name] = value
+    node.call("heartbeat", body, server_id=server_id)
+
+
+@behave.when("the node's server sends {count:d} more heartbeats")
+def send_more(context: runner.Context, count: int) -> None:
+    # Its heartbeats are those that the test sends.
+    context.node.cluster.nodes["n1"].server.is_up = False
+    for _ in range(count):
+        context.node.cluster.run(_HEARTBEAT_MS)
+        context.node.send_heartbeat("ready")
+
+
+@behave.then("the call was acknowledged, and the server is not used")
+def check_bound(context: runner.Context) -> None:
+    assert context.node.exchange.status == http.HTTPStatus.OK
+    check_unused(context)
+
+
+@behave.then("the call was not acknowledged")
+def check_unacknowledged(context: runner.Context) -> None:
+    status = context.node.exchange.status
+    assert status == http.HTTPStatus.CONFLICT, status
+
+
+@behave.then("the server is used again, as the process that it was")
+def check_resumed(context: runner.Context) -> None:
+    check_same_process(context)
+    assert context.node.upstream.server_id == _SERVER_ID
+
+
+@behave.then("its keys are released to nobody for {least:d} ms")
+def check_kept(context: runner.Context, least: int) -> None:
+    node: _Node = context.node
+    own = node.cluster.nodes["n1"].ownership
+    before = own.list_spans()
+    assert before
+    ends_ms = node.cluster.now_ms + least
+    while node.cluster.now_ms < ends_ms:
+        node.cluster.run(simulated_cluster.TICK_MS)
+        assert own.list_spans() == before, node.cluster.now_ms
