Refuse heartbeats that can't be true, and keep the keys until the old hold ends (OWNER)

What callers saw: two servers held the same keys for about 2 s after one heartbeat of another writer with valid types, and the real server got none ever after.

Cause: the values weren't compared with what the node knows, and a later start dropped the expiry of the holdings of the process before.

Change: address, zone and start are compared, the other values have upper limits, and the holdings of a new process begin with the old one's expiry.

--- a/src/rhubarblead/platform/heartbeats.py
+++ b/src/rhubarblead/platform/heartbeats.py
@@ -51,6 +51,8 @@
     """
 
     server_id: str
+    address: settings.Address
+    failure_domain: str
     born_ms: int
     service: str
     sequence: int
@@ -72,8 +74,22 @@
     born_ms: int = 0
 
 
+MAX_SLOT_COUNT = 65_535
+"""A server runs each request on a connection of its own."""
+
+MAX_COLD_MS = 3_600_000
+"""Servers are cold for some seconds."""
+
+MAX_TOKEN_LENGTH = 128
+"""Handover tokens have 16 characters; 20 of them go into one reply."""
+
+MAX_ID_LENGTH = 200
+
+_MAX_COUNT = 2**53 - 1
+
 _Key = Annotated[int, msgspec.Meta(ge=0, le=65_535)]
-_Count = Annotated[int, msgspec.Meta(ge=0)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=_MAX_COUNT)]
+_Token = Annotated[str, msgspec.Meta(max_length=MAX_TOKEN_LENGTH)]
 
 
 # All fields that a server sends are required, also those that nothing reads: a
@@ -85,13 +101,13 @@
     service: str
     version: str
     zone: str
-    slots: Annotated[int, msgspec.Meta(ge=1)]
+    slots: Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOT_COUNT)]
 
 
 class _Status(msgspec.Struct, rename="camel"):
     state: Literal["ready", "draining"]
     sequence: _Count
-    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0)]
+    cold_remaining_ms: Annotated[float, msgspec.Meta(ge=0, le=MAX_COLD_MS)]
 
 
 class _DeregistrationBody(msgspec.Struct):
@@ -100,12 +116,12 @@
 
 class _Body(msgspec.Struct):
     address: str
-    born: Annotated[int, msgspec.Meta(ge=1)]
+    born: Annotated[int, msgspec.Meta(ge=1, le=_MAX_COUNT)]
     information: _Information
     status: _Status
     # Only servers that hold keys send these.
     holds: list[tuple[_Key, _Key, _Count]] | None = None
-    freed: list[tuple[_Key, _Key, str]] | None = None
+    freed: list[tuple[_Key, _Key, _Token]] | None = None
 
     def __post_init__(self) -> None:
         settings.read_address(self.address)
@@ -134,7 +150,7 @@
         return None
     fields = dict(urllib.parse.parse_qsl(query))
     server_id = fields.get("of", "")
-    if not server_id:
+    if not 0 < len(server_id) <= MAX_ID_LENGTH:
         raise CannotDecode("the call names no server")
     match fields.get("call"):
         case "instances.deregister":
@@ -180,6 +196,8 @@
         )
     return Heartbeat(
         server_id=server_id,
+        address=settings.read_address(body.address),
+        failure_domain=body.information.zone,
         born_ms=body.born,
         service=body.information.service,
         sequence=body.status.sequence,
--- a/src/rhubarblead/platform/settings.py
+++ b/src/rhubarblead/platform/settings.py
@@ -1,6 +1,7 @@
 """Decodes the settings file that the platform provides to each process."""
 
 import dataclasses
+import ipaddress
 import os
 import pathlib
 from typing import Any
@@ -188,6 +189,10 @@
     )
 
 
+MAX_PORT = 65_535
+_PORT_DIGITS = len(str(MAX_PORT))
+
+
 def read_address(text: str) -> Address:
     """Parses an address such as "10.1.0.38:8146".
 
@@ -195,9 +200,12 @@
         ValueError: The text is not an address with a port.
     """
     ip, _, port = text.rpartition(":")
-    if not ip or not port.isdigit():
+    is_number = port.isascii() and port.isdigit()
+    if not is_number or len(port) > _PORT_DIGITS:
         raise ValueError(f"{text!r} is not an address with a port")
-    return Address(ip=ip, port=int(port))
+    if not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f"the port of {text!r} is out of range")
+    return Address(ip=str(ipaddress.IPv4Address(ip)), port=int(port))
 
 
 def _find_faults(raw: dict[str, Any]) -> list[str]:
--- a/src/rhubarblead/router/heartbeat_handler.py
+++ b/src/rhubarblead/router/heartbeat_handler.py
@@ -6,6 +6,7 @@
 
 from rhubarblead.events import catalog
 from rhubarblead.platform import heartbeats
+from rhubarblead.platform import settings
 from rhubarblead.router import event_log
 from rhubarblead.router import http_server
 from rhubarblead.router import ownership
@@ -20,6 +21,9 @@
 than 1 s count as lost.
 """
 
+MAX_BORN_AHEAD_MS = 60_000
+"""The clocks of an instance and its server may differ, but not by more."""
+
 _CHECK_INTERVAL_S = 0.025
 
 _JSON = b"content-type: application/json\r\n"
@@ -29,6 +33,8 @@
     """Handles calls that only the platform and the local server may make."""
 
     __slots__ = (
+        "_address",
+        "_failure_domain",
         "is_evacuated",
         "is_stopping",
         "_departed",
@@ -46,6 +52,8 @@
         key_ownership: ownership.Ownership,
         local_upstream: upstream.Upstream,
         service: str,
+        address: settings.Address,
+        failure_domain: str,
         events: event_log.EventLog,
         wall_ms: Callable[[], int],
         on_change: Callable[[], None],
@@ -57,6 +65,8 @@
             key_ownership: Key ownership of this node.
             local_upstream: The local server.
             service: The service that the server must belong to.
+            address: Where the server listens.
+            failure_domain: The failure domain of this node and its server.
             events: The event log.
             wall_ms: The Unix time in milliseconds.
             on_change: Called when the server's state has changed and the other
@@ -66,6 +76,8 @@
         self._ownership = key_ownership
         self._upstream = local_upstream
         self._service = service
+        self._address = address
+        self._failure_domain = failure_domain
         self._wall_ms = wall_ms
         self._events = events
         self._on_change = on_change
@@ -115,9 +127,19 @@
         """Returns why a heartbeat can't be the server's, empty if it can."""
         if heartbeat.service != self._service:
             return f"service {heartbeat.service!r} is not this node's"
+        if heartbeat.address != self._address:
+            return f"address {heartbeat.address} is not the server's"
+        if heartbeat.failure_domain != self._failure_domain:
+            return f"zone {heartbeat.failure_domain!r} is not this node's"
         if heartbeat.held is None and self._ownership.is_keyed:
             # Taken for an empty list, it would complete all pending releases.
             return "the ranges of a keyed server are missing"
+        return self._find_birth_fault(heartbeat.born_ms)
+
+    def _find_birth_fault(self, born_ms: int) -> str:
+        ahead_ms = born_ms - self._wall_ms()
+        if ahead_ms > MAX_BORN_AHEAD_MS:
+            return f"the server starts in {ahead_ms} ms"
         return ""
 
     def _ignore_heartbeat(
@@ -167,6 +189,10 @@
         exchange: http_server.Exchange,
         call: heartbeats.Deregistration,
     ) -> None:
+        fault = self._find_birth_fault(call.born_ms)
+        if fault:
+            self._refuse(exchange, fault)
+            return
         if not self._ownership.handle_deregistration(
             call.server_id, call.born_ms, self._wall_ms()
         ):
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -234,6 +234,8 @@
             key_ownership=self._ownership,
             local_upstream=self._upstream,
             service=deployment.service,
+            address=deployment.upstream,
+            failure_domain=deployment.failure_domain,
             events=self._events,
             wall_ms=read_wall_ms,
             on_change=self._broadcast_state,
--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -575,8 +575,11 @@
         self, heartbeat: heartbeats.Heartbeat, now_ms: int
     ) -> None:
         if self.server is not None:
-            # The previous server process has ended, and holds nothing.
-            self._holdings = holdings.Holdings(held_until_ms=now_ms)
+            # The process before has ended, unless the heartbeat isn't the
+            # server's. Until its hold has expired, no other node gets its keys.
+            self._holdings = holdings.Holdings(
+                held_until_ms=max(now_ms, self._holdings.granted_until_ms)
+            )
         self._tracker.begin(heartbeat, now_ms)
         self._update_holdings()
         self._events.emit(
--- a/tests/rhubarblead/router/ownership.feature
+++ b/tests/rhubarblead/router/ownership.feature
@@ -90,6 +90,23 @@
     Then no key had two holders
 
   # EVAC: requests reached servers of a zone until it was removed.
+  # OWNER: one heartbeat of another writer had the keys given away while the
+  # server still held them, and each of its own was ignored ever after.
+  Scenario Outline: A heartbeat of another writer gives no key a second holder
+    Given a settled simulated cluster of 4 nodes
+    When a heartbeat of another writer, with a <odd>, says that n1's server <state>
+    And 12000 ms pass in the simulation
+    Then no key had two holders
+    And all keys are held
+    And n1's server holds <what>
+
+    Examples: a process that has announced its exit gets no keys again
+      | odd                 | state    | what    |
+      | later start         | is ready | keys    |
+      | later start         | drains   | keys    |
+      | far higher sequence | is ready | keys    |
+      | far higher sequence | drains   | no keys |
+
   Scenario Outline: The keys of an evacuated failure domain move to others
     Given a settled simulated cluster of 6 nodes
     When the failure domains "<names>" are evacuated
--- a/tests/rhubarblead/router/server_leaving.feature
+++ b/tests/rhubarblead/router/server_leaving.feature
@@ -75,6 +75,8 @@
 
     Examples: a call that can't be believed isn't acknowledged, so that it is sent again
       | odd                            | announcement                    | result                                    |
+      | a far later start              | a heartbeat says that it drains | acknowledged, and the server is not used  |
+      | another address                | a heartbeat says that it drains | acknowledged, and the server is not used  |
       | a far higher sequence          | a heartbeat says that it drains | acknowledged, and the server is not used  |
       | a far higher sequence          | it deregisters                  | acknowledged, and the server is not used  |
       | another id, and the same start | a heartbeat says that it drains | acknowledged, and the server is not used  |
@@ -109,6 +111,25 @@
       | a heartbeat says that it drains |
       | it deregisters                  |
 
+  # OWNER: a heartbeat of another writer with valid types took the server's place.
+  Scenario Outline: A heartbeat that can't be true has no effect on the server
+    Given a node whose server has sent a heartbeat
+    When a heartbeat of another writer, with <odd>, says that it drains
+    Then the server is used, as the process that it was
+    And the heartbeat was refused and logged
+
+    Examples:
+      | odd                           |
+      | a far later start             |
+      | a start beyond all numbers    |
+      | another address               |
+      | a port out of range           |
+      | another zone                  |
+      | too many slots                |
+      | a sequence beyond all numbers |
+      | a cold time of a year         |
+      | a token without end           |
+
   Scenario: A late deregistration of an earlier process doesn't end a later one
     Given a node whose server has sent a heartbeat
     When it starts again under the same id
--- a/tests/rhubarblead/router/simulated_cluster.py
+++ b/tests/rhubarblead/router/simulated_cluster.py
@@ -19,6 +19,7 @@
 from rhubarblead.keyspace import members
 from rhubarblead.keyspace import revisions
 from rhubarblead.platform import heartbeats
+from rhubarblead.platform import settings
 from rhubarblead.platform import store
 from rhubarblead.router import directory
 from rhubarblead.router import ownership
@@ -444,6 +445,8 @@
 
     def _make_heartbeat(self, node: "Node") -> heartbeats.Heartbeat:
         return heartbeats.Heartbeat(
+            address=settings.Address(ip="127.0.0.1", port=9),
+            failure_domain=node.domain,
             server_id=self.server_id,
             born_ms=self.born_ms,
             service=SERVICE,
--- a/tests/steps/router_server_leaving.py
+++ b/tests/steps/router_server_leaving.py
@@ -76,6 +76,8 @@
             key_ownership=self.ownership,
             local_upstream=self.upstream,
             service=_SERVICE,
+            address=_ADDRESS,
+            failure_domain=_DOMAIN,
             events=self.events,
             wall_ms=lambda: _WALL_MS,
             on_change=lambda: None,
