Take no term from a row of an earlier era (OWNER)

Cause: after a restore of the store a node took its own row in the copy for a write whose answer was lost, and began its earlier term anew, not bound by the promises that had lapsed while it was suspended.

Evidence: the log of the run (postmortem), and the new scenario in ownership.feature, in which the term goes from 2 back to 1 without this change.

Change: a row of an earlier era gives its revision only.

--- a/src/rhubarblead/router/registration.py
+++ b/src/rhubarblead/router/registration.py
@@ -262,13 +262,15 @@
         present = self._access.decode_member(row) if row is not None else None
         self.revision = row.revision if row is not None else 0
         if present is not None:
-            if present.era == self._access.era:
+            is_current = present.era == self._access.era
+            if is_current:
                 self._lease.set_minimum_end(present.ends_store_ms, sent_at_ms)
             if present.incarnation == self.member.incarnation:
                 # A write of this process took effect; its response was lost.
-                # A slow store may take as long to do it again.
-                assert row is not None
-                self._handle_written(present, row.revision, sent_at_ms)
+                # A slow store may take as long to do it again. A row from a
+                # copy of the store says nothing of the newest term.
+                if is_current and row is not None:
+                    self._handle_written(present, row.revision, sent_at_ms)
                 return True
         if not self.is_registered:
             # A previous process wrote the row, which this one replaces.
--- a/tests/rhubarblead/router/ownership.feature
+++ b/tests/rhubarblead/router/ownership.feature
@@ -135,6 +135,16 @@
       | bytes that can't be read       |
       | one whose lease ends in years  |
 
+  # OWNER: a node took an earlier row of its own, from a copy of the store, for
+  # its newest one, and went on after its promises had lapsed.
+  Scenario: A node whose promises have lapsed grants nothing by a row from a copy
+    Given a settled simulated cluster of 4 nodes in era 1
+    When n1 chooses another granter after a copy of the store, and is suspended for 6000 ms while the copy takes the store's place
+    Then no key had two holders
+    When 9000 ms pass in the simulation
+    Then all keys are held
+    And no key had two holders
+
   Scenario Outline: The keys of an evacuated failure domain move to others
     Given a settled simulated cluster of 6 nodes
     When the failure domains "<names>" are evacuated
--- a/tests/steps/router_ownership.py
+++ b/tests/steps/router_ownership.py
@@ -583,3 +583,35 @@
     node = context.cluster.nodes[name]
     node.has_store = node.has_relay = False
     _cut_links(context.cluster, name)
+
+
+@behave.when(
+    "{name:w} chooses another granter after a copy of the store, and is"
+    " suspended for {length:d} ms while the copy takes the store's place"
+)
+def suspend_over_restore(
+    context: runner.Context, name: str, length: int
+) -> None:
+    cluster: simulated_cluster.SimulatedCluster = context.cluster
+    node = cluster.nodes[name]
+    holder = node.promise_exchange.holder
+    cluster.copy_store()
+    before = holder.granter
+    granter = before.partition("@")[0].partition("#")[0]
+    cluster.cut_links.add(frozenset((name, granter)))
+    while holder.granter == before:
+        cluster.run(simulated_cluster.TICK_MS)
+    cluster.cut_links.clear()
+    cluster.run(2_000)
+    assert holder.find_effective_lease_ms(10**9, cluster.now_ms) < 10**9
+    node.is_frozen = True
+    cluster.run(length)
+    cluster.restore_store()
+    cluster.run(400)
+    node.is_frozen = False
+    # An earlier term isn't bound by the promises of the newest one.
+    terms = [holder.term_number]
+    for _ in range(1_000 // simulated_cluster.TICK_MS):
+        cluster.run(simulated_cluster.TICK_MS)
+        terms.append(holder.term_number)
+    assert terms == sorted(terms), terms
