Load tool: a connection whose answer has closed it has no socket

Cause: a node that stops says in its answer that it closes the connection; http.client then closes its socket and sets it to None, and the caller polled that.

Evidence: the third example of the new scenario raised the TypeError.

Change: such a connection counts as closed.

--- a/tests/steps/load.py
+++ b/tests/steps/load.py
@@ -1,8 +1,12 @@
 """Steps for the load tool, its measurements and the report."""
 
 import collections
+import http.client
+import http.server
 import pathlib
 import tempfile
+import threading
+import time
 
 import behave
 from behave import runner
@@ -11,11 +15,14 @@
 from tools import faults
 from tools import records
 from tools import report
+from tools.load import caller
 from tools.load import measure
 from tools.load import plan as plans
 
 _NS_PER_MS = 1_000_000
 _SHARDS = 64
+_CLOSE_TIMEOUT_S = 2.0
+_POLL_S = 0.02
 
 
 def make_plan(rate: float, seconds: float, *, is_regular: bool) -> plans.Plan:
@@ -255,3 +262,47 @@
     assert text in (context.folder / "README.md").read_text(encoding="utf-8")
     for name in plots.split():
         assert (context.folder / name).stat().st_size > 0
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    """Answers requests, and closes the connection as the test says."""
+
+    protocol_version = "HTTP/1.1"
+    how = ""
+
+    def do_GET(self) -> None:  # noqa: N802
+        """Answers a request."""
+        self.send_response(http.HTTPStatus.OK)
+        self.send_header("Content-Length", "0")
+        if self.how == "says that the answer is the last":
+            self.send_header("Connection", "close")
+        self.end_headers()
+        self.close_connection = self.how != "keeps it after an answer"
+
+    def log_message(self, *_: object) -> None:
+        """Logs nothing."""
+
+
+@behave.given("a caller's connection whose peer {how}")
+def open_caller_connection(context: runner.Context, how: str) -> None:
+    handler = type("_Chosen", (_Handler,), {"how": how})
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
+    server.daemon_threads = True
+    context.add_cleanup(server.server_close)
+    context.add_cleanup(server.shutdown)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    context.connection = http.client.HTTPConnection(
+        "127.0.0.1", server.server_address[1], timeout=5.0
+    )
+    context.add_cleanup(context.connection.close)
+    context.connection.request("GET", "/")
+    context.connection.getresponse().read()
+
+
+@behave.then("its connection counts as {state:w}")
+def check_connection(context: runner.Context, state: str) -> None:
+    wanted = state == "closed"
+    deadline_s = time.monotonic() + _CLOSE_TIMEOUT_S
+    while caller.is_closed_by_peer(context.connection) != wanted:
+        assert time.monotonic() < deadline_s
+        time.sleep(_POLL_S)
--- a/tests/tools/load.feature
+++ b/tests/tools/load.feature
@@ -68,3 +68,14 @@
       | kind  | text       | plots                     |
       | load  | p99.9, ms  | latency.png imbalance.png |
       | fault | kill-node  | unavailable.png churn.png |
+
+  # TypeError: a connection that was closed after its answer has no socket.
+  Scenario Outline: A caller sees whether its connection may be used again
+    Given a caller's connection whose peer <does>
+    Then its connection counts as <state>
+
+    Examples: a stopping node says that it closes, and does
+      | does                             | state  |
+      | keeps it after an answer         | open   |
+      | closes it after an answer        | closed |
+      | says that the answer is the last | closed |
--- a/tests/tools/soak.feature
+++ b/tests/tools/soak.feature
@@ -50,3 +50,4 @@
       | seed | duration | cause                                        |
       | 1    | 6        | none                                         |
       | 3    | 8        | the stand-in recorded holds that had expired |
+      | 502  | 10       | a row from a copy began an earlier term      |
--- a/tools/load/caller.py
+++ b/tools/load/caller.py
@@ -250,8 +250,11 @@
 def is_closed_by_peer(connection: http.client.HTTPConnection) -> bool:
     """Returns whether an idle connection was closed by the peer.
 
-    An idle connection is readable only after its end or on surplus bytes.
+    An idle connection is readable only after its end or on surplus bytes. One
+    whose last answer has said that it closes has no socket any more.
     """
+    if connection.sock is None:
+        return True
     poll = select.poll()
     poll.register(connection.sock, select.POLLIN)
     return bool(poll.poll(0))
