Test of a restarted server: its clock is that of the node

The two scenarios of server_restart.feature failed since: the stand-in's server starts at the simulated time, which the stand-in's fixed wall clock made a start in the future, and the heartbeat was refused as it should be. The stand-in's wall clock now moves with the restart; the scenarios are as they were.

--- a/tests/steps/router_server_leaving.py
+++ b/tests/steps/router_server_leaving.py
@@ -56,6 +56,7 @@
         self.ownership = self.cluster.nodes["n1"].ownership
         self.events: Any = simulated_cluster.RecordingEventLog()
         self.born_ms = _BORN_MS
+        self.wall_ms = _WALL_MS
         self.sequence = 0
         self.cluster.loop.run_until_complete(self._open())
 
@@ -79,7 +80,7 @@
             address=_ADDRESS,
             failure_domain=_DOMAIN,
             events=self.events,
-            wall_ms=lambda: _WALL_MS,
+            wall_ms=lambda: self.wall_ms,
             on_change=lambda: None,
         )
         self.upstream.statements.on_leaving = self.handler.handle_stated_leaving
@@ -145,7 +146,7 @@
     node = context.node
     node.cluster.run(_SETTLE_MS)
     node.cluster.nodes["n1"].server.is_up = False
-    node.born_ms = node.cluster.now_ms
+    node.born_ms = node.wall_ms = node.cluster.now_ms
     node.cluster.run(500)
 
 
