--- a/tools/soak/odd_writer.py
+++ b/tools/soak/odd_writer.py
@@ -2,8 +2,6 @@
 
 import http.client
 import json
-import random
-import threading
 from typing import Any
 
 import msgspec
@@ -11,6 +9,7 @@
 from rhubarblead.keyspace import members
 from rhubarblead.platform import store
 from rhubarblead.router import store_access
+from tools.soak import background
 from tools.soak import cluster
 
 INTERVALS_S = (0.2, 0.5, 1.0)
@@ -21,25 +20,9 @@
 _HEARTBEAT_PATH = "/rpc?call=instances.heartbeat&of="
 
 
-class OddWriter:
+class OddWriter(background.Disturber):
     """A thread that writes what no server and no node writes."""
 
-    def __init__(self, *, running: cluster.Cluster, seed: int) -> None:
-        self._cluster = running
-        self._rng = random.Random(seed)
-        self._is_stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True)
-        self.count = 0
-
-    def start(self) -> None:
-        """Starts the thread."""
-        self._thread.start()
-
-    def stop(self) -> None:
-        """Stops the thread."""
-        self._is_stopped.set()
-        self._thread.join()
-
     def _run(self) -> None:
         while not self._is_stopped.wait(self._rng.choice(INTERVALS_S)):
             node = self._rng.choice(self._cluster.nodes)
--- a/tools/soak/statement_changer.py
+++ b/tools/soak/statement_changer.py
@@ -2,10 +2,10 @@
 
 import http.client
 import json
-import random
 import threading
 import time
 
+from tools.soak import background
 from tools.soak import cluster
 from tools.standins import keyed
 
@@ -22,7 +22,7 @@
 _RESTART_DELAY_S = 0.5
 
 
-class StatementChanger:
+class StatementChanger(background.Disturber):
     """A thread that changes what the servers state in their responses.
 
     A server that leaves goes on to send heartbeats in which it is ready, as one
@@ -30,22 +30,13 @@
     """
 
     def __init__(self, *, running: cluster.Cluster, seed: int) -> None:
-        self._cluster = running
-        self._rng = random.Random(seed)
-        self._is_stopped = threading.Event()
-        self._thread = threading.Thread(target=self._run, daemon=True)
+        super().__init__(running=running, seed=seed)
         self._timers: list[threading.Timer] = []
-        self.count = 0
         self.ended_ms: dict[str, float] = {}
 
-    def start(self) -> None:
-        """Starts the thread."""
-        self._thread.start()
-
     def stop(self) -> None:
         """Ends all statements; servers that leave are replaced."""
-        self._is_stopped.set()
-        self._thread.join()
+        super().stop()
         for timer in self._timers:
             timer.join()
 
