--- a/tests/rhubarblead/decoding.feature
+++ b/tests/rhubarblead/decoding.feature
@@ -34,6 +34,8 @@
       | a health answer           | 100   |
       | an event record           | 100   |
       | a shard map               | 100   |
+      | the product's tables      | 200   |
+      | the product's settings    | 200   |
 
   Scenario Outline: Odd numbers in header fields are refused, or have no effect
     Then the numbers in header fields may be <text>
--- a/tests/steps/decoding.py
+++ b/tests/steps/decoding.py
@@ -4,6 +4,7 @@
 import dataclasses
 import json
 import pathlib
+import tempfile
 from typing import Any
 
 import behave
@@ -12,8 +13,11 @@
 from hypothesis import strategies
 import msgspec
 
+from rhubarblead import faults
 from rhubarblead import messages
+from rhubarblead import settings as product_settings
 from rhubarblead import status
+from rhubarblead import tables
 from rhubarblead.events import record
 from rhubarblead.keyspace import assignment
 from rhubarblead.keyspace import members
@@ -35,6 +39,11 @@
         / "production.json"
     ).read_text(encoding="utf-8")
 )["samples"]
+_EXAMPLE = (
+    pathlib.Path(__file__).resolve().parent.parent.parent
+    / "examples"
+    / "garam-jalan"
+)
 _ROW = {
     "table": "rb",
     "part": "",
@@ -78,6 +87,13 @@
     return store.decode_write(200, content)
 
 
+def _read_settings(content: bytes) -> product_settings.Settings:
+    with tempfile.NamedTemporaryFile(suffix=".json") as file:
+        file.write(content)
+        file.flush()
+        return product_settings.read_settings(pathlib.Path(file.name))
+
+
 _RECORD = record.Record(
     number=1,
     name="n",
@@ -193,6 +209,16 @@
         decode=lambda content: status.decode(content, status.ShardMap),
         refusal=msgspec.DecodeError,
     ),
+    "the product's tables": _Case(
+        sample=(_EXAMPLE / "tables.json").read_bytes(),
+        decode=tables.read_tables,
+        refusal=faults.CannotAccept,
+    ),
+    "the product's settings": _Case(
+        sample=(_EXAMPLE / "settings" / "dispatch-1.json").read_bytes(),
+        decode=_read_settings,
+        refusal=faults.CannotAccept,
+    ),
 }
 
 
