Refuse settings with ports out of range and bounds without end

What would have been seen: a settings file with graceS=inf ends the start with a traceback, and reading it again on SIGHUP raises an OverflowError in the signal's callback; a port of 99999 fails at the bind.

Cause: only the types of the fields and the form of numbers were checked.

Evidence: the six new examples of "Settings with a fault are refused" fail without the change; nan was refused, but the error didn't name the bound.

Change: ports are 1 to 65535, the heartbeat interval at least 1 ms, bounds finite. No value that the platform gives is affected.

--- a/src/rhubarblead/platform/settings.py
+++ b/src/rhubarblead/platform/settings.py
@@ -2,8 +2,10 @@
 
 import dataclasses
 import ipaddress
+import math
 import os
 import pathlib
+from typing import Annotated
 from typing import Any
 
 import msgspec
@@ -77,6 +79,12 @@
     is_first_start: bool = False
 
 
+MAX_PORT = 65_535
+_PORT_DIGITS = len(str(MAX_PORT))
+
+_Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
+
+
 class _Listen(msgspec.Struct):
     # Requests that are "outbound" for the server and its clients arrive here.
     outbound: str
@@ -98,11 +106,11 @@
     ip_address: str
     zone: str
     listen_addresses: _Listen
-    internal_port_range: tuple[int, int]
+    internal_port_range: tuple[_Port, _Port]
     application: str
     service: str
     platform: _Platform
-    heartbeat_interval_ms: int = 1_000
+    heartbeat_interval_ms: Annotated[int, msgspec.Meta(ge=1)] = 1_000
     # Only true for the first processes of a new deployment.
     bootstrap: bool = False
     bounds: list[str] = msgspec.field(default_factory=list)
@@ -191,10 +199,6 @@
     )
 
 
-MAX_PORT = 65_535
-_PORT_DIGITS = len(str(MAX_PORT))
-
-
 def read_address(text: str) -> Address:
     """Parses an address such as "10.1.0.38:8146".
 
@@ -261,9 +265,12 @@
         if name not in found:
             return fallback
         try:
-            return float(found[name]) * factor
+            value = float(found[name]) * factor
         except ValueError as error:
             raise ValueError(f"{name}={found[name]} is not a number") from error
+        if not math.isfinite(value):
+            raise ValueError(f"{name}={found[name]} is not a finite number")
+        return value
 
     return Bounds(
         grace_ms=int(read("graceS", 1_000, default.grace_ms)),
--- a/tests/rhubarblead/platform/adapter.feature
+++ b/tests/rhubarblead/platform/adapter.feature
@@ -24,7 +24,13 @@
       | zone              | null           | zone            |
       | platform          | {}             | address         |
       | internalPortRange | [7380]         | internalPort    |
+      | internalPortRange | [99999, 99999] | internalPort    |
+      | internalPortRange | [0, 0]         | internalPort    |
+      | heartbeatIntervalMs | 0            | heartbeat       |
       | bounds            | ["graceS=x"]   | x               |
+      | bounds            | ["graceS=inf"] | graceS          |
+      | bounds            | ["graceS=nan"] | graceS          |
+      | bounds            | ["retryBudgetRatio=1e400"] | retryBudgetRatio |
       | limits            | {"linkMbps": -1} | linkMbps      |
       | limits            | {"linkMbps": "x"} | linkMbps     |
 
