Log each announcement of a server's exit, with its source

SERVER_EXIT_RECORDED (3316) is emitted for the first announcement of each process in any of the three ways, and names the process that was known.

New scenarios in server_leaving.feature; decisions are unchanged.

--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -712,6 +712,15 @@
         "Nothing if it is a single one. If each heartbeat is ignored, look for"
         " SERVER_SEEN: which process is known, and does it live?",
     )
+    SERVER_EXIT_RECORDED = _define(
+        3316,
+        _INFO,
+        "server_id born_ms source known_server_id known_born_ms",
+        "A server process has announced its exit, and isn't used from then on."
+        " `source` is the announcement (`heartbeat`, `deregistration`,"
+        " `statement`). The known process is the one in service, empty before"
+        " the first heartbeat.",
+    )
     LINK_UP = _define(3400, _INFO, "node_id", "A link to another node is up.")
     LINK_DOWN = _define(
         3401,
--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -261,7 +261,9 @@
         now_ms = self._now_ms()
         standing = self._tracker.judge(heartbeat, now_ms)
         if heartbeat.is_draining:
-            self._tracker.record_leaving(heartbeat.server_id, heartbeat.born_ms)
+            self._record_leaving(
+                heartbeat.server_id, heartbeat.born_ms, "heartbeat"
+            )
         match standing:
             case server_process.Standing.EARLIER:
                 pass
@@ -314,7 +316,8 @@
             # Processes that start from now on aren't meant; a heartbeat that
             # an earlier one has sent may still arrive.
             born_ms = server.born_ms if server and is_known else wall_ms
-        self._tracker.record_deregistration(server_id, born_ms)
+        if self._tracker.record_deregistration(server_id, born_ms):
+            self._report_exit(server_id, born_ms, "deregistration")
         self._apply_departure("server deregistered")
         return not is_known or self.is_server_leaving
 
@@ -323,9 +326,26 @@
         server = self.server
         if server is None:
             return
-        self._tracker.record_leaving(server.server_id, server.born_ms)
+        self._record_leaving(server.server_id, server.born_ms, "statement")
         self._apply_departure("server states that it leaves")
 
+    def _record_leaving(
+        self, server_id: str, born_ms: int, source: str
+    ) -> None:
+        if self._tracker.record_leaving(server_id, born_ms):
+            self._report_exit(server_id, born_ms, source)
+
+    def _report_exit(self, server_id: str, born_ms: int, source: str) -> None:
+        server = self.server
+        self._events.emit(
+            catalog.Event.SERVER_EXIT_RECORDED,
+            server_id=server_id,
+            born_ms=born_ms,
+            source=source,
+            known_server_id="" if server is None else server.server_id,
+            known_born_ms=None if server is None else server.born_ms,
+        )
+
     def _apply_departure(self, cause: str) -> None:
         """Releases the keys of the server if it has announced its exit.
 
--- a/src/rhubarblead/router/server_process.py
+++ b/src/rhubarblead/router/server_process.py
@@ -135,14 +135,26 @@
         )
         return self.current
 
-    def record_leaving(self, server_id: str, born_ms: int) -> None:
-        """Remembers that a process has said that it leaves."""
+    def record_leaving(self, server_id: str, born_ms: int) -> bool:
+        """Remembers that a process has said that it leaves.
+
+        Returns:
+            Whether that wasn't known.
+        """
+        is_news = not self.has_left(server_id, born_ms)
         _remember(self._leaving, (server_id, born_ms), None)
+        return is_news
 
-    def record_deregistration(self, server_id: str, born_ms: int) -> None:
-        """Remembers that a process has deregistered; those before it ended."""
+    def record_deregistration(self, server_id: str, born_ms: int) -> bool:
+        """Remembers that a process has deregistered; those before it ended.
+
+        Returns:
+            Whether that wasn't known.
+        """
+        is_news = not self.has_left(server_id, born_ms)
         latest_ms = max(born_ms, self._deregistered.get(server_id, 0))
         _remember(self._deregistered, server_id, latest_ms)
+        return is_news
 
     def has_left(self, server_id: str, born_ms: int) -> bool:
         """Returns whether a process has announced its exit."""
--- a/tests/rhubarblead/router/server_leaving.feature
+++ b/tests/rhubarblead/router/server_leaving.feature
@@ -30,6 +30,21 @@
       | has sent a heartbeat   | deregisters without saying when it has started  |
       | has sent no heartbeat  | deregisters without saying when it has started  |
 
+  Scenario Outline: The first announcement of an exit is logged with its source
+    Given a node whose server <known>
+    When <announcement>
+    And <announcement>
+    Then its exit was logged once, with the source "<source>"
+
+    Examples:
+      | known                  | announcement                                   | source         |
+      | has sent a heartbeat   | a heartbeat says that it drains                | heartbeat      |
+      | has sent no heartbeat  | a heartbeat says that it drains                | heartbeat      |
+      | has sent a heartbeat   | it states in a response that it leaves         | statement      |
+      | has sent a heartbeat   | it deregisters                                 | deregistration |
+      | has sent no heartbeat  | it deregisters                                 | deregistration |
+      | has sent no heartbeat  | it deregisters without saying when it has started | deregistration |
+
   Scenario Outline: A server that starts again under the same id is used after any deregistration
     Given a node whose server <known>
     When it deregisters without saying when it has started
--- a/tests/steps/router_server_leaving.py
+++ b/tests/steps/router_server_leaving.py
@@ -274,6 +274,16 @@
     assert len(found) == 1, found
 
 
+@behave.then('its exit was logged once, with the source "{source}"')
+def check_exit_logged(context: runner.Context, source: str) -> None:
+    node: _Node = context.node
+    name = catalog.Event.SERVER_EXIT_RECORDED.name
+    own: Any = node.cluster.nodes["n1"].events
+    found = [fields for event, fields in own.events if event == name]
+    assert [item["source"] for item in found] == [source], found
+    assert found[0]["server_id"] == _SERVER_ID, found
+
+
 @behave.then("the server is used")
 def check_used(context: runner.Context) -> None:
     assert context.node.upstream.is_serving
