--- a/tests/rhubarblead/router/server_leaving.feature
+++ b/tests/rhubarblead/router/server_leaving.feature
@@ -30,6 +30,83 @@
       | has sent a heartbeat   | deregisters without saying when it has started  |
       | has sent no heartbeat  | deregisters without saying when it has started  |
 
+  # DRAIN: a restarted node took a delayed heartbeat for that of a new server,
+  # whose exit the process before had acknowledged.
+  Scenario Outline: A delayed heartbeat doesn't bring a server back after a restart
+    Given a registered node of a <kind> service, whose server <known>
+    When <announcement>
+    And 300 ms pass
+    And the node restarts, and <wait> ms pass
+    And a heartbeat says that it is ready
+    Then the server is not used for 2000 ms
+
+    Examples: no other node remembers it; the heartbeat may arrive before the node's row is read
+      | kind  | known                 | announcement                                       | wait |
+      | plain | has sent a heartbeat  | a heartbeat says that it drains                    | 0    |
+      | plain | has sent a heartbeat  | a heartbeat says that it drains                    | 1000 |
+      | plain | has sent a heartbeat  | it deregisters                                     | 0    |
+      | plain | has sent a heartbeat  | it deregisters without saying when it has started  | 1000 |
+      | plain | has sent no heartbeat | it deregisters without saying when it has started  | 1000 |
+      | plain | has sent a heartbeat  | it states in a response that it leaves             | 0    |
+      | keyed | has sent a heartbeat  | a heartbeat says that it drains                    | 0    |
+      | keyed | has sent a heartbeat  | it deregisters                                     | 1000 |
+
+  Scenario: A delayed heartbeat doesn't bring a server back after several restarts
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    When it deregisters
+    And 300 ms pass
+    And the node restarts, and 2000 ms pass
+    And the node restarts, and 0 ms pass
+    And a heartbeat says that it is ready
+    Then the server is not used for 2000 ms
+
+  Scenario: An exit is remembered that was announced while the store was away
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    When the store answers none of its calls
+    And it deregisters
+    And 2000 ms pass
+    And the store answers again
+    And 1500 ms pass
+    And the node restarts, and 0 ms pass
+    And a heartbeat says that it is ready
+    Then the server is not used for 2000 ms
+
+  Scenario: Without the store, a restarted node uses no server after a single heartbeat
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    When the store answers none of its calls
+    And the node restarts, and 0 ms pass
+    And a heartbeat says that it is ready
+    Then the server is not used for 800 ms
+    When a heartbeat says that it is ready
+    Then the server is used
+
+  Scenario Outline: A restarted node uses a server that hasn't announced its exit
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    When <before>
+    And the node restarts, and <wait> ms pass
+    And a heartbeat says that it is ready
+    And 200 ms pass
+    Then the server is used
+
+    Examples:
+      | before                          | wait |
+      | 300 ms pass                     | 0    |
+      | 300 ms pass                     | 1000 |
+      | its server deregisters, and another one starts under the same id | 0 |
+      | its server deregisters, and another one starts under another id  | 0 |
+
+  Scenario Outline: An exit costs one call to the store
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    When <announcement>
+    And <announcement>
+    And 3000 ms pass
+    Then the node has written 1 row since its server was registered
+
+    Examples:
+      | announcement                    |
+      | a heartbeat says that it drains |
+      | it deregisters                  |
+
   Scenario Outline: The first announcement of an exit is logged with its source
     Given a node whose server <known>
     When <announcement>
--- a/tests/rhubarblead/router/simulated_cluster.py
+++ b/tests/rhubarblead/router/simulated_cluster.py
@@ -73,8 +73,16 @@
 class SimulatedCluster:
     """All nodes, their servers and the store."""
 
-    def __init__(self, *, node_count: int, seed: int, era: int = 0) -> None:
+    def __init__(
+        self,
+        *,
+        node_count: int,
+        seed: int,
+        era: int = 0,
+        is_keyed: bool = True,
+    ) -> None:
         self.now_ms = 100_000
+        self.is_keyed = is_keyed
         self.loop = _VirtualTimeLoop(self)
         self.random = random.Random(seed)
         self.rows: dict[str, tuple[bytes, int]] = {}
@@ -515,6 +523,8 @@
         # Whether calls that fail are made through another node.
         self.has_relay = False
         self.rates: dict[int, float] = {}
+        # Called when the ownership of keys or the state of the server changes.
+        self.on_change: Callable[[], None] = lambda: None
         self.start()
 
     def start(self) -> None:
@@ -543,7 +553,11 @@
         cluster_directory.table = routing_table.RoutingTable(
             version=1,
             routes=(),
-            services=(routing_table.Service(name=SERVICE, is_keyed=True),),
+            services=(
+                routing_table.Service(
+                    name=SERVICE, is_keyed=self.cluster.is_keyed
+                ),
+            ),
             limits=routing_table.ClientLimits(),
         )
         self.cluster_directory = cluster_directory
@@ -571,7 +585,7 @@
             heartbeat_ms=HEARTBEAT_MS,
             max_hold_ms=MAX_HOLD_MS,
             links=self.links,
-            on_change=lambda: None,
+            on_change=lambda: self.on_change(),
             find_rates=lambda: self.rates,
             promise_exchange=self.promise_exchange,
         )
--- a/tests/steps/router_server_leaving.py
+++ b/tests/steps/router_server_leaving.py
@@ -14,6 +14,7 @@
 from rhubarblead.router import heartbeat_handler
 from rhubarblead.router import http_server
 from rhubarblead.router import server_notices
+from rhubarblead.router import store_access
 from rhubarblead.router import upstream
 from rhubarblead.router import wire
 from tests import router_doubles
@@ -23,6 +24,7 @@
 _BORN_MS = 100
 _LATER_BORN_MS = 200
 _SETTLE_MS = 9_000
+_REGISTER_MS = 2_000
 _WALL_MS = (_BORN_MS + _LATER_BORN_MS) // 2
 _HEARTBEAT_MS = 870
 _ADDRESS = settings.Address(ip="127.0.0.1", port=9)
@@ -51,16 +53,24 @@
 class _Node:
     """A node with its handler of heartbeats, without sockets."""
 
-    def __init__(self) -> None:
-        self.cluster = simulated_cluster.SimulatedCluster(node_count=2, seed=1)
-        self.ownership = self.cluster.nodes["n1"].ownership
+    def __init__(self, *, is_keyed: bool = True) -> None:
+        self.cluster = simulated_cluster.SimulatedCluster(
+            node_count=2, seed=1, is_keyed=is_keyed
+        )
         self.events: Any = simulated_cluster.RecordingEventLog()
+        self.server_id = _SERVER_ID
         self.born_ms = _BORN_MS
         self.wall_ms = _WALL_MS
         self.sequence = 0
         self.cluster.loop.run_until_complete(self._open())
 
+    def restart(self) -> None:
+        """Starts a new process of the node, which remembers nothing."""
+        self.cluster.nodes["n1"].start()
+        self.cluster.loop.run_until_complete(self._open())
+
     async def _open(self) -> None:
+        self.ownership = self.cluster.nodes["n1"].ownership
         self.upstream = upstream.Upstream(
             address=_ADDRESS,
             events=self.events,
@@ -104,7 +114,9 @@
     def send_heartbeat(self, state: str) -> None:
         """Handles the server's next heartbeat."""
         self.sequence += 1
-        self.call("heartbeat", self.make_heartbeat(state))
+        self.call(
+            "heartbeat", self.make_heartbeat(state), server_id=self.server_id
+        )
 
     def make_heartbeat(self, state: str) -> dict[str, Any]:
         """Makes the server's next heartbeat."""
@@ -140,6 +152,63 @@
     context.add_cleanup(context.node.cluster.close)
 
 
+@behave.given("a registered node of a {kind:w} service, whose server {known}")
+def make_registered(context: runner.Context, kind: str, known: str) -> None:
+    context.node = _Node(is_keyed=kind == "keyed")
+    cluster = context.node.cluster
+    context.add_cleanup(cluster.close)
+    # Its heartbeats are those that the test sends.
+    cluster.nodes["n1"].server.is_up = False
+    if known == "has sent a heartbeat":
+        context.node.send_heartbeat("ready")
+    cluster.run(_REGISTER_MS)
+    context.written = _find_written(cluster)
+
+
+def _find_written(cluster: simulated_cluster.SimulatedCluster) -> int:
+    """Returns the revision of the last write of the node's row."""
+    key = store_access.make_member_key("n1")
+    return cluster.rows[key][1]
+
+
+@behave.when("{passed:d} ms pass")
+def wait(context: runner.Context, passed: int) -> None:
+    context.node.cluster.run(passed)
+
+
+@behave.when("the node restarts, and {passed:d} ms pass")
+def restart_node(context: runner.Context, passed: int) -> None:
+    context.node.restart()
+    context.node.cluster.run(passed)
+
+
+@behave.when("the store answers again")
+def regain_store(context: runner.Context) -> None:
+    context.node.cluster.is_store_up = True
+
+
+@behave.when("its server deregisters, and another one starts under {which} id")
+def replace_server(context: runner.Context, which: str) -> None:
+    deregister(context)
+    context.node.cluster.run(_SETTLE_MS)
+    start_again(context)
+    context.node.server_id = _SERVER_ID if which == "the same" else "i-9"
+
+
+@behave.then("the server is not used for {most:d} ms")
+def check_unused_for(context: runner.Context, most: int) -> None:
+    for _ in range(most // simulated_cluster.TICK_MS):
+        check_unused(context)
+        context.node.cluster.run(simulated_cluster.TICK_MS)
+    check_unused(context)
+
+
+@behave.then("the node has written 1 row since its server was registered")
+def check_written(context: runner.Context) -> None:
+    cluster = context.node.cluster
+    assert _find_written(cluster) == cluster.revision == context.written + 1
+
+
 @behave.given("a node whose server has held keys, and restarts")
 def restart_server(context: runner.Context) -> None:
     make_unknown(context)
@@ -150,7 +219,7 @@
     node.cluster.run(500)
 
 
-@behave.given("the store answers none of its calls")
+@behave.step("the store answers none of its calls")
 def stop_store(context: runner.Context) -> None:
     context.node.cluster.is_store_up = False
 
