Remember an acknowledged exit through restarts of the node (DRAIN)

Cause: the memory of an exit was that of one process and of those that it had told. The next process of the node began with none, and believed the first heartbeat that arrived, also one that had been sent before the exit. Class: what was acknowledged is forgotten with the process.

Change: the node's row names the last exit; a restarted process reads the row, as it did before, and puts no server in service before that. Where the store doesn't answer, a server is in service from its second heartbeat on. One call to the store for each exit.

--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -718,7 +718,8 @@
         "server_id born_ms source known_server_id known_born_ms",
         "A server process has announced its exit, and isn't used from then on."
         " `source` is the announcement (`heartbeat`, `deregistration`,"
-        " `statement`). The known process is the one in service, empty before"
+        " `statement`), or `row` where it was made to an earlier process of the"
+        " node. The known process is the one in service, empty before"
         " the first heartbeat.",
     )
     LINK_UP = _define(3400, _INFO, "node_id", "A link to another node is up.")
--- a/src/rhubarblead/keyspace/members.py
+++ b/src/rhubarblead/keyspace/members.py
@@ -9,6 +9,16 @@
     """The bytes are not a valid member record."""
 
 
+class Departure(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
+    """A server process that has announced its exit.
+
+    Processes with the same id that started before it have ended.
+    """
+
+    server_id: str
+    born_ms: int
+
+
 class Member(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """A node and the current process of its server.
 
@@ -18,7 +28,9 @@
     over the node's keys under short promises, and `term` counts how often this
     process has chosen a granter. `hold_ms` is the longest hold, counted from
     the last heartbeat, that the process has granted to its server. `era` is
-    the era of the store in which the record was written.
+    the era of the store in which the record was written. `departure` is the
+    last exit that a server of the node has announced, by which the node's next
+    process knows delayed heartbeats.
     """
 
     node_id: str
@@ -32,6 +44,7 @@
     term: int = 0
     hold_ms: int = 0
     era: int = 0
+    departure: Departure | None = None
 
 
 def encode(member: Member) -> bytes:
--- a/src/rhubarblead/router/evacuation.py
+++ b/src/rhubarblead/router/evacuation.py
@@ -127,7 +127,7 @@
         server = self._ownership.server
         if was_stopped and server is not None:
             self._upstream.set_serving(
-                server.may_hold, cause="evacuation ended"
+                self._ownership.may_serve, cause="evacuation ended"
             )
         # Servers are often cold after an evacuation.
         self._upstream.warmth.hold()
--- a/src/rhubarblead/router/heartbeat_handler.py
+++ b/src/rhubarblead/router/heartbeat_handler.py
@@ -160,23 +160,34 @@
         self, exchange: http_server.Exchange, heartbeat: heartbeats.Heartbeat
     ) -> None:
         local_upstream = self._upstream
-        was_serving = local_upstream.is_serving
         is_new = heartbeat.server_id != local_upstream.server_id
         is_first = self._ownership.is_first_heartbeat
         local_upstream.set_server(
             heartbeat.server_id, heartbeat.slots, born_ms=heartbeat.born_ms
         )
         local_upstream.warmth.record_heartbeat(heartbeat.cold_remaining_ms)
-        is_leaving = self._ownership.is_server_leaving
-        local_upstream.set_serving(
-            not (is_leaving or self.is_stopping or self.is_evacuated()),
-            cause=f"heartbeat {heartbeat.sequence}",
-        )
+        has_changed = self._update_serving(f"heartbeat {heartbeat.sequence}")
         delay_s = MAX_REPLY_DELAY_S if is_first else 0.0
         self._reply(exchange, asyncio.get_running_loop().time() + delay_s)
         self._apply_departure(has_deregistered=False)
-        if is_new or was_serving != local_upstream.is_serving:
+        if is_new or has_changed:
+            self._on_change()
+
+    def _update_serving(self, cause: str) -> bool:
+        """Puts the server in service or out of it; tells if that is new."""
+        was_serving = self._upstream.is_serving
+        self._upstream.set_serving(
+            self._ownership.may_serve
+            and not (self.is_stopping or self.is_evacuated()),
+            cause=cause,
+        )
+        return was_serving != self._upstream.is_serving
+
+    def handle_previous_exit_known(self) -> None:
+        """Handles that the exit told to an earlier process is known, if any."""
+        if self._update_serving("row"):
             self._on_change()
+        self._apply_departure(has_deregistered=False)
 
     def _reply(self, exchange: http_server.Exchange, due_at_s: float) -> None:
         """Replies with the keys to hold, once they are known or it is due."""
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -241,6 +241,9 @@
             on_change=self._broadcast_state,
             is_evacuated=lambda: self._evacuation.is_stopped,
         )
+        self._ownership.on_previous_exit_known = (
+            self._heartbeat_handler.handle_previous_exit_known
+        )
         self._upstream.warmth.on_report = self._broadcast_state
         self._upstream.statements.on_limit = self._handle_limit_change
         self._upstream.statements.on_leaving = (
--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -74,6 +74,7 @@
         "_tracker",
         "is_evacuated",
         "is_stopping",
+        "on_previous_exit_known",
         "wake",
     )
 
@@ -129,7 +130,7 @@
             promise_exchange=promise_exchange,
             events=events,
             now_ms=now_ms,
-            on_previous_process=self._apply_previous_hold,
+            on_previous_process=self._apply_previous_process,
             is_first_start=is_first_start,
         )
         self._batcher = write_batching.WriteBatcher(
@@ -180,6 +181,8 @@
         self._recent_shifts = recent_shifts.RecentShifts()
         self.is_evacuated = False
         self.is_stopping = False
+        # Called when it is known which exit an earlier process was told of.
+        self.on_previous_exit_known: Callable[[], None] = lambda: None
         self._tracker = server_process.ServerTracker(interval_ms=heartbeat_ms)
         self.wake = asyncio.Event()
 
@@ -264,6 +267,11 @@
             self._record_leaving(
                 heartbeat.server_id, heartbeat.born_ms, "heartbeat"
             )
+        if (
+            heartbeat.is_draining
+            and standing is not server_process.Standing.EARLIER
+        ):
+            self._store_exit(heartbeat.server_id, heartbeat.born_ms)
         match standing:
             case server_process.Standing.EARLIER:
                 pass
@@ -318,6 +326,7 @@
             born_ms = server.born_ms if server and is_known else wall_ms
         if self._tracker.record_deregistration(server_id, born_ms):
             self._report_exit(server_id, born_ms, "deregistration")
+            self._store_exit(server_id, born_ms)
         self._apply_departure("server deregistered")
         return not is_known or self.is_server_leaving
 
@@ -327,6 +336,7 @@
         if server is None:
             return
         self._record_leaving(server.server_id, server.born_ms, "statement")
+        self._store_exit(server.server_id, server.born_ms)
         self._apply_departure("server states that it leaves")
 
     def _record_leaving(
@@ -335,6 +345,20 @@
         if self._tracker.record_leaving(server_id, born_ms):
             self._report_exit(server_id, born_ms, source)
 
+    def _store_exit(self, server_id: str, born_ms: int) -> None:
+        """Stores an exit for the next process of this node."""
+        server = self.server
+        if (
+            server is not None
+            and server.is_leaving
+            and server.server_id != server_id
+        ):
+            # There is room for one exit: that of the process in service.
+            return
+        self._registration.record_departure(
+            members.Departure(server_id=server_id, born_ms=born_ms)
+        )
+
     def _report_exit(self, server_id: str, born_ms: int, source: str) -> None:
         server = self.server
         self._events.emit(
@@ -366,6 +390,18 @@
         """Whether the server process has begun to shut down."""
         return self.server is not None and self.server.is_leaving
 
+    @property
+    def may_serve(self) -> bool:
+        """Whether the server may get requests.
+
+        An earlier process of this node may have been told that it leaves. A
+        heartbeat that was sent before that may be the only one to arrive.
+        """
+        server = self.server
+        if server is None or not server.may_hold:
+            return False
+        return self._registration.has_read or self._tracker.has_continued
+
     @property
     def is_first_heartbeat(self) -> bool:
         """Whether the newest heartbeat is the first of its server process."""
@@ -437,7 +473,7 @@
         if await self._assignments.write_batch():
             return
         if self._registration.must_read:
-            self._handle_row(is_ours=await self._registration.read())
+            await self._read_row()
             return
         is_due = self._registration.is_due(
             is_keyed=self.is_keyed,
@@ -502,6 +538,12 @@
         )
         self._handle_row(is_ours=is_ours)
 
+    async def _read_row(self) -> None:
+        had_read = self._registration.has_read
+        self._handle_row(is_ours=await self._registration.read())
+        if self._registration.has_read and not had_read:
+            self.on_previous_exit_known()
+
     def _handle_row(self, *, is_ours: bool) -> None:
         if not is_ours:
             self._is_loaded = False
@@ -517,8 +559,17 @@
         # The row must also cover what a previous process has granted.
         return max(usual_ms, self._holdings.granted_until_ms - self._now_ms())
 
-    def _apply_previous_hold(self, member: members.Member) -> None:
-        """Assumes the longest hold that a previous process may have granted."""
+    def _apply_previous_process(self, member: members.Member) -> None:
+        """Applies what a previous process of this node has granted and heard.
+
+        It may have granted the longest hold that its row allows.
+        """
+        departure = member.departure
+        if departure is not None and self._tracker.record_deregistration(
+            departure.server_id, departure.born_ms
+        ):
+            self._report_exit(departure.server_id, departure.born_ms, "row")
+            self._apply_departure("server left before the restart")
         longest_ms = int(member.hold_ms * holdings.MAX_CLOCK_SLOWDOWN) + 1
         self._holdings.set_previous_hold_end(self._started_at_ms + longest_ms)
 
--- a/src/rhubarblead/router/registration.py
+++ b/src/rhubarblead/router/registration.py
@@ -29,6 +29,7 @@
 
     __slots__ = (
         "_access",
+        "_departure",
         "_granter_choice_at_ms",
         "_events",
         "_lease",
@@ -37,6 +38,7 @@
         "_promise_exchange",
         "_started_at_ms",
         "_term",
+        "has_read",
         "is_in_doubt",
         "is_registered",
         "member",
@@ -76,6 +78,7 @@
         self._started_at_ms = now_ms()
         self._granter_choice_at_ms = 0
         self._term = 0
+        self._departure: members.Departure | None = None
         self._on_previous_process = on_previous_process
         self.revision = 0
         self.is_registered = False
@@ -84,6 +87,8 @@
         # faster than a write that fails: a slow store processes writes one
         # after another.
         self.must_read = not is_first_start
+        # Whether the row of an earlier process, if there is one, is known.
+        self.has_read = is_first_start
 
     def find_lease_ms(self) -> int:
         """Returns how long the lease is valid at least."""
@@ -99,6 +104,17 @@
             self.find_lease_ms(), self._now_ms()
         )
 
+    def record_departure(self, departure: members.Departure) -> None:
+        """Makes the next write, due immediately, store a server's exit."""
+        if departure == self._departure:
+            return
+        self._departure = departure
+        self.renew_soon()
+
+    @property
+    def _has_unsaved_departure(self) -> bool:
+        return self._departure != self.member.departure
+
     def begin_era(self) -> None:
         """Makes this node register again, as the store was restored."""
         self._lease.begin_era(self._now_ms())
@@ -140,6 +156,8 @@
             is_loaded: Whether the rows of the other nodes have been read.
         """
         now_ms = self._now_ms()
+        if self._has_unsaved_departure:
+            return self._lease.is_due(now_ms)
         if self.is_registered and not is_keyed:
             return False
         if not self.is_registered and not has_server:
@@ -183,6 +201,7 @@
             born_ms=born_ms,
             hold_ms=hold_ms,
             era=self._access.era,
+            departure=self._departure,
         )
         if is_keyed and is_loaded:
             member = self._choose_granter(member)
@@ -206,6 +225,7 @@
         self, member: members.Member, revision: int, sent_at_ms: int
     ) -> None:
         was_held = self._lease.is_held
+        self.has_read = True
         self.revision = revision
         self.member = member
         self.is_registered = True
@@ -214,6 +234,8 @@
         self._lease.record_renewal(
             ends_store_ms=member.ends_store_ms, sent_at_ms=sent_at_ms
         )
+        if self._has_unsaved_departure:
+            self.renew_soon()
         if self._lease.is_held and not was_held:
             self._events.emit(
                 catalog.Event.LEASE_RENEWED_FIRST,
@@ -248,6 +270,7 @@
         if found is None:
             return True
         self.must_read = False
+        self.has_read = True
         if any(row.revision == self.revision for row in found.rows):
             # A write in doubt has had no effect so far.
             return True
@@ -275,11 +298,18 @@
         if not self.is_registered:
             # A previous process wrote the row, which this one replaces.
             if present is not None:
+                self._adopt_departure(present.departure)
                 self._on_previous_process(present)
             return True
         self._reset()
         return False
 
+    def _adopt_departure(self, departure: members.Departure | None) -> None:
+        """Keeps what the process before has stored, unless one came since."""
+        self.member = msgspec.structs.replace(self.member, departure=departure)
+        if self._departure is None:
+            self._departure = departure
+
     def _reset(self) -> None:
         self.is_registered = False
         self._lease.record_loss()
--- a/src/rhubarblead/router/server_process.py
+++ b/src/rhubarblead/router/server_process.py
@@ -50,6 +50,7 @@
     is_leaving: bool = False
     is_silent: bool = False
     heartbeat_count: int = 0
+    first_heartbeat_at_ms: int = 0
 
     @property
     def may_hold(self) -> bool:
@@ -132,9 +133,19 @@
             born_ms=heartbeat.born_ms,
             sequence=-1,
             last_heartbeat_at_ms=now_ms,
+            first_heartbeat_at_ms=now_ms,
         )
         return self.current
 
+    @property
+    def has_continued(self) -> bool:
+        """Whether the known process goes on sending heartbeats."""
+        current = self.current
+        if current is None:
+            return False
+        lasted_ms = current.last_heartbeat_at_ms - current.first_heartbeat_at_ms
+        return lasted_ms >= MIN_SPACING_INTERVALS * self._interval_ms
+
     def record_leaving(self, server_id: str, born_ms: int) -> bool:
         """Remembers that a process has said that it leaves.
 
--- a/tests/rhubarblead/router/simulated_cluster.py
+++ b/tests/rhubarblead/router/simulated_cluster.py
@@ -523,8 +523,6 @@
         # Whether calls that fail are made through another node.
         self.has_relay = False
         self.rates: dict[int, float] = {}
-        # Called when the ownership of keys or the state of the server changes.
-        self.on_change: Callable[[], None] = lambda: None
         self.start()
 
     def start(self) -> None:
@@ -585,7 +583,7 @@
             heartbeat_ms=HEARTBEAT_MS,
             max_hold_ms=MAX_HOLD_MS,
             links=self.links,
-            on_change=lambda: self.on_change(),
+            on_change=lambda: None,
             find_rates=lambda: self.rates,
             promise_exchange=self.promise_exchange,
         )
--- a/tests/steps/router_server_leaving.py
+++ b/tests/steps/router_server_leaving.py
@@ -64,6 +64,10 @@
         self.sequence = 0
         self.cluster.loop.run_until_complete(self._open())
 
+    def read_row(self) -> None:
+        """Reads the node's row, after which heartbeats are believed."""
+        self.cluster.loop.run_until_complete(self.ownership.step())
+
     def restart(self) -> None:
         """Starts a new process of the node, which remembers nothing."""
         self.cluster.nodes["n1"].start()
@@ -94,6 +98,9 @@
             on_change=lambda: None,
         )
         self.upstream.statements.on_leaving = self.handler.handle_stated_leaving
+        self.ownership.on_previous_exit_known = (
+            self.handler.handle_previous_exit_known
+        )
 
     def call(
         self,
@@ -149,6 +156,7 @@
 @behave.given("a node whose server has sent no heartbeat")
 def make_unknown(context: runner.Context) -> None:
     context.node = _Node()
+    context.node.read_row()
     context.add_cleanup(context.node.cluster.close)
 
 
