--- a/tests/steps/bench.py
+++ b/tests/steps/bench.py
@@ -2,6 +2,7 @@
 
 import pathlib
 import tempfile
+import tomllib
 
 import behave
 from behave import runner
@@ -11,6 +12,7 @@
 from tools.bench import entries
 from tools.bench import losses
 from tools.bench import retry_use
+from tools.bench import short_days
 from tools.bench import slot_use
 
 _MACHINES_COST = 0.1
@@ -99,3 +101,50 @@
     assert peaks[service] == retry_use.Peak(
         ends_ms=end, retry_count=count, allowed_count=allowed
     ), peaks
+
+
+@behave.when("{count:d} short days are drawn")
+def draw_days(context: runner.Context, count: int) -> None:
+    context.days = [short_days.draw(seed) for seed in range(count)]
+
+
+@behave.then(
+    "each has {least:d} to {most:d} disruptions of several targets, within"
+    " {within:d} s"
+)
+def check_disruptions(
+    context: runner.Context, least: int, most: int, within: int
+) -> None:
+    targets = {item.kind: item.target for item in short_days.DISRUPTIONS}
+    for day in context.days:
+        entries = day.faults + day.plan
+        assert least <= len(entries) <= most, day
+        assert len({targets[item["kind"]] for item in entries}) > 1, day
+        starts = [item["at"] for item in entries]
+        assert max(starts) - min(starts) <= within, day
+
+
+@behave.then("each kind and each variant is drawn")
+def check_variants(context: runner.Context) -> None:
+    drawn = {
+        (item["kind"], item.get("how", ""))
+        for day in context.days
+        for item in day.faults + day.plan
+    }
+    expected = {
+        (item.kind, variant)
+        for item in short_days.DISRUPTIONS
+        for variant in item.variants
+    }
+    assert drawn == expected, drawn ^ expected
+
+
+@behave.then(
+    "each day that is drawn again is the same, also read from its file"
+)
+def check_drawn_again(context: runner.Context) -> None:
+    for seed, day in enumerate(context.days):
+        assert short_days.draw(seed) == day
+        read = tomllib.loads(short_days.format_day(day))
+        assert read["faults"] == list(day.faults), read
+        assert read["plan"] == list(day.plan), read
--- a/tests/tools/bench.feature
+++ b/tests/tools/bench.feature
@@ -34,6 +34,12 @@
            2 |  0.25    1    1
       """
 
+  Scenario: Short days are drawn by seed
+    When 300 short days are drawn
+    Then each has 3 to 6 disruptions of several targets, within 3 s
+    And each kind and each variant is drawn
+    And each day that is drawn again is the same, also read from its file
+
   Scenario: The retries of all nodes are summed by service and window
     Given the log lines
       """
--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -4,6 +4,7 @@
        ./run python -m tools.bench losses REASON [--journal FOLDER]
        ./run python -m tools.bench slots LOG SERVICE
        ./run python -m tools.bench retries LOG
+       ./run python -m tools.bench draw FIRST LAST FOLDER
 
 BEFORE, AFTER and REASON are text in the reason that was given for the plays.
 """
@@ -16,6 +17,7 @@
 from tools.bench import entries
 from tools.bench import losses
 from tools.bench import retry_use
+from tools.bench import short_days
 from tools.bench import slot_use
 
 MIN_COST = 0.0005
@@ -98,6 +100,23 @@
     print("\n".join(slot_use.format_service(usage, service)))
 
 
+def draw(first: int, last: int, folder: str) -> None:
+    """Writes short days of several disruptions, for the bench's `run`.
+
+    Args:
+        first: Seed of the first day.
+        last: Seed of the last day.
+        folder: Where the days are written, one file each.
+    """
+    target = pathlib.Path(folder)
+    target.mkdir(parents=True, exist_ok=True)
+    for seed in range(first, last + 1):
+        day = short_days.draw(seed)
+        path = target / f"{day.name}.toml"
+        path.write_text(short_days.format_day(day), encoding="utf-8")
+        print(path)
+
+
 def _average_worth(days: list[entries.Day]) -> float:
     return sum(day.worth for day in days) / len(days)
 
@@ -106,6 +125,7 @@
     fire.Fire(
         {
             "compare": compare,
+            "draw": draw,
             "losses": print_losses,
             "retries": print_retries,
             "slots": print_slots,
