Store an exit also where its first announcement wasn't believed (DRAIN)

An announcement of a process that was taken for an earlier one is remembered but not stored; the announcement that follows wasn't stored either, as it was no news, so that the next process of the node used the server.

--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -267,11 +267,8 @@
             self._record_leaving(
                 heartbeat.server_id, heartbeat.born_ms, "heartbeat"
             )
-        if (
-            heartbeat.is_draining
-            and standing is not server_process.Standing.EARLIER
-        ):
-            self._store_exit(heartbeat.server_id, heartbeat.born_ms)
+            if standing is not server_process.Standing.EARLIER:
+                self._store_exit(heartbeat.server_id, heartbeat.born_ms)
         match standing:
             case server_process.Standing.EARLIER:
                 pass
@@ -326,7 +323,7 @@
             born_ms = server.born_ms if server and is_known else wall_ms
         if self._tracker.record_deregistration(server_id, born_ms):
             self._report_exit(server_id, born_ms, "deregistration")
-            self._store_exit(server_id, born_ms)
+        self._store_exit(server_id, born_ms)
         self._apply_departure("server deregistered")
         return not is_known or self.is_server_leaving
 
--- a/src/rhubarblead/router/registration.py
+++ b/src/rhubarblead/router/registration.py
@@ -20,7 +20,7 @@
 
 
 class Registration:
-    """The row of this node: its lease, granter and server process.
+    """The row of this node: its lease, granter, server process and its exit.
 
     Each write of the node expects this row at the revision that this process
     wrote last. `is_in_doubt` is set while an earlier write to another row may
--- a/tests/rhubarblead/router/server_leaving.feature
+++ b/tests/rhubarblead/router/server_leaving.feature
@@ -51,6 +51,16 @@
       | keyed | has sent a heartbeat  | a heartbeat says that it drains                    | 0    |
       | keyed | has sent a heartbeat  | it deregisters                                     | 1000 |
 
+  Scenario: An exit is remembered whose first announcement wasn't believed
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    When a heartbeat of another writer, with a later start, says that it is ready
+    And a heartbeat says that it drains
+    And it deregisters
+    And 300 ms pass
+    And the node restarts, and 0 ms pass
+    And a heartbeat says that it is ready
+    Then the server is not used for 2000 ms
+
   Scenario: A delayed heartbeat doesn't bring a server back after several restarts
     Given a registered node of a plain service, whose server has sent a heartbeat
     When it deregisters
