--- /dev/null
+++ b/tests/rhubarblead/router/simulated_node.py
@@ -0,0 +1,133 @@
+"""A simulated node with its handler of the calls of the local server."""
+
+import json
+from typing import Any
+
+from rhubarblead.platform import settings
+from rhubarblead.requests import link_load
+from rhubarblead.router import heartbeat_handler
+from rhubarblead.router import http_server
+from rhubarblead.router import upstream
+from tests.rhubarblead.router import simulated_cluster
+
+SERVER_ID = "i-1"
+BORN_MS = 100
+LATER_BORN_MS = 200
+WALL_MS = (BORN_MS + LATER_BORN_MS) // 2
+ADDRESS = settings.Address(ip="127.0.0.1", port=9)
+DOMAIN = "d1"
+SERVICE = simulated_cluster.SERVICE
+
+
+class _Exchange:
+    """One call of the server."""
+
+    def __init__(
+        self, call: str, body: dict[str, Any] | None, *, server_id: str
+    ) -> None:
+        self.target = f"/rpc?call=instances.{call}&of={server_id}".encode()
+        self.body = b"" if body is None else json.dumps(body).encode()
+
+        self.reply: dict[str, Any] | None = None
+        self.status = 0
+
+    def finish(self, response: http_server.Response) -> None:
+        """Records the reply."""
+        self.status = response.status
+        self.reply = json.loads(response.body or b"null")
+
+
+class SimulatedNode:
+    """A node with its handler of heartbeats, without sockets."""
+
+    def __init__(self, *, is_keyed: bool = True) -> None:
+        self.cluster = simulated_cluster.SimulatedCluster(
+            node_count=2, seed=1, is_keyed=is_keyed
+        )
+        self.events: Any = simulated_cluster.RecordingEventLog()
+        self.server_id = SERVER_ID
+        self.born_ms = BORN_MS
+        self.wall_ms = WALL_MS
+        self.sequence = 0
+        self.cluster.loop.run_until_complete(self._open())
+
+    def read_row(self) -> None:
+        """Reads the node's row, after which heartbeats are believed."""
+        self.cluster.loop.run_until_complete(self.ownership.step())
+
+    def restart(self) -> None:
+        """Starts a new process of the node, which remembers nothing."""
+        self.cluster.nodes["n1"].start()
+        self.cluster.loop.run_until_complete(self._open())
+
+    async def _open(self) -> None:
+        self.ownership = self.cluster.nodes["n1"].ownership
+        self.upstream = upstream.Upstream(
+            address=ADDRESS,
+            events=self.events,
+            now_ms=lambda: self.cluster.now_ms,
+            is_held=lambda key: True,
+            is_owned=lambda key: True,
+            link=link_load.LinkLoad(
+                bytes_per_ms=1_250, min_bytes=8_000, find_queued_bytes=lambda: 0
+            ),
+            count_servers=lambda: 1,
+            broadcast=lambda message: None,
+        )
+        self.handler = heartbeat_handler.HeartbeatHandler(
+            key_ownership=self.ownership,
+            local_upstream=self.upstream,
+            service=SERVICE,
+            address=ADDRESS,
+            failure_domain=DOMAIN,
+            events=self.events,
+            wall_ms=lambda: self.wall_ms,
+            on_change=lambda: None,
+        )
+        self.upstream.statements.on_leaving = self.handler.handle_stated_leaving
+        self.ownership.on_previous_exit_known = (
+            self.handler.handle_previous_exit_known
+        )
+
+    def call(
+        self,
+        name: str,
+        body: dict[str, Any] | None,
+        *,
+        server_id: str = SERVER_ID,
+    ) -> None:
+        """Handles a call of the server."""
+        exchange: Any = _Exchange(name, body, server_id=server_id)
+        self.exchange = exchange
+
+        async def handle() -> None:
+            self.handler.handle(exchange)
+
+        self.cluster.loop.run_until_complete(handle())
+
+    def send_heartbeat(self, state: str) -> None:
+        """Handles the server's next heartbeat."""
+        self.sequence += 1
+        self.call(
+            "heartbeat", self.make_heartbeat(state), server_id=self.server_id
+        )
+
+    def make_heartbeat(self, state: str) -> dict[str, Any]:
+        """Makes the server's next heartbeat."""
+        return {
+            "address": str(ADDRESS),
+            "born": self.born_ms,
+            "information": {
+                "service": SERVICE,
+                "version": "v1",
+                "zone": DOMAIN,
+                "slots": 4,
+            },
+            "status": {
+                "state": state,
+                "sequence": self.sequence,
+                "coldRemainingMs": 0,
+            },
+            "holds": [],
+            "freed": [],
+        }
--- a/tests/steps/router_server_leaving.py
+++ b/tests/steps/router_server_leaving.py
@@ -1,7 +1,6 @@
 """Steps for servers that leave, and for what other nodes know of them."""
 
 import http
-import json
 from typing import Any
 
 import behave
@@ -9,141 +8,16 @@
 
 from rhubarblead.events import catalog
 from rhubarblead.platform import headers
-from rhubarblead.platform import settings
-from rhubarblead.requests import link_load
-from rhubarblead.router import heartbeat_handler
-from rhubarblead.router import http_server
 from rhubarblead.router import server_notices
 from rhubarblead.router import store_access
-from rhubarblead.router import upstream
 from rhubarblead.router import wire
 from tests import router_doubles
 from tests.rhubarblead.router import simulated_cluster
+from tests.rhubarblead.router import simulated_node
 
-_SERVER_ID = "i-1"
-_BORN_MS = 100
-_LATER_BORN_MS = 200
 _SETTLE_MS = 9_000
 _REGISTER_MS = 2_000
-_WALL_MS = (_BORN_MS + _LATER_BORN_MS) // 2
 _HEARTBEAT_MS = 870
-_ADDRESS = settings.Address(ip="127.0.0.1", port=9)
-_DOMAIN = "d1"
-_SERVICE = simulated_cluster.SERVICE
-
-
-class _Exchange:
-    """One call of the server."""
-
-    def __init__(
-        self, call: str, body: dict[str, Any] | None, *, server_id: str
-    ) -> None:
-        self.target = f"/rpc?call=instances.{call}&of={server_id}".encode()
-        self.body = b"" if body is None else json.dumps(body).encode()
-
-        self.reply: dict[str, Any] | None = None
-        self.status = 0
-
-    def finish(self, response: http_server.Response) -> None:
-        """Records the reply."""
-        self.status = response.status
-        self.reply = json.loads(response.body or b"null")
-
-
-class _Node:
-    """A node with its handler of heartbeats, without sockets."""
-
-    def __init__(self, *, is_keyed: bool = True) -> None:
-        self.cluster = simulated_cluster.SimulatedCluster(
-            node_count=2, seed=1, is_keyed=is_keyed
-        )
-        self.events: Any = simulated_cluster.RecordingEventLog()
-        self.server_id = _SERVER_ID
-        self.born_ms = _BORN_MS
-        self.wall_ms = _WALL_MS
-        self.sequence = 0
-        self.cluster.loop.run_until_complete(self._open())
-
-    def read_row(self) -> None:
-        """Reads the node's row, after which heartbeats are believed."""
-        self.cluster.loop.run_until_complete(self.ownership.step())
-
-    def restart(self) -> None:
-        """Starts a new process of the node, which remembers nothing."""
-        self.cluster.nodes["n1"].start()
-        self.cluster.loop.run_until_complete(self._open())
-
-    async def _open(self) -> None:
-        self.ownership = self.cluster.nodes["n1"].ownership
-        self.upstream = upstream.Upstream(
-            address=_ADDRESS,
-            events=self.events,
-            now_ms=lambda: self.cluster.now_ms,
-            is_held=lambda key: True,
-            is_owned=lambda key: True,
-            link=link_load.LinkLoad(
-                bytes_per_ms=1_250, min_bytes=8_000, find_queued_bytes=lambda: 0
-            ),
-            count_servers=lambda: 1,
-            broadcast=lambda message: None,
-        )
-        self.handler = heartbeat_handler.HeartbeatHandler(
-            key_ownership=self.ownership,
-            local_upstream=self.upstream,
-            service=_SERVICE,
-            address=_ADDRESS,
-            failure_domain=_DOMAIN,
-            events=self.events,
-            wall_ms=lambda: self.wall_ms,
-            on_change=lambda: None,
-        )
-        self.upstream.statements.on_leaving = self.handler.handle_stated_leaving
-        self.ownership.on_previous_exit_known = (
-            self.handler.handle_previous_exit_known
-        )
-
-    def call(
-        self,
-        name: str,
-        body: dict[str, Any] | None,
-        *,
-        server_id: str = _SERVER_ID,
-    ) -> None:
-        """Handles a call of the server."""
-        exchange: Any = _Exchange(name, body, server_id=server_id)
-        self.exchange = exchange
-
-        async def handle() -> None:
-            self.handler.handle(exchange)
-
-        self.cluster.loop.run_until_complete(handle())
-
-    def send_heartbeat(self, state: str) -> None:
-        """Handles the server's next heartbeat."""
-        self.sequence += 1
-        self.call(
-            "heartbeat", self.make_heartbeat(state), server_id=self.server_id
-        )
-
-    def make_heartbeat(self, state: str) -> dict[str, Any]:
-        """Makes the server's next heartbeat."""
-        return {
-            "address": str(_ADDRESS),
-            "born": self.born_ms,
-            "information": {
-                "service": _SERVICE,
-                "version": "v1",
-                "zone": _DOMAIN,
-                "slots": 4,
-            },
-            "status": {
-                "state": state,
-                "sequence": self.sequence,
-                "coldRemainingMs": 0,
-            },
-            "holds": [],
-            "freed": [],
-        }
 
 
 @behave.given("a node whose server has sent a heartbeat")
@@ -155,14 +29,14 @@
 
 @behave.given("a node whose server has sent no heartbeat")
 def make_unknown(context: runner.Context) -> None:
-    context.node = _Node()
+    context.node = simulated_node.SimulatedNode()
     context.node.read_row()
     context.add_cleanup(context.node.cluster.close)
 
 
 @behave.given("a registered node of a {kind:w} service, whose server {known}")
 def make_registered(context: runner.Context, kind: str, known: str) -> None:
-    context.node = _Node(is_keyed=kind == "keyed")
+    context.node = simulated_node.SimulatedNode(is_keyed=kind == "keyed")
     cluster = context.node.cluster
     context.add_cleanup(cluster.close)
     # Its heartbeats are those that the test sends.
@@ -200,7 +74,9 @@
     deregister(context)
     context.node.cluster.run(_SETTLE_MS)
     start_again(context)
-    context.node.server_id = _SERVER_ID if which == "the same" else "i-9"
+    context.node.server_id = (
+        simulated_node.SERVER_ID if which == "the same" else "i-9"
+    )
 
 
 @behave.then("the server is not used for {most:d} ms")
@@ -262,7 +138,9 @@
     'a heartbeat without "{fields}" of a later process says that it drains'
 )
 def send_incomplete(context: runner.Context, fields: str) -> None:
-    body = context.node.make_heartbeat("draining") | {"born": _LATER_BORN_MS}
+    body = context.node.make_heartbeat("draining") | {
+        "born": simulated_node.LATER_BORN_MS
+    }
     for field in fields.split():
         del body[field]
     context.node.call("heartbeat", body)
@@ -271,7 +149,7 @@
 @behave.then("the server is used, as the process that it was")
 def check_same_process(context: runner.Context) -> None:
     check_used(context)
-    assert context.node.ownership.server.born_ms == _BORN_MS
+    assert context.node.ownership.server.born_ms == simulated_node.BORN_MS
     assert not context.node.ownership.server.is_leaving
 
 
@@ -285,12 +163,12 @@
 
 @behave.when("the deregistration of the earlier process arrives")
 def deregister_earlier(context: runner.Context) -> None:
-    context.node.call("deregister", {"born": _BORN_MS})
+    context.node.call("deregister", {"born": simulated_node.BORN_MS})
 
 
 @behave.when("it states in a response that it leaves")
 def state_leaving(context: runner.Context) -> None:
-    node: _Node = context.node
+    node: simulated_node.SimulatedNode = context.node
     node.upstream.statements.record_response(
         node.upstream.statements.server,
         headers.read_response(
@@ -315,7 +193,7 @@
 
 @behave.when("it starts again under the same id")
 def start_again(context: runner.Context) -> None:
-    context.node.born_ms = _LATER_BORN_MS
+    context.node.born_ms = simulated_node.LATER_BORN_MS
     context.node.sequence = 0
 
 
@@ -353,12 +231,12 @@
 
 @behave.then('its exit was logged once, with the source "{source}"')
 def check_exit_logged(context: runner.Context, source: str) -> None:
-    node: _Node = context.node
+    node: simulated_node.SimulatedNode = context.node
     name = catalog.Event.SERVER_EXIT_RECORDED.name
     own: Any = node.cluster.nodes["n1"].events
     found = [fields for event, fields in own.events if event == name]
     assert [item["source"] for item in found] == [source], found
-    assert found[0]["server_id"] == _SERVER_ID, found
+    assert found[0]["server_id"] == simulated_node.SERVER_ID, found
 
 
 @behave.then("the server is used")
@@ -416,7 +294,9 @@
 def make_told_notices(context: runner.Context, node_id: str) -> None:
     context.links = _RecordingLinks()
     context.notices = server_notices.ServerNotices(links=context.links)
-    state = router_doubles.make_state(node_id, _SERVICE, incarnation="a")
+    state = router_doubles.make_state(
+        node_id, simulated_node.SERVICE, incarnation="a"
+    )
     state.statement = _LEAVING
     context.notices.handle_state(state)
 
@@ -442,7 +322,9 @@
 @behave.when('the state of process "{process}" of "{node_id}" arrives')
 def receive_state(context: runner.Context, process: str, node_id: str) -> None:
     context.notices.handle_state(
-        router_doubles.make_state(node_id, _SERVICE, incarnation=process)
+        router_doubles.make_state(
+            node_id, simulated_node.SERVICE, incarnation=process
+        )
     )
 
 
@@ -468,20 +350,23 @@
     "a cold time of a year": {"status": {"coldRemainingMs": 3.2e10}},
     "a token without end": {"freed": [[0, 9, "x" * 5_000]]},
     # These can't be told from the server's own.
-    "a later start": {"born": _LATER_BORN_MS},
+    "a later start": {"born": simulated_node.LATER_BORN_MS},
     "a far higher sequence": {"status": {"sequence": 10**9}},
     "another id, and the same start": {"id": "i-2"},
-    "another id, and a later start": {"id": "i-2", "born": _LATER_BORN_MS},
+    "another id, and a later start": {
+        "id": "i-2",
+        "born": simulated_node.LATER_BORN_MS,
+    },
 }
 
 
 @behave.when("a heartbeat of another writer, with {what}, says that it {state}")
 def send_odd(context: runner.Context, what: str, state: str) -> None:
-    node: _Node = context.node
+    node: simulated_node.SimulatedNode = context.node
     node.sequence += 1
     body = node.make_heartbeat("draining" if state == "drains" else "ready")
     changes = dict(_ODD[what])
-    server_id = changes.pop("id", _SERVER_ID)
+    server_id = changes.pop("id", simulated_node.SERVER_ID)
     for name, value in changes.items():
         if isinstance(value, dict):
             body[name].update(value)
@@ -514,12 +399,12 @@
 @behave.then("the server is used again, as the process that it was")
 def check_resumed(context: runner.Context) -> None:
     check_same_process(context)
-    assert context.node.upstream.server_id == _SERVER_ID
+    assert context.node.upstream.server_id == simulated_node.SERVER_ID
 
 
 @behave.then("its keys are released to nobody for {least:d} ms")
 def check_kept(context: runner.Context, least: int) -> None:
-    node: _Node = context.node
+    node: simulated_node.SimulatedNode = context.node
     own = node.cluster.nodes["n1"].ownership
     before = own.list_spans()
     assert before
