A deregistration without a start holds for processes not yet seen (DRAIN)

Callers of a server that leaves right after a start under the id of the one before could be sent to it: its deregistration, which names no start, was taken for one of the known process and acknowledged, and a delayed heartbeat put the server in service.

Found by a new random search over the calls of servers (lost, late, doubled, copied by another writer, with restarts of the node): with servers that start again under one id it fails on within 150 sequences, with ids of their own it doesn't.

Change: until 5 s after such a call, a process under its id that started before it gets no requests; heartbeats that arrive later show that it lives, so that one whose clock was set back is used again. The row of the node names the time of the call.

--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -317,13 +317,17 @@
         """
         server = self.server
         is_known = server is not None and server.server_id == server_id
+        latest_born_ms = born_ms or wall_ms
         if not born_ms:
             # Processes that start from now on aren't meant; a heartbeat that
             # an earlier one has sent may still arrive.
             born_ms = server.born_ms if server and is_known else wall_ms
+            self._tracker.record_unattributed(
+                server_id, latest_born_ms, self._now_ms()
+            )
         if self._tracker.record_deregistration(server_id, born_ms):
             self._report_exit(server_id, born_ms, "deregistration")
-        self._store_exit(server_id, born_ms)
+        self._store_exit(server_id, latest_born_ms)
         self._apply_departure("server deregistered")
         return not is_known or self.is_server_leaving
 
@@ -395,7 +399,7 @@
         heartbeat that was sent before that may be the only one to arrive.
         """
         server = self.server
-        if server is None or not server.may_hold:
+        if server is None or not server.may_hold or self._tracker.is_doubtful:
             return False
         return self._registration.has_read or self._tracker.has_continued
 
--- a/src/rhubarblead/router/server_process.py
+++ b/src/rhubarblead/router/server_process.py
@@ -22,6 +22,9 @@
 MIN_SPACING_INTERVALS = 0.5
 """Delayed heartbeats arrive together; those of a live process, apart."""
 
+MAX_LATE_MS = 5_000
+"""Heartbeats that arrive later than this after an exit show a live process."""
+
 MAX_DEPARTED_COUNT = 64
 """Processes remembered as leaving; an instance has one server at a time."""
 
@@ -72,6 +75,17 @@
     arrived_at_ms: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Deregistration:
+    """A deregistration that doesn't say which process of the id has sent it.
+
+    `before_ms` is the Unix time before which that process has started.
+    """
+
+    before_ms: int
+    arrived_at_ms: int
+
+
 class ServerTracker:
     """Judges the heartbeats that arrive, and remembers which servers leave.
 
@@ -84,6 +98,7 @@
         "_interval_ms",
         "_leaving",
         "_seen",
+        "_unattributed",
         "current",
     )
 
@@ -100,6 +115,8 @@
         self._leaving: dict[tuple[str, int], None] = {}
         # The latest start of a process that has deregistered, by its id.
         self._deregistered: dict[str, int] = {}
+        # The latest one that names no start, by the id of its sender.
+        self._unattributed: dict[str, _Deregistration] = {}
         self.current: ServerState | None = None
 
     def judge(self, heartbeat: heartbeats.Heartbeat, now_ms: int) -> Standing:
@@ -167,6 +184,33 @@
         _remember(self._deregistered, server_id, latest_ms)
         return is_news
 
+    def record_unattributed(
+        self, server_id: str, before_ms: int, now_ms: int
+    ) -> None:
+        """Remembers that some process under an id has deregistered.
+
+        Args:
+            server_id: The id.
+            before_ms: The Unix time before which that process has started.
+            now_ms: When the call has arrived.
+        """
+        call = _Deregistration(before_ms=before_ms, arrived_at_ms=now_ms)
+        _remember(self._unattributed, server_id, call)
+
+    @property
+    def is_doubtful(self) -> bool:
+        """Whether the known process may be one that has deregistered.
+
+        Then it sends no more heartbeats; only delayed ones arrive for a time.
+        """
+        current = self.current
+        if current is None:
+            return False
+        call = self._unattributed.get(current.server_id)
+        if call is None or current.born_ms > call.before_ms:
+            return False
+        return current.last_heartbeat_at_ms < call.arrived_at_ms + MAX_LATE_MS
+
     def has_left(self, server_id: str, born_ms: int) -> bool:
         """Returns whether a process has announced its exit."""
         return (
--- a/tests/rhubarblead/router/server_leaving.feature
+++ b/tests/rhubarblead/router/server_leaving.feature
@@ -268,3 +268,36 @@
     When it passes on a response of "n2" without a statement
     And the state of process "c" of "n2" arrives
     Then it has told "n2" 2 times of a limit of 5
+
+  Scenario: A random search finds no server in service after its exit was acknowledged
+    When 150 sequences of calls of servers are searched, each with an id of its own
+    Then each acknowledged exit held, and a server that lived was used
+
+  Scenario: A random search finds none where servers start again under the same id
+    When 150 sequences of calls of servers are searched, all under one id
+    Then each acknowledged exit held, and a server that lived was used
+
+  # DRAIN: found by the search; the deregistration was taken for one of the
+  # process before.
+  Scenario Outline: A server deregisters before its first heartbeat arrives, under a known id
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    When <before>
+    And it starts again under the same id, and 100 ms pass on its clock
+    And it deregisters without saying when it has started
+    And a heartbeat says that it is ready
+    Then the server is not used
+
+    Examples: the process before has left, or it has crashed
+      | before                          |
+      | a heartbeat says that it drains |
+      | 300 ms pass                     |
+
+  Scenario: A server whose clock was set back is used once its heartbeats can't be delayed ones
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    When its clock is set ahead
+    And it deregisters without saying when it has started
+    And it starts again under the same id
+    And the node's server sends 4 more heartbeats
+    Then the server is not used
+    When the node's server sends 4 more heartbeats
+    Then the server is used
--- a/tests/steps/router_server_leaving.py
+++ b/tests/steps/router_server_leaving.py
@@ -12,6 +12,7 @@
 from rhubarblead.router import store_access
 from rhubarblead.router import wire
 from tests import router_doubles
+from tests.rhubarblead.router import leaving_search
 from tests.rhubarblead.router import simulated_cluster
 from tests.rhubarblead.router import simulated_node
 
@@ -197,6 +198,19 @@
     context.node.sequence = 0
 
 
+@behave.when(
+    "it starts again under the same id, and {passed:d} ms pass on its clock"
+)
+def start_again_and_wait(context: runner.Context, passed: int) -> None:
+    start_again(context)
+    context.node.wall_ms = context.node.born_ms + passed
+
+
+@behave.when("its clock is set ahead")
+def set_clock_ahead(context: runner.Context) -> None:
+    context.node.wall_ms = 2 * simulated_node.LATER_BORN_MS
+
+
 @behave.when('another node tells that the server "{server}" stated "{stated}"')
 def tell(context: runner.Context, server: str, stated: str) -> None:
     is_leaving = stated == "leaving"
@@ -412,3 +426,17 @@
     while node.cluster.now_ms < ends_ms:
         node.cluster.run(simulated_cluster.TICK_MS)
         assert own.list_spans() == before, node.cluster.now_ms
+
+
+@behave.when("{count:d} sequences of calls of servers are searched, {ids}")
+def search(context: runner.Context, count: int, ids: str) -> None:
+    try:
+        leaving_search.search(count, reuses_ids=ids == "all under one id")
+        context.found = None
+    except (leaving_search.UsedAfterExit, leaving_search.NotUsed) as error:
+        context.found = error
+
+
+@behave.then("each acknowledged exit held, and a server that lived was used")
+def check_search(context: runner.Context) -> None:
+    assert context.found is None, repr(context.found)
