--- a/tests/steps/bench.py
+++ b/tests/steps/bench.py
@@ -11,6 +11,7 @@
 from tools.bench import comparison
 from tools.bench import entries
 from tools.bench import losses
+from tools.bench import margins
 from tools.bench import retry_use
 from tools.bench import short_days
 from tools.bench import slot_use
@@ -148,3 +149,12 @@
         read = tomllib.loads(short_days.format_day(day))
         assert read["faults"] == list(day.faults), read
         assert read["plan"] == list(day.plan), read
+
+
+@behave.then("the margins are")
+def check_margins(context: runner.Context) -> None:
+    found = [
+        margins.format_margin(item).strip()
+        for item in margins.find_margins(context.log_lines)
+    ]
+    assert found == [line.strip() for line in context.text.splitlines()], found
--- a/tests/tools/bench.feature
+++ b/tests/tools/bench.feature
@@ -34,6 +34,31 @@
            2 |  0.25    1    1
       """
 
+  Scenario: The margin of each bound is read from the logs of a day
+    Given the log lines
+      """
+       -9.0 node-1 {"event":"CONFIG_IN_FORCE","version":1,"previous_version":-1}
+        1.0 node-1 {"event":"CONFIG_IN_FORCE","version":2,"previous_version":1}
+        2.9 node-2 {"event":"CONFIG_IN_FORCE","version":2,"previous_version":1}
+        3.0 node-3 {"event":"CONFIG_IN_FORCE","version":2,"previous_version":-1}
+        4.0 node-1 {"event":"SERVER_EXIT_RECORDED","server_id":"i-1"}
+        4.9 node-2 {"event":"ANSWER_RETURNED","node_id":"node-1@10.0.0.1","ran_ms":99,"transit_ms":1,"request_id":"r1"}
+        4.95 node-2 {"event":"ANSWER_RETURNED","node_id":"node-1@10.0.0.1","ran_ms":990,"transit_ms":10,"request_id":"r2"}
+        6.0 node-1 {"event":"ROUTER_STOPPED","waited_ms":3000}
+        6.5 node-1 {"event":"SERVER_SEEN","server_id":"i-1"}
+        6.9 node-2 {"event":"ANSWER_RETURNED","node_id":"node-1@10.0.0.1","ran_ms":900,"transit_ms":400,"request_id":"r4"}
+        7.0 node-1 {"event":"SERVER_SEEN","server_id":"i-2"}
+        7.9 node-2 {"event":"ANSWER_RETURNED","node_id":"node-1@10.0.0.1","ran_ms":99,"transit_ms":1,"request_id":"r3"}
+        8.0 node-1 {"event":"REQUEST_SENT_AGAIN","service":"s","allowed_count":4}
+      """
+    Then the margins are
+      """
+        95%  configuration in force, ms after the first node: 1900 of 2000 (version 2 at node-2)  high
+        80%  request to a leaving server, ms after its exit: 1600 of 2000 (node-1, request r4)
+        50%  planned stop, ms: 3000 of 6000 (node-1 at 6.0 s)
+        25%  retries to s, in 10 s: 1 of 4 (until 8.0 s)
+      """
+
   Scenario: Short days are drawn by seed
     When 300 short days are drawn
     Then each has 3 to 6 disruptions of several targets, within 3 s
--- a/tools/bench/__main__.py
+++ b/tools/bench/__main__.py
@@ -4,6 +4,7 @@
        ./run python -m tools.bench losses REASON [--journal FOLDER]
        ./run python -m tools.bench slots LOG SERVICE
        ./run python -m tools.bench retries LOG
+       ./run python -m tools.bench margins LOG [LOG ...]
        ./run python -m tools.bench draw FIRST LAST FOLDER
 
 BEFORE, AFTER and REASON are text in the reason that was given for the plays.
@@ -16,6 +17,7 @@
 from tools.bench import comparison
 from tools.bench import entries
 from tools.bench import losses
+from tools.bench import margins
 from tools.bench import retry_use
 from tools.bench import short_days
 from tools.bench import slot_use
@@ -88,6 +90,20 @@
         )
 
 
+def print_margins(*logs: str) -> None:
+    """Prints how near the nodes came to each bound.
+
+    Args:
+        logs: Files with the printed logs of the nodes of a day.
+    """
+    lines: list[str] = []
+    for log in logs:
+        text = pathlib.Path(log).read_text(encoding="utf-8", errors="replace")
+        lines += text.splitlines()
+    for margin in margins.find_margins(lines):
+        print(margins.format_margin(margin))
+
+
 def print_slots(log: str, service: str) -> None:
     """Prints how the slots of a service's servers were used.
 
@@ -127,6 +143,7 @@
             "compare": compare,
             "draw": draw,
             "losses": print_losses,
+            "margins": print_margins,
             "retries": print_retries,
             "slots": print_slots,
         }
