Test of the evacuation's end: its double has what decides on service

The end of an evacuation asked whether the server may hold its keys, and now whether it may serve; a scenario checks that a server that has left stays out of service.

--- a/tests/rhubarblead/router/evacuation.feature
+++ b/tests/rhubarblead/router/evacuation.feature
@@ -44,6 +44,15 @@
     When the failure domains "a" are read as evacuated
     Then 3 requests were refused as not run
 
+  # DRAIN: the end of an evacuation puts no server in service that has left.
+  Scenario: A server that has announced its exit isn't taken back
+    Given a node in failure domain a beside a server of 9 slots, with no ranges of keys
+    And the evacuation bound is 5000 ms
+    When the failure domains "a" are read as evacuated
+    And its server announces its exit
+    And the failure domains "" are read as evacuated
+    Then the server is out of service, though not for the evacuation
+
   Scenario Outline: A server that is taken back may be cold
     Given a node in failure domain a beside a server of 9 slots, with <spans> ranges of keys
     And the evacuation bound is 5000 ms
--- a/tests/steps/router_evacuation.py
+++ b/tests/steps/router_evacuation.py
@@ -33,7 +33,8 @@
         self._spans = [(n, n) for n in range(span_count)]
         self.is_evacuated = False
         self.wake = asyncio.Event()
-        self.server = mock.Mock(may_hold=True)
+        self.server = mock.Mock()
+        self.may_serve = True
 
     def list_spans(self) -> list[tuple[int, int]]:
         """Lists the ranges that are left."""
@@ -189,6 +190,17 @@
     context.evacuation.check()
 
 
+@behave.when("its server announces its exit")
+def announce_exit(context: runner.Context) -> None:
+    context.ownership.may_serve = False
+
+
+@behave.then("the server is out of service, though not for the evacuation")
+def check_left(context: runner.Context) -> None:
+    assert not context.upstream.is_serving
+    assert not context.evacuation.is_stopped
+
+
 @behave.then("the server gets {share:w} requests")
 def check_serving(context: runner.Context, share: str) -> None:
     is_serving = context.upstream.is_serving
