--- a/review/lib2/standins.py
+++ b/review/lib2/standins.py
@@ -88,7 +88,7 @@
         self.rows = {}
         self.changes = []
         self.revision = 1
-        self.counts = {}
+        self.is_down = False
         self._changed = asyncio.Condition()
         self._server = None
 
@@ -116,8 +116,9 @@
                 method, target, _ = line.split(" ")
                 path, _, query = target.partition("?")
                 query = dict(urllib.parse.parse_qsl(query))
-                self.counts[path] = self.counts.get(path, 0) + 1
-                status, reply = await self._call(method, path, query, body)
+                status, reply = 503, {}
+                if not self.is_down:
+                    status, reply = await self._call(method, path, query, body)
                 data = json.dumps(reply).encode()
                 writer.write(
                     b"HTTP/1.1 %d X\r\ncontent-type: application/json\r\n"
@@ -260,22 +261,25 @@
             await self.beat()
             await asyncio.sleep(HEARTBEAT_MS / 1_000)
 
-    async def beat(self):
-        """Sends one heartbeat; tells whether it was acknowledged."""
+    def make_beat(self):
+        """Makes the next heartbeat."""
         self.sequence += 1
-        body = {
+        return json.dumps({
             "address": f"{self.node.ip}:{self.node.ports['server']}",
             "born": self.born,
             "information": {"service": self.node.service, "version": "v1",
                             "zone": self.node.zone, "slots": SLOTS},
             "status": {"state": self.state, "sequence": self.sequence,
                        "coldRemainingMs": 0},
-        }
+        }).encode()
+
+    async def beat(self):
+        """Sends one heartbeat; tells whether it was acknowledged."""
+        body = self.make_beat()
         status, _ = await call(
             self.node.ip, self.node.ports["control"], "POST",
             f"/rpc?call=instances.heartbeat&of={self.name}",
-            {"Content-Type": "application/json"},
-            json.dumps(body).encode(), 1.0,
+            {"Content-Type": "application/json"}, body, 1.0,
         )
         return status == 200
 
