--- a/review/lib2/runner.py
+++ b/review/lib2/runner.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import pathlib
+import signal
 import sys
 import traceback
 
@@ -24,6 +25,9 @@
     record(f"trouble: {'yes' if has_trouble else 'no'}")
 
     async def start():
+        # So that a script that is ended ends its processes as well.
+        asyncio.get_running_loop().add_signal_handler(
+            signal.SIGTERM, asyncio.current_task().cancel)
         async with asyncio.timeout(112), standins.Site(record) as site:
             return await case(site, has_trouble)
 
@@ -32,7 +36,8 @@
         code = 1 if broken else 0
         for rule in broken:
             record(f"BROKEN: {rule}")
-    except (CannotRun, TimeoutError, OSError) as error:
+    except (CannotRun, TimeoutError, OSError,
+            asyncio.CancelledError) as error:
         traceback.print_exc()
         record(f"could not run: {error!r}")
         code = 2
