--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -29,6 +29,7 @@
 from rhubarblead.router import heartbeat_handler
 from rhubarblead.router import http_client
 from rhubarblead.router import http_server
+from rhubarblead.router import listeners
 from rhubarblead.router import metrics_exporter
 from rhubarblead.router import ownership
 from rhubarblead.router import peer_watch
@@ -80,6 +81,7 @@
         "_events",
         "_is_stopping",
         "_links",
+        "_listeners",
         "_loop",
         "_metrics",
         "_ownership",
@@ -92,7 +94,6 @@
         "_saturation",
         "_chunks",
         "_server_notices",
-        "_servers",
         "_started_at_s",
         "_state",
         "_state_sync",
@@ -257,12 +258,15 @@
         )
         self._dispatcher.responder.observe = self._metrics.observe
         self._dispatcher.responder.observe_delays = self._metrics.observe_delays
-        self._servers = {
-            "metrics": self._make_server(self._metrics.handle),
-            "callers": self._make_server(self._dispatcher.handle),
-            "heartbeats": self._make_server(self._heartbeat_handler.handle),
-            "readiness": self._make_server(self._handle_readiness),
-        }
+        self._listeners = listeners.Listeners(
+            handlers={
+                listeners.Listener.CALLERS: self._dispatcher.handle,
+                listeners.Listener.HEARTBEATS: self._heartbeat_handler.handle,
+                listeners.Listener.READINESS: self._handle_readiness,
+                listeners.Listener.METRICS: self._metrics.handle,
+            },
+            client_limits=self._get_client_limits,
+        )
 
     async def run(self) -> None:
         """Runs until the process is asked to stop.
@@ -496,7 +500,7 @@
 
     def _make_shutdown(self) -> shutdown.Shutdown:
         return shutdown.Shutdown(
-            callers=self._servers["callers"],
+            callers=self._listeners.callers,
             requests=self._dispatcher,
             local_upstream=self._upstream,
             sender=self._response_sender,
@@ -508,31 +512,27 @@
             broadcast_state=self._broadcast_state,
         )
 
-    def _make_server(self, handler: http_server.Handler) -> http_server.Server:
-        return http_server.Server(handler=handler, limits=self._get_limits)
-
-    def _get_limits(self) -> routing_table.ClientLimits:
+    def _get_client_limits(self) -> routing_table.ClientLimits:
         table = self._directory.table
         return table.limits if table is not None else _DEFAULT_LIMITS
 
     async def _listen(self, stack: contextlib.ExitStack) -> None:
         addresses = {
-            "callers": self._deployment.callers,
-            "heartbeats": self._deployment.heartbeats,
-            "readiness": self._deployment.readiness,
+            listeners.Listener.CALLERS: self._deployment.callers,
+            listeners.Listener.HEARTBEATS: self._deployment.heartbeats,
+            listeners.Listener.READINESS: self._deployment.readiness,
         }
-        for name, address in addresses.items():
-            stack.callback(self._servers[name].close)
-            await self._servers[name].listen(address.ip, address.port)
+        for listener, address in addresses.items():
+            await self._listeners.listen(listener, address, stack)
         await self._listen_for_metrics(stack)
 
     async def _listen_for_metrics(self, stack: contextlib.ExitStack) -> None:
         """Serves the metrics if their port is free on this instance."""
         address = self._deployment.metrics
-        server = self._servers["metrics"]
-        stack.callback(server.close)
         try:
-            await server.listen(address.ip, address.port)
+            await self._listeners.listen(
+                listeners.Listener.METRICS, address, stack
+            )
         except OSError as error:
             self._events.emit(
                 catalog.Event.METRICS_UNAVAILABLE,
