--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -624,8 +624,10 @@
     SERVER_SEEN = _define(
         3304,
         _INFO,
-        "server_id born_ms slot_count",
-        "A new incarnation of this node's server sent its first heartbeat.",
+        "server_id born_ms slot_count is_confirmed",
+        "A new incarnation of this node's server sent its first heartbeat."
+        " Unless `is_confirmed`, it may have announced its exit to an earlier"
+        " process of the node, and isn't used before its second heartbeat.",
     )
     SERVER_LEAVING = _define(
         3305,
@@ -722,6 +724,15 @@
         " node. The known process is the one in service, empty before"
         " the first heartbeat.",
     )
+    SERVER_EXIT_NOT_STORED = _define(
+        3317,
+        _WARNING,
+        "server_id waited_ms",
+        "The exit of a server was acknowledged before the store had it. If all"
+        " nodes are restarted before the store is back, it is forgotten, and a"
+        " restarted one waits for a second heartbeat.",
+        "Nothing; look at the store.",
+    )
     LINK_UP = _define(3400, _INFO, "node_id", "A link to another node is up.")
     LINK_DOWN = _define(
         3401,
--- a/src/rhubarblead/router/heartbeat_handler.py
+++ b/src/rhubarblead/router/heartbeat_handler.py
@@ -24,6 +24,13 @@
 MAX_BORN_AHEAD_MS = 60_000
 """The clocks of an instance and its server may differ, but not by more."""
 
+MAX_STORE_DELAY_S = 0.6
+"""How long an announced exit waits to be stored before it is acknowledged.
+
+Without the store it is acknowledged all the same: a server exits a few seconds
+after an announcement that nobody has acknowledged, whatever it still runs.
+"""
+
 _CHECK_INTERVAL_S = 0.025
 
 _JSON = b"content-type: application/json\r\n"
@@ -119,7 +126,11 @@
                 self._ignore_heartbeat(exchange, heartbeat)
             case server_process.Standing.LATE:
                 self._apply_departure(has_deregistered=False)
-                self._finish(exchange, heartbeats.encode_reply(None, 0))
+                self._acknowledge_exit(
+                    exchange,
+                    heartbeat.server_id,
+                    lambda: heartbeats.encode_reply(None, 0),
+                )
             case _:
                 self._apply_heartbeat(exchange, heartbeat)
 
@@ -167,8 +178,13 @@
         )
         local_upstream.warmth.record_heartbeat(heartbeat.cold_remaining_ms)
         has_changed = self._update_serving(f"heartbeat {heartbeat.sequence}")
-        delay_s = MAX_REPLY_DELAY_S if is_first else 0.0
-        self._reply(exchange, asyncio.get_running_loop().time() + delay_s)
+        if heartbeat.is_draining:
+            self._acknowledge_exit(
+                exchange, heartbeat.server_id, self._ownership.make_reply
+            )
+        else:
+            delay_s = MAX_REPLY_DELAY_S if is_first else 0.0
+            self._reply(exchange, asyncio.get_running_loop().time() + delay_s)
         self._apply_departure(has_deregistered=False)
         if is_new or has_changed:
             self._on_change()
@@ -185,8 +201,6 @@
 
     def handle_previous_exit_known(self) -> None:
         """Handles that the exit told to an earlier process is known, if any."""
-        if self._update_serving("row"):
-            self._on_change()
         self._apply_departure(has_deregistered=False)
 
     def _reply(self, exchange: http_server.Exchange, due_at_s: float) -> None:
@@ -208,7 +222,7 @@
             self._refuse(exchange, fault)
             return
         if not self._ownership.handle_deregistration(
-            call.server_id, call.born_ms, self._wall_ms()
+            call.server_id, call.born_ms
         ):
             self._report_ignored("deregistration", call.server_id, call.born_ms)
             self._reject(exchange)
@@ -216,7 +230,32 @@
         if self._upstream.server_id == call.server_id:
             self._upstream.crashes.expect_exit()
             self._apply_departure(has_deregistered=True)
-        self._finish(exchange, b"{}")
+        self._acknowledge_exit(exchange, call.server_id, lambda: b"{}")
+
+    def _acknowledge_exit(
+        self,
+        exchange: http_server.Exchange,
+        server_id: str,
+        make_reply: Callable[[], bytes],
+    ) -> None:
+        """Replies to an announcement once it is stored, or that takes long."""
+        loop = asyncio.get_running_loop()
+        due_at_s = loop.time() + MAX_STORE_DELAY_S
+
+        def reply_when_stored() -> None:
+            is_stored = not self._ownership.has_unsaved_exit
+            if not is_stored and loop.time() < due_at_s:
+                loop.call_later(_CHECK_INTERVAL_S, reply_when_stored)
+                return
+            if not is_stored:
+                self._events.emit(
+                    catalog.Event.SERVER_EXIT_NOT_STORED,
+                    server_id=server_id,
+                    waited_ms=int(MAX_STORE_DELAY_S * 1_000),
+                )
+            self._finish(exchange, make_reply())
+
+        reply_when_stored()
 
     def _report_ignored(
         self,
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -459,6 +459,7 @@
             client=self._store,
             events=self._events,
             now_ms=read_now_ms,
+            wall_ms=read_wall_ms,
             heartbeat_ms=self._deployment.heartbeat_ms,
             max_hold_ms=self._deployment.bounds.hold_max_ms,
             links=self._links,
--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -72,6 +72,7 @@
         "_state",
         "_takeover",
         "_tracker",
+        "_wall_ms",
         "is_evacuated",
         "is_stopping",
         "on_previous_exit_known",
@@ -86,6 +87,7 @@
         client: store_client.StoreClient,
         events: event_log.EventLog,
         now_ms: Callable[[], int],
+        wall_ms: Callable[[], int],
         heartbeat_ms: int,
         max_hold_ms: int,
         links: peers.Links,
@@ -102,6 +104,7 @@
             client: The client of the store.
             events: The event log.
             now_ms: A clock that also counts while the instance is suspended.
+            wall_ms: The Unix time in milliseconds.
             heartbeat_ms: Interval of the heartbeats of the server.
             max_hold_ms: The longest hold that servers accept.
             links: The links to the other nodes.
@@ -116,6 +119,7 @@
         self._state = cluster_directory.own_state
         self._events = events
         self._now_ms = now_ms
+        self._wall_ms = wall_ms
         self._heartbeat_ms = heartbeat_ms
         self._max_hold_ms = max_hold_ms
         self._connect = links.connect
@@ -183,7 +187,10 @@
         self.is_stopping = False
         # Called when it is known which exit an earlier process was told of.
         self.on_previous_exit_known: Callable[[], None] = lambda: None
-        self._tracker = server_process.ServerTracker(interval_ms=heartbeat_ms)
+        self._tracker = server_process.ServerTracker(
+            interval_ms=heartbeat_ms,
+            started_wall_ms=0 if is_first_start else wall_ms(),
+        )
         self.wake = asyncio.Event()
 
     # Interface to the other tasks.
@@ -301,15 +308,12 @@
         self._apply_departure("server is draining")
         self.wake.set()
 
-    def handle_deregistration(
-        self, server_id: str, born_ms: int, wall_ms: int
-    ) -> bool:
+    def handle_deregistration(self, server_id: str, born_ms: int) -> bool:
         """Handles a server's notice that it sends no more heartbeats.
 
         Args:
             server_id: The server.
             born_ms: The Unix time of its start, 0 if that is not known.
-            wall_ms: The Unix time.
 
         Returns:
             Whether it holds for the server whenever that sends a heartbeat.
@@ -317,6 +321,7 @@
         """
         server = self.server
         is_known = server is not None and server.server_id == server_id
+        wall_ms = self._wall_ms()
         latest_born_ms = born_ms or wall_ms
         if not born_ms:
             # Processes that start from now on aren't meant; a heartbeat that
@@ -359,6 +364,12 @@
         self._registration.record_departure(
             members.Departure(server_id=server_id, born_ms=born_ms)
         )
+        self.wake.set()
+
+    @property
+    def has_unsaved_exit(self) -> bool:
+        """Whether the store doesn't have the last announced exit yet."""
+        return self._registration.has_unsaved_departure
 
     def _report_exit(self, server_id: str, born_ms: int, source: str) -> None:
         server = self.server
@@ -395,13 +406,14 @@
     def may_serve(self) -> bool:
         """Whether the server may get requests.
 
-        An earlier process of this node may have been told that it leaves. A
-        heartbeat that was sent before that may be the only one to arrive.
+        An earlier process of this node may have been told that it leaves. The
+        row doesn't show that if the store was away, and a heartbeat that was
+        sent before may be the only one to arrive.
         """
         server = self.server
         if server is None or not server.may_hold or self._tracker.is_doubtful:
             return False
-        return self._registration.has_read or self._tracker.has_continued
+        return self._tracker.is_confirmed
 
     @property
     def is_first_heartbeat(self) -> bool:
@@ -653,13 +665,14 @@
             self._holdings = holdings.Holdings(
                 held_until_ms=max(now_ms, self._holdings.granted_until_ms)
             )
-        self._tracker.begin(heartbeat, now_ms)
+        self._tracker.begin(heartbeat, now_ms, self._wall_ms())
         self._update_holdings()
         self._events.emit(
             catalog.Event.SERVER_SEEN,
             server_id=heartbeat.server_id,
             born_ms=heartbeat.born_ms,
             slot_count=heartbeat.slots,
+            is_confirmed=self._tracker.is_confirmed,
         )
 
     def _check_server(self) -> None:
--- a/src/rhubarblead/router/registration.py
+++ b/src/rhubarblead/router/registration.py
@@ -112,7 +112,8 @@
         self.renew_soon()
 
     @property
-    def _has_unsaved_departure(self) -> bool:
+    def has_unsaved_departure(self) -> bool:
+        """Whether an exit isn't known to be stored."""
         return self._departure != self.member.departure
 
     def begin_era(self) -> None:
@@ -156,7 +157,7 @@
             is_loaded: Whether the rows of the other nodes have been read.
         """
         now_ms = self._now_ms()
-        if self._has_unsaved_departure:
+        if self.has_unsaved_departure:
             return self._lease.is_due(now_ms)
         if self.is_registered and not is_keyed:
             return False
@@ -234,7 +235,7 @@
         self._lease.record_renewal(
             ends_store_ms=member.ends_store_ms, sent_at_ms=sent_at_ms
         )
-        if self._has_unsaved_departure:
+        if self.has_unsaved_departure:
             self.renew_soon()
         if self._lease.is_held and not was_held:
             self._events.emit(
--- a/src/rhubarblead/router/server_process.py
+++ b/src/rhubarblead/router/server_process.py
@@ -5,6 +5,9 @@
 call of another writer would shut the server out for good. A process that goes
 on sending heartbeats, while the one that is taken to live has ceased to, is the
 one that lives.
+
+A single heartbeat may have been sent before an exit that was announced to an
+earlier process of the node, and that nobody remembers.
 """
 
 import dataclasses
@@ -44,7 +47,10 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ServerState:
-    """State of the local server process by its latest heartbeat."""
+    """State of the local server process by its latest heartbeat.
+
+    `is_later_than_node` is set if it has started after the node's process.
+    """
 
     server_id: str
     born_ms: int
@@ -52,6 +58,7 @@
     last_heartbeat_at_ms: int
     is_leaving: bool = False
     is_silent: bool = False
+    is_later_than_node: bool = False
     heartbeat_count: int = 0
     first_heartbeat_at_ms: int = 0
 
@@ -98,17 +105,21 @@
         "_interval_ms",
         "_leaving",
         "_seen",
+        "_started_wall_ms",
         "_unattributed",
         "current",
     )
 
-    def __init__(self, *, interval_ms: int) -> None:
+    def __init__(self, *, interval_ms: int, started_wall_ms: int) -> None:
         """Creates a tracker that knows no server.
 
         Args:
             interval_ms: Interval of the heartbeats.
+            started_wall_ms: The Unix time at which the node's process has
+                started, 0 if there was none before it.
         """
         self._interval_ms = interval_ms
+        self._started_wall_ms = started_wall_ms
         # A heartbeat that the known process can't have sent in that order.
         self._seen: _Unexpected | None = None
         # Processes that have said that they leave, the oldest first.
@@ -142,24 +153,39 @@
         return Standing.LATE if is_same else Standing.EARLIER
 
     def begin(
-        self, heartbeat: heartbeats.Heartbeat, now_ms: int
+        self, heartbeat: heartbeats.Heartbeat, now_ms: int, wall_ms: int
     ) -> ServerState:
-        """Makes the sender of a heartbeat the process that lives."""
+        """Makes the sender of a heartbeat the process that lives.
+
+        Args:
+            heartbeat: The heartbeat.
+            now_ms: When it has arrived.
+            wall_ms: The Unix time of that.
+        """
+        born_ms = heartbeat.born_ms
         self.current = ServerState(
             server_id=heartbeat.server_id,
-            born_ms=heartbeat.born_ms,
+            born_ms=born_ms,
             sequence=-1,
             last_heartbeat_at_ms=now_ms,
             first_heartbeat_at_ms=now_ms,
+            # A start in the future is that of a clock that was set back.
+            is_later_than_node=self._started_wall_ms <= born_ms <= wall_ms,
         )
         return self.current
 
     @property
-    def has_continued(self) -> bool:
-        """Whether the known process goes on sending heartbeats."""
+    def is_confirmed(self) -> bool:
+        """Whether the known process lives by more than a single heartbeat.
+
+        It goes on sending them, or it can have announced its exit to no other
+        process of the node than the present one.
+        """
         current = self.current
         if current is None:
             return False
+        if current.is_later_than_node or not self._started_wall_ms:
+            return True
         lasted_ms = current.last_heartbeat_at_ms - current.first_heartbeat_at_ms
         return lasted_ms >= MIN_SPACING_INTERVALS * self._interval_ms
 
--- a/tests/rhubarblead/router/leaving_search.py
+++ b/tests/rhubarblead/router/leaving_search.py
@@ -13,6 +13,7 @@
 from hypothesis import strategies
 
 from rhubarblead.platform import headers
+from tests.rhubarblead.router import simulated_cluster
 from tests.rhubarblead.router import simulated_node
 
 MAX_LATE_MS = 2_500
@@ -21,15 +22,17 @@
 _HEARTBEAT_MS = 870
 _REGISTER_MS = 2_000
 _STORED_MS = 300
-"""Time in which an exit is stored."""
+"""Time in which an exit is stored that needs no acknowledgement."""
 _STORED_AFTER_OUTAGE_MS = 1_500
+_REPLY_MS = 1_000
+"""Time after which an acknowledgement counts as lost."""
 
 _STEP_COUNT = 20
 
 _durations = strategies.sampled_from([50, 200, _HEARTBEAT_MS])
-_announcements = strategies.sampled_from(
-    ["draining", "deregister", "deregister unborn", "response"]
-)
+_CALLS = ["draining", "deregister", "deregister unborn"]
+_calls = strategies.sampled_from(_CALLS)
+_announcements = strategies.sampled_from([*_CALLS, "response"])
 
 
 class UsedAfterExit(Exception):
@@ -128,9 +131,29 @@
         self.node.cluster.is_store_up = True
         self._run(_STORED_AFTER_OUTAGE_MS)
 
+    @stateful.rule(how=_calls, late=strategies.integers(0, 9))
+    def announce_and_forget(self, how: str, late: int) -> None:
+        """Announces it while the store is away, and restarts the node.
+
+        One heartbeat arrives late; two could be those of a server that lives.
+        A statement in a response binds no restarted node.
+        """
+        node = self.node
+        node.cluster.is_store_up = False
+        self.announce(how)
+        node.restart()
+        self._run(_HEARTBEAT_MS)
+        node.cluster.is_store_up = True
+        self.receive_late(late)
+        self._run(MAX_LATE_MS)
+        self.is_forgotten = True
+
     @stateful.rule(is_later=strategies.booleans())
     def copy(self, is_later: bool) -> None:
         """Another writer copies a heartbeat, with a later start or number."""
+        if self.is_forgotten:
+            # It would be the second heartbeat after the restart.
+            return
         self.has_copies = True
         node = self.node
         body = node.make_heartbeat("ready")
@@ -149,8 +172,7 @@
 
     @stateful.rule()
     def restart_node(self) -> None:
-        """Restarts the node after it has stored what it has acknowledged."""
-        self._run(_STORED_MS)
+        """Restarts the node; what it has acknowledged is stored."""
         self.node.restart()
 
     @stateful.rule(duration=_durations)
@@ -200,7 +222,7 @@
         node.server_id = server_id
         node.born_ms = node.wall_ms = node.cluster.now_ms
         node.sequence = 0
-        self.drains = self.has_deregistered = False
+        self.drains = self.has_deregistered = self.is_forgotten = False
         self.process_count += 1
 
     def _run(self, duration_ms: int) -> None:
@@ -209,7 +231,14 @@
         self.check()
 
     def _record_acknowledgement(self, *, is_announced: bool) -> None:
-        if is_announced and self.node.exchange.status == http.HTTPStatus.OK:
+        """Waits for the reply to an announcement."""
+        if not is_announced:
+            return
+        ends_ms = self.node.cluster.now_ms + _REPLY_MS
+        while not self.node.exchange.status:
+            assert self.node.cluster.now_ms < ends_ms
+            self._run(simulated_cluster.TICK_MS)
+        if self.node.exchange.status == http.HTTPStatus.OK:
             self.acknowledged.add(self._process)
 
     def _state_in_response(self) -> None:
@@ -219,6 +248,7 @@
             upstream.statements.record_response(
                 self._process, headers.read_response(_LEAVING_FIELDS)
             )
+            self._run(_STORED_MS)
             self.acknowledged.add(self._process)
 
 
--- a/tests/rhubarblead/router/server_leaving.feature
+++ b/tests/rhubarblead/router/server_leaving.feature
@@ -81,6 +81,39 @@
     And a heartbeat says that it is ready
     Then the server is not used for 2000 ms
 
+  # DRAIN: an exit was acknowledged while the store was away, all routers were
+  # killed, and a delayed heartbeat put the server in service again.
+  Scenario Outline: A delayed heartbeat proves nothing to a node that has just started
+    Given a registered node of a <kind> service, whose server has sent a heartbeat
+    When the store answers none of its calls
+    And <announcement>
+    Then the exit is binding within 800 ms
+    When the node restarts, and 700 ms pass
+    And the store answers again
+    And <wait> ms pass
+    And a heartbeat says that it is ready
+    Then the server is not used for 8000 ms
+
+    Examples: the row that the node reads was written before the exit
+      | kind  | announcement                                      | wait |
+      | plain | it deregisters                                    | 0    |
+      | plain | it deregisters                                    | 1200 |
+      | plain | it deregisters without saying when it has started | 1200 |
+      | plain | a heartbeat says that it drains                   | 1200 |
+      | plain | it states in a response that it leaves            | 1200 |
+      | keyed | it deregisters                                    | 1200 |
+      | keyed | a heartbeat says that it drains                   | 1200 |
+
+  Scenario: A server that has started since the node restarted is used at once
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    When the store answers none of its calls
+    And it deregisters
+    And the node restarts, and 700 ms pass
+    And the store answers again
+    And it starts again under the same id
+    And a heartbeat says that it is ready
+    Then the server is used
+
   Scenario: Without the store, a restarted node uses no server after a single heartbeat
     Given a registered node of a plain service, whose server has sent a heartbeat
     When the store answers none of its calls
@@ -90,12 +123,14 @@
     When a heartbeat says that it is ready
     Then the server is used
 
-  Scenario Outline: A restarted node uses a server that hasn't announced its exit
+  # A single heartbeat may have been sent before an exit that nobody remembers.
+  Scenario Outline: A restarted node uses a server that goes on sending heartbeats
     Given a registered node of a plain service, whose server has sent a heartbeat
     When <before>
     And the node restarts, and <wait> ms pass
     And a heartbeat says that it is ready
-    And 200 ms pass
+    Then the server is not used for 800 ms
+    When a heartbeat says that it is ready
     Then the server is used
 
     Examples:
@@ -105,6 +140,28 @@
       | its server deregisters, and another one starts under the same id | 0 |
       | its server deregisters, and another one starts under another id  | 0 |
 
+  # An acknowledgement binds: what may forget it must not be all that knows of it.
+  Scenario Outline: An exit is acknowledged once it is stored
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    When <announcement>
+    Then the call is acknowledged within 300 ms, and the exit is stored
+    When the node restarts, and 200 ms pass
+    And the node's server sends 3 more heartbeats
+    Then the server is not used
+
+    Examples:
+      | announcement                                      |
+      | a heartbeat says that it drains                   |
+      | it deregisters                                    |
+      | it deregisters without saying when it has started |
+
+  Scenario: An exit is acknowledged in time if the store doesn't answer
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    When the store answers none of its calls
+    And it deregisters
+    Then the server is not used
+    And the call is acknowledged within 700 ms, and it is logged that the exit is not stored
+
   Scenario Outline: An exit costs one call to the store
     Given a registered node of a plain service, whose server has sent a heartbeat
     When <announcement>
--- a/tests/rhubarblead/router/simulated_cluster.py
+++ b/tests/rhubarblead/router/simulated_cluster.py
@@ -80,8 +80,10 @@
         seed: int,
         era: int = 0,
         is_keyed: bool = True,
+        read_wall_ms: Callable[[], int] | None = None,
     ) -> None:
         self.now_ms = 100_000
+        self.read_wall_ms = read_wall_ms or (lambda: self.now_ms)
         self.is_keyed = is_keyed
         self.loop = _VirtualTimeLoop(self)
         self.random = random.Random(seed)
@@ -580,6 +582,7 @@
             client=client,
             events=self.events,
             now_ms=self._read_ms,
+            wall_ms=self.cluster.read_wall_ms,
             heartbeat_ms=HEARTBEAT_MS,
             max_hold_ms=MAX_HOLD_MS,
             links=self.links,
--- a/tests/rhubarblead/router/simulated_node.py
+++ b/tests/rhubarblead/router/simulated_node.py
@@ -11,6 +11,7 @@
 from tests.rhubarblead.router import simulated_cluster
 
 SERVER_ID = "i-1"
+START_MS = 50
 BORN_MS = 100
 LATER_BORN_MS = 200
 WALL_MS = (BORN_MS + LATER_BORN_MS) // 2
@@ -41,14 +42,19 @@
     """A node with its handler of heartbeats, without sockets."""
 
     def __init__(self, *, is_keyed: bool = True) -> None:
+        # The node starts before its server.
+        self.wall_ms = START_MS
         self.cluster = simulated_cluster.SimulatedCluster(
-            node_count=2, seed=1, is_keyed=is_keyed
+            node_count=2,
+            seed=1,
+            is_keyed=is_keyed,
+            read_wall_ms=lambda: self.wall_ms,
         )
         self.events: Any = simulated_cluster.RecordingEventLog()
         self.server_id = SERVER_ID
         self.born_ms = BORN_MS
-        self.wall_ms = WALL_MS
         self.sequence = 0
+        self.wall_ms = WALL_MS
         self.cluster.loop.run_until_complete(self._open())
 
     def read_row(self) -> None:
@@ -57,6 +63,7 @@
 
     def restart(self) -> None:
         """Starts a new process of the node, which remembers nothing."""
+        self.wall_ms += 1
         self.cluster.nodes["n1"].start()
         self.cluster.loop.run_until_complete(self._open())
 
--- a/tests/steps/router_server_leaving.py
+++ b/tests/steps/router_server_leaving.py
@@ -7,6 +7,7 @@
 from behave import runner
 
 from rhubarblead.events import catalog
+from rhubarblead.keyspace import members
 from rhubarblead.platform import headers
 from rhubarblead.router import server_notices
 from rhubarblead.router import store_access
@@ -19,6 +20,7 @@
 _SETTLE_MS = 9_000
 _REGISTER_MS = 2_000
 _HEARTBEAT_MS = 870
+_ACKNOWLEDGED_MS = 1_000
 
 
 @behave.given("a node whose server has sent a heartbeat")
@@ -194,8 +196,10 @@
 
 @behave.when("it starts again under the same id")
 def start_again(context: runner.Context) -> None:
-    context.node.born_ms = simulated_node.LATER_BORN_MS
-    context.node.sequence = 0
+    node = context.node
+    node.born_ms = simulated_node.LATER_BORN_MS
+    node.wall_ms = max(node.wall_ms, node.born_ms)
+    node.sequence = 0
 
 
 @behave.when(
@@ -400,10 +404,47 @@
 
 @behave.then("the call was acknowledged, and the server is not used")
 def check_bound(context: runner.Context) -> None:
-    assert context.node.exchange.status == http.HTTPStatus.OK
+    check_binding(context, _ACKNOWLEDGED_MS)
+
+
+def _wait_for_acknowledgement(
+    node: simulated_node.SimulatedNode, most_ms: int
+) -> None:
+    ends_ms = node.cluster.now_ms + most_ms
+    while not node.exchange.status and node.cluster.now_ms < ends_ms:
+        node.cluster.run(simulated_cluster.TICK_MS)
+    assert node.exchange.status == http.HTTPStatus.OK, node.exchange.status
+
+
+@behave.then("the exit is binding within {most:d} ms")
+def check_binding(context: runner.Context, most: int) -> None:
+    # A statement in a response binds without an acknowledgement.
+    _wait_for_acknowledgement(context.node, most)
     check_unused(context)
 
 
+@behave.then(
+    "the call is acknowledged within {most:d} ms, and the exit is stored"
+)
+def check_stored(context: runner.Context, most: int) -> None:
+    assert not context.node.exchange.status
+    _wait_for_acknowledgement(context.node, most)
+    content, _ = context.node.cluster.rows[store_access.make_member_key("n1")]
+    departure = members.decode(content).departure
+    assert departure is not None
+    assert departure.server_id == simulated_node.SERVER_ID
+
+
+@behave.then(
+    "the call is acknowledged within {most:d} ms, and it is logged that the"
+    " exit is not stored"
+)
+def check_not_stored(context: runner.Context, most: int) -> None:
+    _wait_for_acknowledgement(context.node, most)
+    name = catalog.Event.SERVER_EXIT_NOT_STORED.name
+    assert name in [event for event, _ in context.node.events.events]
+
+
 @behave.then("the call was not acknowledged")
 def check_unacknowledged(context: runner.Context) -> None:
     status = context.node.exchange.status
