Refuse responses that are malformed in any part (MIXED)

A client got a status of 000 as an answer ("HTTP/1.1 0"). The parser beside the servers takes any three digits for a status, and also lets through other protocols than HTTP, control bytes in the reason, unknown transfer codings, and trailers, which were added to the fields of the head; an interim response to HEAD was taken for the final one. The reader of the own mode has looser patterns for values, reasons and trailers. Nothing said what a response must be to be passed on. Names of fields with a blank or a control byte were refused before.

Change: response_format.py says what is well-formed (RFC 9110, 9112) in version, status, reason, names, values, framing and trailers; both readers ask it and refuse the whole response. Trailers are dropped, and blanks around values are stripped, also in requests, where "5 " was no key (400).

Test: response_format.feature draws responses from the grammar, well-formed and mutated, and reads them whole, byte by byte and on a kept connection; each verdict must be that of a judge which shares nothing with the readers.

--- a/src/rhubarblead/router/http_client.py
+++ b/src/rhubarblead/router/http_client.py
@@ -11,6 +11,8 @@
 
 import httptools
 
+from rhubarblead import response_format
+
 CONNECT_TIMEOUT_S = 1.0
 """Both ends are on one machine or in one region."""
 
@@ -37,6 +39,10 @@
 MAX_REMEMBERED_IDS = 64
 """Requests of a connection whose late responses are still told apart."""
 
+# The parser also reads "RTSP/1.0" and "ICE/1.0", and doesn't tell. In responses
+# behind the first one HTTP/1.0 isn't accepted either.
+_PROTOCOL = b"HTTP/"
+
 
 class Failure(enum.Enum):
     """Why no complete response was received."""
@@ -139,6 +145,7 @@
         "_fields",
         "_has_head",
         "_has_length",
+        "_start",
         "_match",
         "_must_close",
         "_method",
@@ -174,6 +181,8 @@
         self._reason = b""
         self._has_head = False
         self._has_length = False
+        # The first bytes of the exchange, as far as received.
+        self._start = b""
         self._must_close = False
         self.idle_since_s = 0.0
         self.is_open = False
@@ -203,6 +212,7 @@
             self._request_ids.append(request_id)
         self._method = method
         self._has_head = False
+        self._start = b""
         self._exchange_body_bytes = 0
         self._overhead_bytes = 0
         self._skipped_count = 0
@@ -264,6 +274,9 @@
             # No request is outstanding, so the bytes belong to none.
             self.close()
             return
+        if not self._is_of_protocol(data):
+            self._abandon(Failure.MALFORMED)
+            return
         body_bytes = self._exchange_body_bytes
         try:
             self._parser.feed_data(data)
@@ -290,17 +303,35 @@
         self._reason += status
 
     def on_header(self, name: bytes, value: bytes | None) -> None:
-        """Collects a header field."""
-        self._fields.append((name.lower(), value or b""))
+        """Collects a field of the head; checks and drops one of the trailer."""
+        if self._on_result is None:
+            return
+        field = (name.lower(), (value or b"").strip(b" \t"))
+        if not self._has_head:
+            self._fields.append(field)
+            return
+        try:
+            response_format.check_trailer([field])
+        except response_format.CannotAccept:
+            self._abandon(Failure.MALFORMED)
 
     def on_headers_complete(self) -> None:
-        """Determines how the end of the body is found."""
+        """Checks the head, and determines how the end of the body is found."""
+        head = response_format.Head(
+            version=self._parser.get_http_version(),
+            status=self._parser.get_status_code(),
+            reason=self._reason,
+            fields=self._fields,
+            is_first=not self._skipped_count,
+        )
+        try:
+            framing = response_format.find_framing(head, method=self._method)
+        except response_format.CannotAccept:
+            self._abandon(Failure.MALFORMED)
+            return
         self._has_head = True
-        names = {name for name, _ in self._fields}
-        self._has_length = bool(
-            names & {b"content-length", b"transfer-encoding"}
-        ) or self._parser.get_status_code() in (204, 304)
-        if self._method == b"HEAD":
+        self._has_length = framing is not response_format.Framing.CLOSE
+        if self._method == b"HEAD" and not head.is_interim:
             self._must_close = True
             self._finish_message()
 
@@ -320,11 +351,13 @@
 
     def on_message_complete(self) -> None:
         """Completes a response, unless it is an interim one."""
-        if 100 <= self._parser.get_status_code() < 200:
+        if not self._has_head:
+            return
+        if self._parser.get_status_code() < response_format.FINAL_STATUS:
+            self._has_head = False
             self._skip()
             return
-        if self._has_head:
-            self._finish_message()
+        self._finish_message()
 
     def _finish_message(self) -> None:
         self._has_head = False
@@ -366,6 +399,13 @@
             self.close()
         on_result(response)
 
+    def _is_of_protocol(self, data: bytes) -> bool:
+        """Whether an exchange begins as a response of HTTP does, so far."""
+        missing_bytes = len(_PROTOCOL) - len(self._start)
+        if missing_bytes:
+            self._start += data[:missing_bytes]
+        return _PROTOCOL.startswith(self._start)
+
     def _skip(self) -> None:
         """Skips an interim response, or one to another request."""
         self._skipped_count += 1
--- a/src/rhubarblead/router/http_server.py
+++ b/src/rhubarblead/router/http_server.py
@@ -309,8 +309,8 @@
         self._count_header_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes | None) -> None:
-        """Collects a header field."""
-        value = value or b""
+        """Collects a header field, without the whitespace around its value."""
+        value = (value or b"").strip(b" \t")
         self._count_header_bytes(len(name) + len(value) + 4)
         if self._header_started_s is not None:
             self._fields.append((name.lower(), value))
--- a/src/rhubarblead/upstream/headers.py
+++ b/src/rhubarblead/upstream/headers.py
@@ -1,9 +1,12 @@
 """HTTP headers of requests to an upstream and of its responses."""
 
+from collections.abc import Iterable
 import dataclasses
 import re
 from typing import TypeAlias
 
+from rhubarblead import response_format
+
 Headers: TypeAlias = tuple[tuple[str, str], ...]
 
 REQUEST_ID = "Rhubarb-Request-Id"
@@ -38,7 +41,6 @@
 }
 _METHODS_WITH_BODY = frozenset({"POST", "PUT", "PATCH"})
 _TOKEN = r"[!#$%&'*+.^_`|~0-9A-Za-z-]+"
-_FIELDS = re.compile(rf"(?:{_TOKEN}:[^\r\n\0]*\r\n)*")
 _HEAD = re.compile(
     rf"{_TOKEN} [\x21-\x7e]+ HTTP/1\.1\r\n(?:{_TOKEN}:[^\r\n\0]*\r\n)*\r\n"
 )
@@ -62,7 +64,6 @@
 
     forwarded: Headers
     length: int | None
-    is_chunked: bool
     is_closing: bool
     request_id: str
     refused: str
@@ -126,11 +127,13 @@
         raise CannotWrite("a header is not in Latin-1") from error
 
 
-def read_fields(block: bytes, *, is_head: bool) -> ResponseHead:
-    """Reads the header fields of a response.
+def read_fields(
+    fields: Iterable[response_format.Field], *, is_head: bool
+) -> ResponseHead:
+    """Reads the header fields of a well-formed response.
 
     Args:
-        block: The lines after the status line, without the final empty line.
+        fields: Names and values.
         is_head: Whether the request method is HEAD, in which case
             `Content-Length` is forwarded.
 
@@ -138,57 +141,32 @@
         The headers to forward, and the framing.
 
     Raises:
-        CannotRead: A field is malformed, or the framing is ambiguous.
+        CannotRead: The request id stands twice.
     """
-    text = block.decode("latin-1")
-    if not _FIELDS.fullmatch(text):
-        raise CannotRead("a header field is malformed")
-    fields = []
+    decoded = [(n.decode("latin-1"), v.decode("latin-1")) for n, v in fields]
     found: dict[str, str] = {}
-    for line in text.split("\r\n")[:-1]:
-        name, _, value = line.partition(":")
-        value = value.strip(" \t")
+    for name, value in decoded:
         lower = name.lower()
-        if lower in found:
-            _check_repeated(lower)
-            found[lower] += "," + value
-        else:
+        if lower not in found:
             found[lower] = value
-        fields.append((lower, name, value))
-    length = _read_length(found)
+            continue
+        if lower == REQUEST_ID.lower():
+            raise CannotRead("the request id stands twice")
+        found[lower] += "," + value
+    length = found.get("content-length")
     return ResponseHead(
-        forwarded=_list_forwarded(fields, found.get("connection"), is_head),
-        length=length,
-        is_chunked="transfer-encoding" in found,
+        forwarded=_list_forwarded(decoded, found.get("connection"), is_head),
+        length=None if length is None else int(length),
         is_closing="close" in _list_tokens(found.get("connection", "")),
-        request_id=found.get("rhubarb-request-id", ""),
+        request_id=found.get(REQUEST_ID.lower(), ""),
         refused=found.get(REFUSED, ""),
         retry_after_ms=_read_retry_after_ms(found.get("retry-after", "")),
         rate_limit=found.get(RATE_LIMIT, ""),
     )
 
 
-def _check_repeated(lower: str) -> None:
-    if lower in ("content-length", "transfer-encoding", "rhubarb-request-id"):
-        raise CannotRead(f"the header {lower} stands twice")
-
-
-def _read_length(found: dict[str, str]) -> int | None:
-    encoding = found.get("transfer-encoding")
-    length = found.get("content-length")
-    if encoding is not None and encoding.lower() != "chunked":
-        raise CannotRead(f"unknown transfer encoding {encoding!r}")
-    if length is None:
-        return None
-    if encoding is not None:
-        raise CannotRead("both a length and a transfer encoding are given")
-    if not (length.isascii() and length.isdigit()):
-        raise CannotRead(f"malformed length {length!r}")
-    return int(length)
-
-
 def _list_forwarded(
-    fields: list[tuple[str, str, str]], connection: str | None, is_head: bool
+    fields: list[tuple[str, str]], connection: str | None, is_head: bool
 ) -> Headers:
     dropped = _DROPPED_FROM_ANSWERS
     if is_head:
@@ -196,7 +174,7 @@
     if connection is not None:
         dropped = dropped | _list_tokens(connection)
     return tuple(
-        (name, value) for lower, name, value in fields if lower not in dropped
+        (name, value) for name, value in fields if name.lower() not in dropped
     )
 
 
--- a/src/rhubarblead/upstream/responses.py
+++ b/src/rhubarblead/upstream/responses.py
@@ -4,16 +4,19 @@
 import io
 import re
 
+from rhubarblead import response_format
 from rhubarblead.upstream import headers
 
 MAX_HEAD_BYTES = 65_536
 MAX_CHUNK_LINE_BYTES = 256
 MAX_INTERIM_RESPONSES = 8
 
-_STATUS_LINE = re.compile(rb"HTTP/1\.([01]) ([1-5][0-9][0-9])(?: ([^\r\n]*))?")
-_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})[ \t]*(?:;[^\r\n]*)?\r\n")
+_STATUS_LINE = re.compile(rb"HTTP/([0-9]\.[0-9]) ([0-9]{3})(?: ([^\r\n]*))?")
+_CHUNK_SIZE = re.compile(
+    rb"([0-9A-Fa-f]{1,15})(?:;[\t\x20-\x7e\x80-\xff]*)?\r\n"
+)
 _END_OF_HEAD = b"\r\n\r\n"
-_BODILESS = frozenset({204, 304})
+_END_OF_LINE = b"\r\n"
 
 
 class ResponseTooLarge(Exception):
@@ -34,7 +37,8 @@
         # and close it on destruction, but the connection owns this reader.
         self.fp = reader
         self._reader = reader
-        self._is_head = method == "HEAD"
+        self._method = method.encode()
+        self._framing = response_format.Framing.CLOSE
         self.fields: headers.ResponseHead
 
     def __del__(self) -> None:
@@ -49,9 +53,9 @@
             headers.CannotRead: The head is malformed.
             OSError: The connection failed or the deadline has passed.
         """
-        for _ in range(MAX_INTERIM_RESPONSES):
-            self._read_head()
-            if self.status >= 200:
+        for skipped_count in range(MAX_INTERIM_RESPONSES + 1):
+            self._read_head(is_first=not skipped_count)
+            if self.status >= response_format.FINAL_STATUS:
                 return
             if self.status == http.client.SWITCHING_PROTOCOLS:
                 break
@@ -74,28 +78,46 @@
                 body.
             OSError: The connection failed or the deadline has passed.
         """
-        if self._is_head or self.status in _BODILESS:
-            return b""
-        if self.fields.is_chunked:
-            return self._read_chunks(max_bytes)
+        match self._framing:
+            case response_format.Framing.NO_BODY:
+                return b""
+            case response_format.Framing.CHUNKS:
+                return self._read_chunks(max_bytes)
+            case response_format.Framing.CLOSE:
+                raise headers.CannotRead(
+                    "no length shows the end of the answer"
+                )
         length = self.fields.length
-        if length is None:
-            raise headers.CannotRead("no length shows the end of the answer")
-        if length > max_bytes:
+        if length is None or length > max_bytes:
             raise ResponseTooLarge(f"{length} bytes")
         return self._read_exactly(length)
 
-    def _read_head(self) -> None:
-        head = self._read_head_bytes()
-        line, _, block = head[:-2].partition(b"\r\n")
+    def _read_head(self, *, is_first: bool) -> None:
+        line, *lines = self._read_head_bytes()[:-4].split(_END_OF_LINE)
         match = _STATUS_LINE.fullmatch(line)
         if match is None:
             raise headers.CannotRead("the status line is malformed")
-        minor, status, reason = match.groups()
-        self.version = 11 if minor == b"1" else 10
+        version, status, reason = match.groups()
+        self.version = 11 if version == b"1.1" else 10
         self.status = self.code = int(status)
         self.reason = (reason or b"").decode("latin-1")
-        self.fields = headers.read_fields(block, is_head=self._is_head)
+        try:
+            fields = [response_format.split_field(item) for item in lines]
+            self._framing = response_format.find_framing(
+                response_format.Head(
+                    version=version.decode(),
+                    status=self.status,
+                    reason=reason or b"",
+                    fields=fields,
+                    is_first=is_first,
+                ),
+                method=self._method,
+            )
+        except response_format.CannotAccept as error:
+            raise headers.CannotRead(str(error)) from error
+        self.fields = headers.read_fields(
+            fields, is_head=self._method == b"HEAD"
+        )
         self.will_close = self.fields.is_closing or self.version == 10
 
     def _read_head_bytes(self) -> bytes:
@@ -111,8 +133,10 @@
                 raise http.client.RemoteDisconnected("ended before its head")
             lines.append(line)
             room_bytes -= len(line)
-            if line == b"\r\n":
+            if line == _END_OF_LINE:
                 return b"".join(lines)
+            if room_bytes > 0 and not line.endswith(_END_OF_LINE):
+                raise headers.CannotRead("a line of the head is malformed")
         raise http.client.LineTooLong("head")
 
     def _read_chunks(self, max_bytes: int) -> bytes:
@@ -137,10 +161,17 @@
 
     def _skip_trailer(self) -> None:
         room_bytes = MAX_HEAD_BYTES
-        while (line := self._read_line(room_bytes)) != b"\r\n":
+        while (line := self._read_line(room_bytes)) != _END_OF_LINE:
             room_bytes -= len(line)
             if room_bytes <= 0:
                 raise http.client.LineTooLong("trailer")
+            if not line.endswith(_END_OF_LINE):
+                raise headers.CannotRead("a trailer is malformed")
+            try:
+                field = response_format.split_field(line[:-2])
+                response_format.check_trailer([field])
+            except response_format.CannotAccept as error:
+                raise headers.CannotRead(str(error)) from error
 
     def _read_line(self, max_bytes: int) -> bytes:
         line = self._reader.readline(max_bytes)
--- a/tests/rhubarblead/router/http.feature
+++ b/tests/rhubarblead/router/http.feature
@@ -132,6 +132,12 @@
       | in chunks     |
       | byte by byte  |
 
+  # A number with a blank behind it was no number, and was answered with 400.
+  Scenario: Values of fields are read without the whitespace around them
+    Given a caller's connection
+    When the caller sends the field " \t 5 b \t"
+    Then the handler has the field "5 b"
+
   Scenario: A disconnect is detected while requests wait
     Given a caller's connection
     When the caller sends 2 requests at once
--- a/tests/steps/router_http.py
+++ b/tests/steps/router_http.py
@@ -434,6 +434,17 @@
     assert context.caller.exchanges[0].body == body.encode()
 
 
+@behave.when('the caller sends the field "{value}"')
+def send_field(context: runner.Context, value: str) -> None:
+    line = b"x:" + value.encode().decode("unicode_escape").encode()
+    context.caller.send(b"GET / HTTP/1.1\r\n%b\r\n\r\n" % line, 1)
+
+
+@behave.then('the handler has the field "{value}"')
+def check_field(context: runner.Context, value: str) -> None:
+    assert context.caller.exchanges[0].fields == [(b"x", value.encode())]
+
+
 @behave.when("the caller closes its connection")
 def close_caller(context: runner.Context) -> None:
     context.caller.writer.close()
