--- a/review/lib3/world.py
+++ b/review/lib3/world.py
@@ -60,7 +60,7 @@
             item = socket.socket()
             held.append(item)
             try:
-                item.bind(("0.0.0.0", port))
+                item.bind(("127.0.0.1", port))
             except OSError:
                 continue
             found.append(port)
