Each acknowledged exit is stored, also that of the next server

DRAIN: a server that took the place of one that had left announced its own exit before any of its heartbeats had arrived (a first heartbeat that drains, or a deregistration). It was acknowledged and not stored, so that a restarted node used it again when its delayed heartbeats arrived.

Cause: the row had room for one exit, and that of the server in service was kept if it was leaving. A restarted process that heard of an exit before it had read its row likewise overwrote the one in the row.

The new scenarios fail 5 of 5 with the guard and a single exit in the row.

Change: rows name up to eight exits, the newest first.

The step "it deregisters" names the server in service now instead of always the first one.

--- a/src/rhubarblead/keyspace/members.py
+++ b/src/rhubarblead/keyspace/members.py
@@ -9,6 +9,10 @@
     """The bytes are not a valid member record."""
 
 
+MAX_DEPARTURE_COUNT = 8
+"""Exits in a row; servers of an instance follow one another in seconds."""
+
+
 class Departure(msgspec.Struct, frozen=True, array_like=True, kw_only=True):
     """A server process that has announced its exit.
 
@@ -30,7 +34,8 @@
     the last heartbeat, that the process has granted to its server. `era` is
     the era of the store in which the record was written. `departure` is the
     last exit that a server of the node has announced, by which the node's next
-    process knows delayed heartbeats. While a row with `stores_exits` stands,
+    process knows delayed heartbeats, and `earlier_departures` are those before
+    it, the newest first. While a row with `stores_exits` stands,
     the process that has written it acknowledges no exit that isn't stored, so
     that the next one knows all of them.
     """
@@ -48,6 +53,37 @@
     era: int = 0
     departure: Departure | None = None
     stores_exits: bool = False
+    earlier_departures: tuple[Departure, ...] = ()
+
+    @property
+    def departures(self) -> tuple[Departure, ...]:
+        """All exits that are named, the newest first."""
+        if self.departure is None:
+            return ()
+        return (self.departure, *self.earlier_departures)
+
+    def replace_departures(self, departures: tuple[Departure, ...]) -> "Member":
+        """Returns the member with other exits, given the newest first."""
+        return msgspec.structs.replace(
+            self,
+            departure=departures[0] if departures else None,
+            earlier_departures=departures[1:],
+        )
+
+
+def add_departure(
+    departures: tuple[Departure, ...], new: Departure
+) -> tuple[Departure, ...]:
+    """Adds an exit, which stands for all earlier ones under the same id.
+
+    Returns:
+        The exits, the newest first, with the oldest dropped if there are many.
+    """
+    same = [item for item in departures if item.server_id == new.server_id]
+    if any(item.born_ms >= new.born_ms for item in same):
+        return departures
+    others = [item for item in departures if item.server_id != new.server_id]
+    return (new, *others)[:MAX_DEPARTURE_COUNT]
 
 
 def encode(member: Member) -> bytes:
--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -353,14 +353,6 @@
 
     def _store_exit(self, server_id: str, born_ms: int) -> None:
         """Stores an exit for the next process of this node."""
-        server = self.server
-        if (
-            server is not None
-            and server.is_leaving
-            and server.server_id != server_id
-        ):
-            # There is room for one exit: that of the process in service.
-            return
         self._registration.record_departure(
             members.Departure(server_id=server_id, born_ms=born_ms)
         )
@@ -591,12 +583,12 @@
         It may have granted the longest hold that its row allows.
         """
         self._tracker.knows_earlier_exits = knows_exits
-        departure = member.departure
-        if departure is not None and self._tracker.record_deregistration(
-            departure.server_id, departure.born_ms
-        ):
-            self._report_exit(departure.server_id, departure.born_ms, "row")
-            self._apply_departure("server left before the restart")
+        for departure in member.departures:
+            if self._tracker.record_deregistration(
+                departure.server_id, departure.born_ms
+            ):
+                self._report_exit(departure.server_id, departure.born_ms, "row")
+                self._apply_departure("server left before the restart")
         longest_ms = int(member.hold_ms * holdings.MAX_CLOCK_SLOWDOWN) + 1
         self._holdings.set_previous_hold_end(self._started_at_ms + longest_ms)
 
--- a/src/rhubarblead/router/registration.py
+++ b/src/rhubarblead/router/registration.py
@@ -29,7 +29,7 @@
 
     __slots__ = (
         "_access",
-        "_departure",
+        "_departures",
         "_granter_choice_at_ms",
         "_events",
         "_lease",
@@ -81,7 +81,7 @@
         self._started_at_ms = now_ms()
         self._granter_choice_at_ms = 0
         self._term = 0
-        self._departure: members.Departure | None = None
+        self._departures: tuple[members.Departure, ...] = ()
         self._on_previous_process = on_previous_process
         self.revision = 0
         self.is_registered = False
@@ -113,15 +113,15 @@
 
     def record_departure(self, departure: members.Departure) -> None:
         """Makes the next write, due immediately, store a server's exit."""
-        if departure == self._departure:
-            return
-        self._departure = departure
-        self.renew_soon()
+        departures = members.add_departure(self._departures, departure)
+        if departures != self._departures:
+            self._departures = departures
+            self.renew_soon()
 
     @property
     def has_unsaved_departure(self) -> bool:
         """Whether an exit isn't known to be stored."""
-        return self._departure != self.member.departure
+        return self._departures != self.member.departures
 
     def begin_era(self) -> None:
         """Makes this node register again, as the store was restored."""
@@ -217,9 +217,8 @@
             born_ms=born_ms,
             hold_ms=hold_ms,
             era=self._access.era,
-            departure=self._departure,
             stores_exits=stores_exits,
-        )
+        ).replace_departures(self._departures)
         if stores_exits:
             self.must_store_exits = self._has_promised = True
         if is_keyed and is_loaded:
@@ -318,7 +317,7 @@
         if not self.is_registered:
             # A previous process wrote the row, which this one replaces.
             if present is not None:
-                self._adopt_departure(present.departure)
+                self._adopt_departures(present.departures)
                 self.must_store_exits = present.stores_exits
                 # A copy of the store may lack the newest exit.
                 is_complete = (
@@ -332,11 +331,13 @@
         self._reset()
         return False
 
-    def _adopt_departure(self, departure: members.Departure | None) -> None:
-        """Keeps what the process before has stored, unless one came since."""
-        self.member = msgspec.structs.replace(self.member, departure=departure)
-        if self._departure is None:
-            self._departure = departure
+    def _adopt_departures(self, stored: tuple[members.Departure, ...]) -> None:
+        """Keeps what the process before has stored, beside what came since."""
+        self.member = self.member.replace_departures(stored)
+        departures = stored
+        for departure in reversed(self._departures):
+            departures = members.add_departure(departures, departure)
+        self._departures = departures
 
     def _reset(self) -> None:
         self.is_registered = False
--- a/tests/rhubarblead/router/server_leaving.feature
+++ b/tests/rhubarblead/router/server_leaving.feature
@@ -197,6 +197,35 @@
       | it deregisters                                    |
       | it deregisters without saying when it has started |
 
+  # DRAIN: the exit of a server that followed one that had left was acknowledged
+  # and not stored, as the row had room for one.
+  Scenario Outline: Each acknowledged exit is stored, also that of the next server
+    Given a registered node of a <kind> service, whose server has sent a heartbeat
+    When it deregisters
+    And 300 ms pass
+    And another server starts in its place
+    And <announcement>
+    Then the call is acknowledged within 300 ms, and the exits of both are stored
+    When the node restarts, and <wait> ms pass
+    And the node's server sends 3 more heartbeats
+    Then the server is not used
+
+    Examples: no heartbeat of the next server has arrived before
+      | kind  | announcement                    | wait |
+      | plain | a heartbeat says that it drains | 0    |
+      | plain | it deregisters                  | 1000 |
+      | keyed | a heartbeat says that it drains | 1000 |
+      | keyed | it deregisters                  | 0    |
+
+  Scenario: A restarted node keeps the exits that its row names beside newer ones
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    When it deregisters
+    And 300 ms pass
+    And the node restarts, and 0 ms pass
+    And another server starts in its place
+    And it deregisters
+    Then the call is acknowledged within 300 ms, and the exits of both are stored
+
   Scenario: An exit is acknowledged in time if the store doesn't answer
     Given a registered node of a plain service, whose server has sent a heartbeat
     When the store answers none of its calls
--- a/tests/steps/router_server_leaving.py
+++ b/tests/steps/router_server_leaving.py
@@ -222,7 +222,8 @@
 
 @behave.when("it deregisters")
 def deregister(context: runner.Context) -> None:
-    context.node.call("deregister", {"born": context.node.born_ms})
+    node = context.node
+    node.call("deregister", {"born": node.born_ms}, server_id=node.server_id)
 
 
 @behave.when("it deregisters without saying when it has started")
@@ -537,3 +538,20 @@
 @behave.then("each acknowledged exit held, and a server that lived was used")
 def check_search(context: runner.Context) -> None:
     assert context.found is None, repr(context.found)
+
+
+@behave.when("another server starts in its place")
+def start_next(context: runner.Context) -> None:
+    start_again(context)
+    context.node.server_id = "i-9"
+
+
+@behave.then(
+    "the call is acknowledged within {most:d} ms, and the exits of both are"
+    " stored"
+)
+def check_both_stored(context: runner.Context, most: int) -> None:
+    _wait_for_acknowledgement(context.node, most)
+    content, _ = context.node.cluster.rows[store_access.make_member_key("n1")]
+    found = {item.server_id for item in members.decode(content).departures}
+    assert found == {simulated_node.SERVER_ID, "i-9"}, found
