A server proves that it hasn't left by reading a reply, not by two heartbeats

Cause: a restarted node that can't know all acknowledged exits took two heartbeats half an interval apart for those of a process that goes on sending them. Heartbeats that are held up together arrive as spaced as they were sent: their arrival, spacing and number show nothing of when they were sent.

Change: such a server is used - once it has sent a heartbeat to an address that only replies of the node's present process name. The platform lets a reply name one (heartbeatAddress); only a process that lives and has read the reply calls there. The port is one of the internal range, in turns of a second, so that no earlier process has named it within the time that a heartbeat may be late. Then the server is directed back to the usual address; - or once its heartbeats go on for longer after the node's start than any may be late (MAX_LATE_MS, 10 s instead of 5), if it doesn't follow the address. SERVER_CONFIRMED logs the proof, REDIRECTION_UNAVAILABLE a port that is taken.

Changed: "A restarted node uses a server that goes on sending heartbeats" expected use after two heartbeats at the usual address, which is the fault; it now expects the second one at the address of the reply. The server whose clock was set back is used after 14 heartbeats instead of 8, as the bound on late ones has doubled. The stand-in server follows the address.

--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -628,8 +628,7 @@
         "server_id born_ms slot_count is_confirmed",
         "A new incarnation of this node's server sent its first heartbeat."
         " Unless `is_confirmed`, it may have announced its exit to an earlier"
-        " process of the node; it isn't used before the node's row shows that"
-        " all exits are known, or before its second heartbeat.",
+        " process of the node; it isn't used before SERVER_CONFIRMED.",
     )
     SERVER_LEAVING = _define(
         3305,
@@ -733,9 +732,29 @@
         "The store doesn't have the exit of a server in time, which gets no"
         " requests in any case. If it was acknowledged all the same, and all"
         " nodes are restarted before the store is back, it is forgotten; a"
-        " restarted one then waits for a second heartbeat.",
+        " restarted one then waits for a proof (SERVER_CONFIRMED).",
         "Nothing; look at the store.",
     )
+    SERVER_CONFIRMED = _define(
+        3318,
+        _INFO,
+        "server_id proof waited_ms",
+        "A server that may have announced its exit to an earlier process of"
+        " this node hasn't, so that it may be used. `proof` tells why: the"
+        ' row of the node names all exits ("exits known"), the server has sent'
+        " a heartbeat to the address that only this process has named"
+        ' ("reply read"), or it has gone on for longer than any heartbeat is'
+        ' delayed ("outlasted").',
+    )
+    REDIRECTION_UNAVAILABLE = _define(
+        3319,
+        _WARNING,
+        "address error",
+        "The port to which the server would be directed after this restart is"
+        " taken. Unless all exits are known, the server isn't used for the"
+        " first ten seconds.",
+        "Find out which process uses a port of the internal range.",
+    )
     LINK_UP = _define(3400, _INFO, "node_id", "A link to another node is up.")
     LINK_DOWN = _define(
         3401,
--- a/src/rhubarblead/platform/heartbeats.py
+++ b/src/rhubarblead/platform/heartbeats.py
@@ -162,18 +162,29 @@
             return None
 
 
-def encode_reply(grants: tuple[Grant, ...] | None, hold_ms: int) -> bytes:
+def encode_reply(
+    grants: tuple[Grant, ...] | None,
+    hold_ms: int,
+    next_address: settings.Address | None = None,
+) -> bytes:
     """Encodes the answer to a heartbeat.
 
     Args:
         grants: All ranges that the server may hold; None renews nothing.
         hold_ms: How long it may hold them, counted from the time at which it
             sent the heartbeat.
+        next_address: Where it is to send later heartbeats, until one fails
+            there; None leaves that as it is.
     """
-    if grants is None:
-        return b"{}"
-    rows = [(g.first, g.last, g.fence, g.handover) for g in grants]
-    return msgspec.json.encode({"holds": rows, "holdMs": hold_ms})
+    reply: dict[str, object] = {}
+    if next_address is not None:
+        reply["heartbeatAddress"] = str(next_address)
+    if grants is not None:
+        reply["holds"] = [
+            (g.first, g.last, g.fence, g.handover) for g in grants
+        ]
+        reply["holdMs"] = hold_ms
+    return msgspec.json.encode(reply)
 
 
 def _decode_deregistration(server_id: str, content: bytes) -> Deregistration:
--- a/src/rhubarblead/platform/settings.py
+++ b/src/rhubarblead/platform/settings.py
@@ -64,8 +64,9 @@
 
     `callers` is the address to which clients and the server of this instance
     send requests, `heartbeats` the one to which the server sends heartbeats,
-    and `upstream` the address of the server. `is_first_start` is set if the
-    whole deployment starts for the first time.
+    and `upstream` the address of the server. Other nodes connect to
+    `peers_port`; `spare_ports` are free. `is_first_start` is set if the whole
+    deployment starts for the first time.
     """
 
     instance: str
@@ -76,6 +77,7 @@
     heartbeats: Address
     upstream: Address
     peers_port: int
+    spare_ports: range
     store: Address
     metrics: Address
     heartbeat_ms: int
@@ -135,7 +137,10 @@
         "listening addresses for callers (`outbound`), heartbeats (`control`)"
         " and readiness checks (`readiness`)"
     ),
-    "internal_port_range": "port range; other nodes connect to its first port",
+    "internal_port_range": (
+        "port range; other nodes connect to its first port, and a server that"
+        " must confirm its heartbeats is directed to one of the others"
+    ),
     "application": "listening address of the server beside this node",
     "service": "service of that server",
     "platform": "address of the store",
@@ -205,6 +210,9 @@
         heartbeats=read_address(found.listen_addresses.control),
         upstream=read_address(found.application),
         peers_port=found.internal_port_range[0],
+        spare_ports=range(
+            found.internal_port_range[0] + 1, found.internal_port_range[1] + 1
+        ),
         store=read_address(found.platform.address),
         metrics=Address(ip=found.ip_address, port=METRICS_PORT),
         heartbeat_ms=found.heartbeat_interval_ms,
--- a/src/rhubarblead/router/heartbeat_handler.py
+++ b/src/rhubarblead/router/heartbeat_handler.py
@@ -40,11 +40,13 @@
         "_failure_domain",
         "is_evacuated",
         "is_stopping",
+        "redirect_address",
         "_departed",
         "_events",
         "_on_change",
         "_ownership",
         "_service",
+        "_usual_address",
         "_upstream",
         "_wall_ms",
     )
@@ -56,6 +58,7 @@
         local_upstream: upstream.Upstream,
         service: str,
         address: settings.Address,
+        usual_address: settings.Address,
         failure_domain: str,
         events: event_log.EventLog,
         wall_ms: Callable[[], int],
@@ -69,6 +72,8 @@
             local_upstream: The local server.
             service: The service that the server must belong to.
             address: Where the server listens.
+            usual_address: Where heartbeats arrive unless a reply says
+                otherwise.
             failure_domain: The failure domain of this node and its server.
             events: The event log.
             wall_ms: The Unix time in milliseconds.
@@ -80,6 +85,7 @@
         self._upstream = local_upstream
         self._service = service
         self._address = address
+        self._usual_address = usual_address
         self._failure_domain = failure_domain
         self._wall_ms = wall_ms
         self._events = events
@@ -88,9 +94,22 @@
         # The last server process whose exit was announced.
         self._departed = ""
         self.is_stopping = False
+        # An address that no process of this node before has named, if any.
+        self.redirect_address: settings.Address | None = None
 
-    def handle(self, exchange: http_server.Exchange) -> None:
-        """Handles one call of the server."""
+    def handle_redirected(self, exchange: http_server.Exchange) -> None:
+        """Handles one call of the server to the address that replies name."""
+        self.handle(exchange, is_redirected=True)
+
+    def handle(
+        self, exchange: http_server.Exchange, *, is_redirected: bool = False
+    ) -> None:
+        """Handles one call of the server.
+
+        Args:
+            exchange: The call.
+            is_redirected: Whether it was sent to `redirect_address`.
+        """
         try:
             call = heartbeats.decode(
                 exchange.target.decode("latin-1"), exchange.body
@@ -100,7 +119,9 @@
             return
         match call:
             case heartbeats.Heartbeat():
-                self._handle_heartbeat(exchange, call)
+                self._handle_heartbeat(
+                    exchange, call, is_redirected=is_redirected
+                )
             case heartbeats.Deregistration():
                 self._handle_deregistration(exchange, call)
             case _:
@@ -109,13 +130,20 @@
                 )
 
     def _handle_heartbeat(
-        self, exchange: http_server.Exchange, heartbeat: heartbeats.Heartbeat
+        self,
+        exchange: http_server.Exchange,
+        heartbeat: heartbeats.Heartbeat,
+        *,
+        is_redirected: bool,
     ) -> None:
         fault = self._find_fault(heartbeat)
         if fault:
             self._refuse(exchange, fault)
             return
-        match self._ownership.handle_heartbeat(heartbeat):
+        standing = self._ownership.handle_heartbeat(
+            heartbeat, is_redirected=is_redirected
+        )
+        match standing:
             case server_process.Standing.EARLIER:
                 self._ignore_heartbeat(exchange, heartbeat)
             case server_process.Standing.LATE if not heartbeat.is_draining:
@@ -128,7 +156,23 @@
                     lambda: heartbeats.encode_reply(None, 0),
                 )
             case _:
-                self._apply_heartbeat(exchange, heartbeat)
+                self._apply_heartbeat(
+                    exchange,
+                    heartbeat,
+                    lambda: self._make_reply(is_redirected=is_redirected),
+                )
+
+    def _make_reply(self, *, is_redirected: bool) -> bytes:
+        """Makes the reply, which redirects the server while it is unconfirmed.
+
+        Afterwards it returns to the usual address, where the next process of
+        this node listens, too.
+        """
+        if self._ownership.is_unconfirmed:
+            return self._ownership.make_reply(self.redirect_address)
+        if is_redirected:
+            return self._ownership.make_reply(self._usual_address)
+        return self._ownership.make_reply()
 
     def _find_fault(self, heartbeat: heartbeats.Heartbeat) -> str:
         """Returns why a heartbeat can't be the server's, empty if it can."""
@@ -164,7 +208,10 @@
         self._reject(exchange)
 
     def _apply_heartbeat(
-        self, exchange: http_server.Exchange, heartbeat: heartbeats.Heartbeat
+        self,
+        exchange: http_server.Exchange,
+        heartbeat: heartbeats.Heartbeat,
+        make_reply: Callable[[], bytes],
     ) -> None:
         local_upstream = self._upstream
         is_new = heartbeat.server_id != local_upstream.server_id
@@ -175,12 +222,11 @@
         local_upstream.warmth.record_heartbeat(heartbeat.cold_remaining_ms)
         has_changed = self._update_serving(f"heartbeat {heartbeat.sequence}")
         if heartbeat.is_draining:
-            self._acknowledge_exit(
-                exchange, heartbeat.server_id, self._ownership.make_reply
-            )
+            self._acknowledge_exit(exchange, heartbeat.server_id, make_reply)
         else:
             delay_s = MAX_REPLY_DELAY_S if is_first else 0.0
-            self._reply(exchange, asyncio.get_running_loop().time() + delay_s)
+            due_at_s = asyncio.get_running_loop().time() + delay_s
+            self._reply(exchange, due_at_s, make_reply)
         self._apply_departure(has_deregistered=False)
         if is_new or has_changed:
             self._on_change()
@@ -201,13 +247,20 @@
             self._on_change()
         self._apply_departure(has_deregistered=False)
 
-    def _reply(self, exchange: http_server.Exchange, due_at_s: float) -> None:
+    def _reply(
+        self,
+        exchange: http_server.Exchange,
+        due_at_s: float,
+        make_reply: Callable[[], bytes],
+    ) -> None:
         """Replies with the keys to hold, once they are known or it is due."""
         loop = asyncio.get_running_loop()
         if loop.time() < due_at_s and self._ownership.is_grant_pending():
-            loop.call_later(_CHECK_INTERVAL_S, self._reply, exchange, due_at_s)
+            loop.call_later(
+                _CHECK_INTERVAL_S, self._reply, exchange, due_at_s, make_reply
+            )
             return
-        self._finish(exchange, self._ownership.make_reply())
+        self._finish(exchange, make_reply())
         self._upstream.start_waiting()
 
     def _handle_deregistration(
--- a/src/rhubarblead/router/listeners.py
+++ b/src/rhubarblead/router/listeners.py
@@ -30,6 +30,7 @@
 
     CALLERS = "callers"
     HEARTBEATS = "heartbeats"
+    REDIRECTED = "redirected heartbeats"
     READINESS = "readiness"
     METRICS = "metrics"
 
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -35,6 +35,7 @@
 from rhubarblead.router import peer_watch
 from rhubarblead.router import peers
 from rhubarblead.router import promise_exchange
+from rhubarblead.router import redirection
 from rhubarblead.router import relay
 from rhubarblead.router import remote_jobs
 from rhubarblead.router import request_budget
@@ -245,6 +246,7 @@
             local_upstream=self._upstream,
             service=deployment.service,
             address=deployment.upstream,
+            usual_address=deployment.heartbeats,
             failure_domain=deployment.failure_domain,
             events=self._events,
             wall_ms=read_wall_ms,
@@ -271,6 +273,9 @@
             handlers={
                 listeners.Listener.CALLERS: self._dispatcher.handle,
                 listeners.Listener.HEARTBEATS: self._heartbeat_handler.handle,
+                listeners.Listener.REDIRECTED: (
+                    self._heartbeat_handler.handle_redirected
+                ),
                 listeners.Listener.READINESS: self._handle_readiness,
                 listeners.Listener.METRICS: self._metrics.handle,
             },
@@ -538,8 +543,34 @@
         }
         for listener, address in addresses.items():
             await self._listeners.listen(listener, address, stack)
+        await self._listen_for_redirected(stack)
         await self._listen_for_metrics(stack)
 
+    async def _listen_for_redirected(self, stack: contextlib.ExitStack) -> None:
+        """Listens where a server proves that it has read a reply.
+
+        Without that, it proves by the time for which it goes on.
+        """
+        deployment = self._deployment
+        if deployment.is_first_start:
+            return
+        port = redirection.choose_port(deployment.spare_ports, read_wall_ms())
+        if port is None:
+            return
+        address = settings.Address(ip=deployment.heartbeats.ip, port=port)
+        try:
+            await self._listeners.listen(
+                listeners.Listener.REDIRECTED, address, stack
+            )
+        except OSError as error:
+            self._events.emit(
+                catalog.Event.REDIRECTION_UNAVAILABLE,
+                address=str(address),
+                error=str(error),
+            )
+            return
+        self._heartbeat_handler.redirect_address = address
+
     async def _listen_for_metrics(self, stack: contextlib.ExitStack) -> None:
         """Serves the metrics if their port is free on this instance."""
         address = self._deployment.metrics
--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -15,6 +15,7 @@
 from rhubarblead.keyspace import planning
 from rhubarblead.keyspace import recent_shifts
 from rhubarblead.platform import heartbeats
+from rhubarblead.platform import settings
 from rhubarblead.platform import store
 from rhubarblead.router import assignment_repository
 from rhubarblead.router import directory
@@ -189,6 +190,7 @@
         self.on_previous_exit_known: Callable[[], None] = lambda: None
         self._tracker = server_process.ServerTracker(
             interval_ms=heartbeat_ms,
+            started_at_ms=self._started_at_ms,
             started_wall_ms=0 if is_first_start else wall_ms(),
         )
         self.wake = asyncio.Event()
@@ -260,10 +262,15 @@
         return self._tracker.current
 
     def handle_heartbeat(
-        self, heartbeat: heartbeats.Heartbeat
+        self, heartbeat: heartbeats.Heartbeat, *, is_redirected: bool = False
     ) -> server_process.Standing:
         """Handles a heartbeat of the server.
 
+        Args:
+            heartbeat: The heartbeat.
+            is_redirected: Whether it was sent to an address that only replies
+                of this process name.
+
         Returns:
             What it says of its sender. One that is late has no other effect
             than to announce the exit, one of an earlier process none.
@@ -283,20 +290,32 @@
                 self._apply_departure("server is draining")
             case server_process.Standing.NEW:
                 self._replace_server(heartbeat, now_ms)
-                self._apply_heartbeat(heartbeat, now_ms)
+                self._apply_heartbeat(
+                    heartbeat, now_ms, is_redirected=is_redirected
+                )
             case server_process.Standing.NEXT:
-                self._apply_heartbeat(heartbeat, now_ms)
+                self._apply_heartbeat(
+                    heartbeat, now_ms, is_redirected=is_redirected
+                )
         return standing
 
     def _apply_heartbeat(
-        self, heartbeat: heartbeats.Heartbeat, now_ms: int
+        self,
+        heartbeat: heartbeats.Heartbeat,
+        now_ms: int,
+        *,
+        is_redirected: bool,
     ) -> None:
         server = self.server
         assert server is not None
+        was_confirmed = self._tracker.proof is not None
         server.sequence = heartbeat.sequence
         server.last_heartbeat_at_ms = now_ms
         server.is_silent = False
         server.heartbeat_count += 1
+        server.has_read_reply |= is_redirected
+        if not was_confirmed:
+            self._report_proof()
         held = [(g.first, g.last, g.fence) for g in heartbeat.held or ()]
         self._recovery.record_heartbeat([(h[0], h[1]) for h in held])
         self._holdings.record_heartbeat(
@@ -410,7 +429,17 @@
         server = self.server
         if server is None or not server.may_hold or self._tracker.is_doubtful:
             return False
-        return self._tracker.is_confirmed
+        return self._tracker.proof is not None
+
+    @property
+    def is_unconfirmed(self) -> bool:
+        """Whether the server in service may have left, as far as is known."""
+        server = self.server
+        return (
+            server is not None
+            and server.may_hold
+            and self._tracker.proof is None
+        )
 
     @property
     def is_first_heartbeat(self) -> bool:
@@ -427,10 +456,15 @@
         own_owner = self._make_owner_name(server)
         return any(item.owner != own_owner for item in self._list_owned())
 
-    def make_reply(self) -> bytes:
-        """Returns the encoded reply to the latest heartbeat."""
+    def make_reply(self, next_address: settings.Address | None = None) -> bytes:
+        """Returns the encoded reply to the latest heartbeat.
+
+        Args:
+            next_address: Where the server is to send the next ones; None leaves
+                that as it is.
+        """
         if not self._assignments.get()[1] or self._is_assignment_stale:
-            return heartbeats.encode_reply(None, 0)
+            return heartbeats.encode_reply(None, 0, next_address)
         reply = self._holdings.make_reply(
             heartbeat_ms=self._heartbeat_ms,
             lease_ms=self.find_effective_lease_ms(),
@@ -441,7 +475,7 @@
             min_hold_ms=self._find_written_hold_ms(),
         )
         if reply.ranges is None:
-            return heartbeats.encode_reply(None, 0)
+            return heartbeats.encode_reply(None, 0, next_address)
         return heartbeats.encode_reply(
             tuple(
                 heartbeats.Grant(
@@ -453,6 +487,7 @@
                 for item in reply.ranges
             ),
             reply.hold_ms,
+            next_address,
         )
 
     # The ownership task.
@@ -582,7 +617,10 @@
 
         It may have granted the longest hold that its row allows.
         """
+        was_confirmed = self._tracker.proof is not None
         self._tracker.knows_earlier_exits = knows_exits
+        if not was_confirmed:
+            self._report_proof()
         for departure in member.departures:
             if self._tracker.record_deregistration(
                 departure.server_id, departure.born_ms
@@ -678,7 +716,20 @@
             server_id=heartbeat.server_id,
             born_ms=heartbeat.born_ms,
             slot_count=heartbeat.slots,
-            is_confirmed=self._tracker.is_confirmed,
+            is_confirmed=self._tracker.proof is not None,
+        )
+
+    def _report_proof(self) -> None:
+        """Logs why a server that was doubted may get requests, if it may."""
+        server = self.server
+        proof = self._tracker.proof
+        if server is None or proof is None:
+            return
+        self._events.emit(
+            catalog.Event.SERVER_CONFIRMED,
+            server_id=server.server_id,
+            proof=proof.value,
+            waited_ms=self._now_ms() - server.first_heartbeat_at_ms,
         )
 
     def _check_server(self) -> None:
--- a/src/rhubarblead/router/server_process.py
+++ b/src/rhubarblead/router/server_process.py
@@ -6,8 +6,12 @@
 on sending heartbeats, while the one that is taken to live has ceased to, is the
 one that lives.
 
-A single heartbeat may have been sent before an exit that was announced to an
-earlier process of the node, and that nobody remembers.
+A heartbeat may have been sent before an exit that was announced to an earlier
+process of the node, and that nobody remembers. When it arrives shows nothing of
+that: heartbeats that were held up together arrive as spaced as they were sent.
+A process that may be older than the node must show that it has not left: by
+sending a heartbeat to the address that only replies of the node's present
+process name, or by sending them for longer than any heartbeat is late.
 """
 
 import dataclasses
@@ -25,8 +29,8 @@
 MIN_SPACING_INTERVALS = 0.5
 """Delayed heartbeats arrive together; those of a live process, apart."""
 
-MAX_LATE_MS = 5_000
-"""Heartbeats that arrive later than this after an exit show a live process."""
+MAX_LATE_MS = 10_000
+"""Bound on the delay of a heartbeat; the platform's is "seconds"."""
 
 MAX_DEPARTED_COUNT = 64
 """Processes remembered as leaving; an instance has one server at a time."""
@@ -45,11 +49,23 @@
     """It is of another process that has ended, as far as is known."""
 
 
+class Proof(enum.Enum):
+    """Why a server process can't have left before the node's process began."""
+
+    STARTED_LATER = "started later"
+    EXITS_KNOWN = "exits known"
+    REPLY_READ = "reply read"
+    OUTLASTED = "outlasted"
+    """No heartbeat is delayed for as long as the node's process runs."""
+
+
 @dataclasses.dataclass(slots=True, kw_only=True)
 class ServerState:
     """State of the local server process by its latest heartbeat.
 
-    `is_later_than_node` is set if it has started after the node's process.
+    `is_later_than_node` is set if it has started after the node's process,
+    `has_read_reply` if it has sent a heartbeat to the address that only replies
+    of the node's process name.
     """
 
     server_id: str
@@ -59,6 +75,7 @@
     is_leaving: bool = False
     is_silent: bool = False
     is_later_than_node: bool = False
+    has_read_reply: bool = False
     heartbeat_count: int = 0
     first_heartbeat_at_ms: int = 0
 
@@ -105,21 +122,26 @@
         "_interval_ms",
         "_leaving",
         "_seen",
+        "_started_at_ms",
         "_started_wall_ms",
         "_unattributed",
         "current",
         "knows_earlier_exits",
     )
 
-    def __init__(self, *, interval_ms: int, started_wall_ms: int) -> None:
+    def __init__(
+        self, *, interval_ms: int, started_at_ms: int, started_wall_ms: int
+    ) -> None:
         """Creates a tracker that knows no server.
 
         Args:
             interval_ms: Interval of the heartbeats.
-            started_wall_ms: The Unix time at which the node's process has
-                started, 0 if there was none before it.
+            started_at_ms: When the node's process has started.
+            started_wall_ms: The Unix time of that, 0 if there was no process
+                before it.
         """
         self._interval_ms = interval_ms
+        self._started_at_ms = started_at_ms
         self._started_wall_ms = started_wall_ms
         # Whether all exits that earlier processes have acknowledged are known.
         self.knows_earlier_exits = not started_wall_ms
@@ -178,19 +200,19 @@
         return self.current
 
     @property
-    def is_confirmed(self) -> bool:
-        """Whether the known process lives by more than a single heartbeat.
-
-        It goes on sending them, or it can have announced its exit to no other
-        process of the node than the present one, or that would be known.
-        """
+    def proof(self) -> Proof | None:
+        """Why the known process can't have left before the node's began."""
         current = self.current
         if current is None:
-            return False
-        if current.is_later_than_node or self.knows_earlier_exits:
-            return True
-        lasted_ms = current.last_heartbeat_at_ms - current.first_heartbeat_at_ms
-        return lasted_ms >= MIN_SPACING_INTERVALS * self._interval_ms
+            return None
+        if current.is_later_than_node:
+            return Proof.STARTED_LATER
+        if self.knows_earlier_exits:
+            return Proof.EXITS_KNOWN
+        if current.has_read_reply:
+            return Proof.REPLY_READ
+        lasted_ms = current.last_heartbeat_at_ms - self._started_at_ms
+        return Proof.OUTLASTED if lasted_ms >= MAX_LATE_MS else None
 
     def record_leaving(self, server_id: str, born_ms: int) -> bool:
         """Remembers that a process has said that it leaves.
--- a/tests/rhubarblead/router/leaving_search.py
+++ b/tests/rhubarblead/router/leaving_search.py
@@ -16,7 +16,7 @@
 from tests.rhubarblead.router import simulated_cluster
 from tests.rhubarblead.router import simulated_node
 
-MAX_LATE_MS = 2_500
+MAX_LATE_MS = 8_000
 """A heartbeat may arrive this late."""
 
 _HEARTBEAT_MS = 870
@@ -45,11 +45,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class _Sent:
-    """A heartbeat that may arrive again, late."""
+    """A heartbeat that may arrive again, late.
+
+    `address` is that to which it was sent, empty for the usual one.
+    """
 
     sent_at_ms: int
     server_id: str
     body: dict[str, Any]
+    address: str
 
 
 class Machine(stateful.RuleBasedStateMachine):
@@ -88,10 +92,11 @@
                 sent_at_ms=node.cluster.now_ms,
                 server_id=node.server_id,
                 body=body,
+                address=node.named_address,
             )
         )
         if not is_lost:
-            node.call("heartbeat", body, server_id=node.server_id)
+            node.call_at(node.named_address, body)
             self._record_acknowledgement(is_announced=self.drains)
 
     @stateful.rule(number=strategies.integers(0, 9))
@@ -100,8 +105,19 @@
         oldest_ms = self.node.cluster.now_ms - MAX_LATE_MS
         self.sent = [item for item in self.sent if item.sent_at_ms >= oldest_ms]
         if self.sent:
-            item = self.sent[number % len(self.sent)]
-            self.node.call("heartbeat", item.body, server_id=item.server_id)
+            self._deliver(self.sent[number % len(self.sent)])
+
+    def _deliver(self, item: _Sent) -> None:
+        """Delivers a heartbeat late, unless nobody listens there any more."""
+        is_redirected = item.address == self.node.redirect_address
+        if item.address and not is_redirected:
+            return
+        self.node.call(
+            "heartbeat",
+            item.body,
+            server_id=item.server_id,
+            is_redirected=is_redirected,
+        )
 
     @stateful.rule(how=_announcements)
     def announce(self, how: str) -> None:
@@ -133,22 +149,30 @@
         self.node.cluster.is_store_up = True
         self._run(_STORED_AFTER_OUTAGE_MS)
 
-    @stateful.rule(how=_calls, late=strategies.integers(0, 9))
-    def announce_and_forget(self, how: str, late: int) -> None:
+    @stateful.rule(
+        how=_calls,
+        late_count=strategies.integers(1, 3),
+        wait=strategies.integers(0, 3),
+    )
+    def announce_and_forget(self, how: str, late_count: int, wait: int) -> None:
         """Announces it while the store is away, and restarts the node.
 
-        One heartbeat arrives late; two could be those of a server that lives.
-        A statement in a response binds no restarted node.
+        The last heartbeats before it were held up, and arrive as spaced as they
+        were sent. A statement in a response binds no restarted node.
         """
         node = self.node
+        for _ in range(late_count):
+            self.heartbeat(is_lost=True)
+            self._run(_HEARTBEAT_MS)
+        late = [] if self.has_deregistered else self.sent[-late_count:]
         node.cluster.is_store_up = False
         self.announce(how)
         node.restart()
-        self._run(_HEARTBEAT_MS)
+        self._run(wait * _HEARTBEAT_MS)
         node.cluster.is_store_up = True
-        self.receive_late(late)
-        self._run(MAX_LATE_MS)
-        self.is_forgotten = True
+        for item in late:
+            self._deliver(item)
+            self._run(_HEARTBEAT_MS)
 
     @stateful.rule(is_later=strategies.booleans())
     def copy(self, is_later: bool) -> None:
@@ -156,9 +180,6 @@
 
         It arrives no later than the server's own.
         """
-        if self.is_forgotten:
-            # It would be the second heartbeat after the restart.
-            return
         ended_ms = self.node.cluster.now_ms - self.deregistered_at_ms
         if self.has_deregistered and ended_ms > MAX_LATE_MS:
             return
@@ -230,7 +251,7 @@
         node.server_id = server_id
         node.born_ms = node.wall_ms = node.cluster.now_ms
         node.sequence = 0
-        self.drains = self.has_deregistered = self.is_forgotten = False
+        self.drains = self.has_deregistered = False
         self.process_count += 1
 
     def _run(self, duration_ms: int) -> None:
--- a/tests/rhubarblead/router/listeners.feature
+++ b/tests/rhubarblead/router/listeners.feature
@@ -33,3 +33,18 @@
     When a request with a head of 1000 bytes and a body of 5000000 bytes is sent to each
     Then "callers" answers 200
     And "heartbeats readiness metrics" answer 413
+
+  # DRAIN: a heartbeat for an earlier process must not reach the next one.
+  Scenario Outline: Processes of a node take turns with the address that their replies name
+    Given an instance with <count> free ports
+    When its router starts every <interval> ms
+    Then <result>
+
+    Examples: heartbeats arrive up to ten seconds late
+      | count | interval | result                             |
+      | 15    | 1000     | no port is used again within 10 s  |
+      | 15    | 1900     | no port is used again within 10 s  |
+      | 15    | 7000     | no port is used again within 10 s  |
+      | 11    | 1000     | no port is used again within 10 s  |
+      | 10    | 1000     | no port is chosen                  |
+      | 0     | 1000     | no port is chosen                  |
--- a/tests/rhubarblead/router/server_leaving.feature
+++ b/tests/rhubarblead/router/server_leaving.feature
@@ -156,6 +156,41 @@
     And a heartbeat says that it is ready
     Then the server is used
 
+  # DRAIN, review/13: two heartbeats half an interval apart were taken for those
+  # of a server that goes on, though both had been sent before its exit.
+  Scenario Outline: Delayed heartbeats prove nothing to a node that has just started, however many
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    When the store answers none of its calls
+    And <announcement>
+    Then the exit is binding within 800 ms
+    When the node restarts, and 800 ms pass
+    And <store>
+    And <wait> ms pass
+    And <count> delayed heartbeats arrive <spacing> ms apart
+    Then the server is not used for 12000 ms
+
+    Examples: held up together, they arrive as spaced as they were sent
+      | announcement                                      | store                   | wait | count | spacing |
+      | it deregisters                                    | the store answers again | 0    | 2     | 870     |
+      | it deregisters                                    | the store answers again | 2600 | 2     | 870     |
+      | it deregisters                                    | the store answers again | 2600 | 5     | 870     |
+      | it deregisters                                    | 0 ms pass               | 200  | 2     | 870     |
+      | it deregisters without saying when it has started | the store answers again | 2600 | 5     | 870     |
+      | a heartbeat says that it drains                   | the store answers again | 2600 | 5     | 870     |
+      | it deregisters                                    | the store answers again | 0    | 3     | 3000    |
+
+  Scenario: Delayed heartbeats prove nothing to the second of two processes that are killed
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    When the store answers none of its calls
+    And it deregisters
+    Then the exit is binding within 800 ms
+    When the node restarts, and 800 ms pass
+    And 2 delayed heartbeats arrive 870 ms apart
+    And the node restarts, and 800 ms pass
+    And the store answers again
+    And 2 delayed heartbeats arrive 870 ms apart
+    Then the server is not used for 12000 ms
+
   Scenario: Without the store, a restarted node uses no server after a single heartbeat
     Given a registered node of a plain service, whose server has sent a heartbeat
     When the store answers none of its calls
@@ -166,7 +201,7 @@
     Then the server is used
 
   # A single heartbeat may have been sent before an exit that nobody remembers.
-  Scenario Outline: A restarted node uses a server that goes on sending heartbeats
+  Scenario Outline: A restarted node uses a server that has read its reply
     Given a registered node of a plain service, whose server has sent a heartbeat
     When <before>
     And the node restarts, and <wait> ms pass
@@ -174,6 +209,8 @@
     Then the server is not used for 800 ms
     When a heartbeat says that it is ready
     Then the server is used
+    And it is logged that the proof is "reply read"
+    And the server sends its heartbeats to the usual address again
 
     Examples:
       | before                          | wait |
@@ -182,6 +219,27 @@
       | its server deregisters, and another one starts under the same id | 0 |
       | its server deregisters, and another one starts under another id  | 0 |
 
+  Scenario: A server that was directed to an earlier process is used after another restart
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    When the node restarts, and 0 ms pass
+    And a heartbeat says that it is ready
+    And the node restarts, and 0 ms pass
+    And a heartbeat says that it is ready
+    Then the server is not used for 800 ms
+    When a heartbeat says that it is ready
+    Then the server is used
+
+  # Nothing else tells its heartbeats from delayed ones.
+  Scenario: A server that follows no address is used once its heartbeats can't be delayed ones
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    And the server follows no address that a reply names
+    When the node restarts, and 0 ms pass
+    And the node's server sends 11 more heartbeats
+    Then the server is not used
+    When the node's server sends 1 more heartbeats
+    Then the server is used
+    And it is logged that the proof is "outlasted"
+
   # An acknowledgement binds: what may forget it must not be all that knows of it.
   Scenario Outline: An exit is acknowledged once it is stored
     Given a registered node of a plain service, whose server has sent a heartbeat
@@ -425,7 +483,7 @@
     When its clock is set ahead
     And it deregisters without saying when it has started
     And it starts again under the same id
-    And the node's server sends 4 more heartbeats
+    And the node's server sends 10 more heartbeats
     Then the server is not used
     When the node's server sends 4 more heartbeats
     Then the server is used
--- a/tests/rhubarblead/router/simulated_node.py
+++ b/tests/rhubarblead/router/simulated_node.py
@@ -16,6 +16,7 @@
 LATER_BORN_MS = 200
 WALL_MS = (BORN_MS + LATER_BORN_MS) // 2
 ADDRESS = settings.Address(ip="127.0.0.1", port=9)
+USUAL_ADDRESS = settings.Address(ip="127.0.0.1", port=10)
 DOMAIN = "d1"
 SERVICE = simulated_cluster.SERVICE
 
@@ -55,6 +56,9 @@
         self.server_id = SERVER_ID
         self.born_ms = BORN_MS
         self.sequence = 0
+        # Whether the server sends heartbeats to the address of a reply.
+        self.follows_replies = True
+        self.named_address = ""
         self.wall_ms = WALL_MS
         self.cluster.loop.run_until_complete(self._open())
 
@@ -92,11 +96,16 @@
             local_upstream=self.upstream,
             service=SERVICE,
             address=ADDRESS,
+            usual_address=USUAL_ADDRESS,
             failure_domain=DOMAIN,
             events=self.events,
             wall_ms=lambda: self.wall_ms,
             on_change=lambda: None,
         )
+        # Each process has an address of its own.
+        self.handler.redirect_address = settings.Address(
+            ip="127.0.0.1", port=1_000 + self.cluster.nodes["n1"].process_number
+        )
         self.upstream.statements.on_leaving = self.handler.handle_stated_leaving
         self.ownership.on_previous_exit_known = (
             self.handler.handle_previous_exit_known
@@ -108,21 +117,56 @@
         body: dict[str, Any] | None,
         *,
         server_id: str = SERVER_ID,
+        is_redirected: bool = False,
     ) -> None:
-        """Handles a call of the server."""
+        """Handles a call of the server.
+
+        Args:
+            name: The call.
+            body: Its body.
+            server_id: The server that it names.
+            is_redirected: Whether it arrives at the address that the replies
+                of the node's present process name.
+        """
         exchange: Any = _Exchange(name, body, server_id=server_id)
         self.exchange = exchange
 
         async def handle() -> None:
-            self.handler.handle(exchange)
+            self.handler.handle(exchange, is_redirected=is_redirected)
 
         self.cluster.loop.run_until_complete(handle())
 
     def send_heartbeat(self, state: str) -> None:
-        """Handles the server's next heartbeat."""
+        """Handles the next heartbeat, sent where the last reply said."""
+        self.sequence += 1
+        self.call_at(self.named_address, self.make_heartbeat(state))
+
+    def call_at(self, address: str, body: dict[str, Any]) -> None:
+        """Handles a heartbeat that is sent to an address, and its reply.
+
+        At the address of an earlier process it fails, and goes to the usual
+        one.
+        """
+        self.call(
+            "heartbeat",
+            body,
+            server_id=self.server_id,
+            is_redirected=address == self.redirect_address,
+        )
+        reply = self.exchange.reply or {}
+        if self.follows_replies:
+            self.named_address = reply.get("heartbeatAddress", address)
+
+    @property
+    def redirect_address(self) -> str:
+        """The address that only replies of the node's process name."""
+        return str(self.handler.redirect_address)
+
+    def send_delayed_heartbeat(self) -> None:
+        """Handles one that was sent before the node's process began."""
         self.sequence += 1
         self.call(
-            "heartbeat", self.make_heartbeat(state), server_id=self.server_id
+            "heartbeat", self.make_heartbeat("ready"), server_id=self.server_id
         )
 
     def make_heartbeat(self, state: str) -> dict[str, Any]:
--- a/tests/steps/platform_adapter.py
+++ b/tests/steps/platform_adapter.py
@@ -417,7 +417,10 @@
         )
         for number in range(count)
     )
-    assert len(heartbeats.encode_reply(grants, 10_000)) <= most
+    address = settings.Address(ip="255.255.255.255", port=settings.MAX_PORT)
+    reply = heartbeats.encode_reply(grants, 10_000, address)
+    assert str(address).encode() in reply
+    assert len(reply) <= most
 
 
 @behave.then("a write answered with {status:d} and '{body}' is {outcome:w}")
--- a/tests/steps/router_listeners.py
+++ b/tests/steps/router_listeners.py
@@ -11,6 +11,7 @@
 from rhubarblead.platform import settings
 from rhubarblead.router import http_server
 from rhubarblead.router import listeners
+from rhubarblead.router import redirection
 from rhubarblead.router import request_budget
 
 _IP = "127.0.0.1"
@@ -111,3 +112,32 @@
 def check_statuses(context: runner.Context, names: str, status: int) -> None:
     found = {name: context.statuses[name] for name in names.split()}
     assert set(found.values()) == {status}, context.statuses
+
+
+@behave.given("an instance with {count:d} free ports")
+def make_ports(context: runner.Context, count: int) -> None:
+    context.ports = range(7_381, 7_381 + count)
+
+
+@behave.when("its router starts every {interval:d} ms")
+def start_often(context: runner.Context, interval: int) -> None:
+    starts = range(1_700_000_000_123, 1_700_000_060_000, interval)
+    context.chosen = [
+        (at_ms, redirection.choose_port(context.ports, at_ms))
+        for at_ms in starts
+    ]
+
+
+@behave.then("no port is used again within {seconds:d} s")
+def check_turns(context: runner.Context, seconds: int) -> None:
+    for at_ms, port in context.chosen:
+        assert port in context.ports
+        assert not any(
+            other == port and 0 < later_ms - at_ms < seconds * 1_000
+            for later_ms, other in context.chosen
+        ), (at_ms, port)
+
+
+@behave.then("no port is chosen")
+def check_no_port(context: runner.Context) -> None:
+    assert {port for _, port in context.chosen} == {None}
--- a/tests/steps/router_server_leaving.py
+++ b/tests/steps/router_server_leaving.py
@@ -173,6 +173,20 @@
     context.node.send_heartbeat("ready")
 
 
+@behave.when("{count:d} delayed heartbeats arrive {spacing:d} ms apart")
+def send_delayed(context: runner.Context, count: int, spacing: int) -> None:
+    node: simulated_node.SimulatedNode = context.node
+    for number in range(count):
+        if number:
+            check_unused_for(context, spacing)
+        node.send_delayed_heartbeat()
+
+
+@behave.given("the server follows no address that a reply names")
+def ignore_replies(context: runner.Context) -> None:
+    context.node.follows_replies = False
+
+
 @behave.when(
     'a heartbeat without "{fields}" of a later process says that it drains'
 )
@@ -356,6 +370,20 @@
     context.notices.handle_state(state)
 
 
+@behave.then('it is logged that the proof is "{proof}"')
+def check_proof(context: runner.Context, proof: str) -> None:
+    name = catalog.Event.SERVER_CONFIRMED.name
+    own: Any = context.node.cluster.nodes["n1"].events
+    found = [fields["proof"] for event, fields in own.events if event == name]
+    assert found == [proof], found
+
+
+@behave.then("the server sends its heartbeats to the usual address again")
+def check_usual_address(context: runner.Context) -> None:
+    node: simulated_node.SimulatedNode = context.node
+    assert node.named_address == str(simulated_node.USUAL_ADDRESS)
+
+
 @behave.then('it has told "n2" nothing')
 def check_told_nothing(context: runner.Context) -> None:
     assert not context.links.sent, context.links.sent
--- a/tools/soak/cluster.py
+++ b/tools/soak/cluster.py
@@ -13,6 +13,7 @@
 from tools.soak import proxy
 from tools.standins import keyed
 
+INTERNAL_PORT_COUNT = 16
 SERVICE = "s"
 HOST = "one.example"
 HEARTBEAT_MS = 500
@@ -152,7 +153,10 @@
                 "readiness": f"{self.ip}:{ports['readiness']}",
                 "control": f"{self.ip}:{ports['control']}",
             },
-            "internalPortRange": [ports["peers"], ports["peers"]],
+            "internalPortRange": [
+                ports["peers"],
+                ports["peers"] + INTERNAL_PORT_COUNT - 1,
+            ],
             "heartbeatIntervalMs": HEARTBEAT_MS,
             "application": f"{self.ip}:{ports['server']}",
             "service": SERVICE,
@@ -197,8 +201,9 @@
         """
         self._make_document = make_document or _make_document
         self._stack = contextlib.ExitStack()
-        names = ("callers", "readiness", "control", "peers", "server", "store")
-        free_ports = processes.list_free_ports(1 + len(names))
+        # The ports behind that of the peers are internal ones, too.
+        names = ("callers", "readiness", "control", "server", "store", "peers")
+        free_ports = iter(sorted(processes.list_free_ports(1 + len(names))))
         self.store_port = next(free_ports)
         ports = dict(zip(names, free_ports, strict=True))
         self.store = processes.Process(
--- a/tools/standins/keyed.py
+++ b/tools/standins/keyed.py
@@ -339,9 +339,14 @@
 def send_heartbeats(state: State, ended: threading.Event) -> None:
     """Sends heartbeats until the server ends."""
     options = state.options
+    address = options.control
     while not ended.is_set():
         body, released, sent_at_ms = state.make_heartbeat()
-        reply = call_control(options.control, options.id, "heartbeat", body)
+        reply = call_control(address, options.id, "heartbeat", body)
+        if reply is None and address != options.control:
+            address = options.control
+            reply = call_control(address, options.id, "heartbeat", body)
+        address = (reply or {}).get("heartbeatAddress", address)
         with state.lock:
             if reply is None:
                 state.keys.restore_releases(released)
