A server that says that it is healthy is used after its first heartbeat

Change: a server that may be older than the node's process is asked for its health when a heartbeat arrives. The answer counts while the heartbeats have come without a gap since the process began: so the use of a server whose health check can't be relied on ends with its delayed heartbeats. The reply still names the address, whose use ends the doubt.

The probe is shared with that of cold servers (health_check.py).

--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -741,7 +741,9 @@
         "server_id proof waited_ms",
         "A server that may have announced its exit to an earlier process of"
         " this node hasn't, so that it may be used. `proof` tells why: the"
-        ' row of the node names all exits ("exits known"), the server has sent'
+        ' row of the node names all exits ("exits known"), its health check'
+        " says so, and its heartbeats have come without a gap since this"
+        ' process has begun ("healthy"), the server has sent'
         " a heartbeat to the address that only this process has named"
         ' ("reply read"), or it has gone on for longer than any heartbeat is'
         ' delayed ("outlasted").',
--- a/src/rhubarblead/router/heartbeat_handler.py
+++ b/src/rhubarblead/router/heartbeat_handler.py
@@ -1,6 +1,7 @@
 """Handles the heartbeats and the deregistration of the local server."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import http
 
@@ -11,6 +12,7 @@
 from rhubarblead.router import http_server
 from rhubarblead.router import ownership
 from rhubarblead.router import server_process
+from rhubarblead.router import tasks
 from rhubarblead.router import upstream
 from rhubarblead.router import wire
 
@@ -27,6 +29,12 @@
 MAX_STORE_DELAY_S = 0.6
 """How long the reply to an announced exit waits for that to be stored."""
 
+HEALTH_CHECK_INTERVAL_S = 0.1
+"""Until the configuration names the path, and a busy server answers."""
+
+MAX_HEALTH_CHECKS = 5
+"""The next heartbeat begins again."""
+
 _CHECK_INTERVAL_S = 0.025
 
 _JSON = b"content-type: application/json\r\n"
@@ -43,6 +51,8 @@
         "redirect_address",
         "_departed",
         "_events",
+        "_is_checking",
+        "_is_healthy",
         "_on_change",
         "_ownership",
         "_service",
@@ -63,6 +73,7 @@
         events: event_log.EventLog,
         wall_ms: Callable[[], int],
         on_change: Callable[[], None],
+        is_healthy: Callable[[str], Awaitable[bool]],
         is_evacuated: Callable[[], bool] = lambda: False,
     ) -> None:
         """Creates the handler.
@@ -79,6 +90,8 @@
             wall_ms: The Unix time in milliseconds.
             on_change: Called when the server's state has changed and the other
                 nodes must be notified.
+            is_healthy: Asks the server with an id whether it is healthy, and
+                not leaving.
             is_evacuated: Tells whether the server is to get no requests.
         """
         self._ownership = key_ownership
@@ -90,6 +103,8 @@
         self._wall_ms = wall_ms
         self._events = events
         self._on_change = on_change
+        self._is_healthy = is_healthy
+        self._is_checking = False
         self.is_evacuated = is_evacuated
         # The last server process whose exit was announced.
         self._departed = ""
@@ -168,7 +183,7 @@
         Afterwards it returns to the usual address, where the next process of
         this node listens, too.
         """
-        if self._ownership.is_unconfirmed:
+        if self._ownership.must_prove:
             return self._ownership.make_reply(self.redirect_address)
         if is_redirected:
             return self._ownership.make_reply(self._usual_address)
@@ -230,6 +245,26 @@
         self._apply_departure(has_deregistered=False)
         if is_new or has_changed:
             self._on_change()
+        must_check = self._ownership.must_prove and not self._is_checking
+        if must_check and not self._upstream.is_serving:
+            self._is_checking = True
+            tasks.start(
+                self._check_health(heartbeat.server_id, heartbeat.born_ms),
+                name="health check",
+                events=self._events,
+            )
+
+    async def _check_health(self, server_id: str, born_ms: int) -> None:
+        """Asks a server that may have left whether it is leaving."""
+        try:
+            for _ in range(MAX_HEALTH_CHECKS):
+                if await self._is_healthy(server_id):
+                    self._ownership.record_healthy(server_id, born_ms)
+                    self.handle_proof_change("health check")
+                    return
+                await asyncio.sleep(HEALTH_CHECK_INTERVAL_S)
+        finally:
+            self._is_checking = False
 
     def _update_serving(self, cause: str) -> bool:
         """Puts the server in service or out of it; tells if that is new."""
@@ -241,9 +276,13 @@
         )
         return was_serving != self._upstream.is_serving
 
-    def handle_previous_exit_known(self) -> None:
-        """Handles that the exit told to an earlier process is known, if any."""
-        if self._update_serving("row"):
+    def handle_proof_change(self, cause: str) -> None:
+        """Handles that it is known whether the server may have left, or not.
+
+        Args:
+            cause: What has decided that, for the event log.
+        """
+        if self._update_serving(cause):
             self._on_change()
         self._apply_departure(has_deregistered=False)
 
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -251,10 +251,11 @@
             events=self._events,
             wall_ms=read_wall_ms,
             on_change=self._broadcast_state,
+            is_healthy=self._upstream.health_check.is_healthy,
             is_evacuated=lambda: self._evacuation.is_stopped,
         )
-        self._ownership.on_previous_exit_known = (
-            self._heartbeat_handler.handle_previous_exit_known
+        self._ownership.on_proof_changed = (
+            self._heartbeat_handler.handle_proof_change
         )
         self._upstream.warmth.on_report = self._broadcast_state
         self._upstream.statements.on_limit = self._handle_limit_change
@@ -665,6 +666,7 @@
 
     async def _run_watchdog(self) -> None:
         while True:
+            self._ownership.watch_proof()
             self._check_server()
             self._evacuation.check()
             due_at_s = self._loop.time() + WATCH_INTERVAL_S
--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -76,7 +76,7 @@
         "_wall_ms",
         "is_evacuated",
         "is_stopping",
-        "on_previous_exit_known",
+        "on_proof_changed",
         "wake",
     )
 
@@ -186,8 +186,9 @@
         self._recent_shifts = recent_shifts.RecentShifts()
         self.is_evacuated = False
         self.is_stopping = False
-        # Called when it is known which exit an earlier process was told of.
-        self.on_previous_exit_known: Callable[[], None] = lambda: None
+        # Called with the cause when it is known whether the server may have
+        # left, or no longer known.
+        self.on_proof_changed: Callable[[str], None] = lambda cause: None
         self._tracker = server_process.ServerTracker(
             interval_ms=heartbeat_ms,
             started_at_ms=self._started_at_ms,
@@ -308,14 +309,14 @@
     ) -> None:
         server = self.server
         assert server is not None
-        was_confirmed = self._tracker.proof is not None
+        proof = self._tracker.proof
+        self._tracker.watch_gap(now_ms)
         server.sequence = heartbeat.sequence
         server.last_heartbeat_at_ms = now_ms
         server.is_silent = False
         server.heartbeat_count += 1
         server.has_read_reply |= is_redirected
-        if not was_confirmed:
-            self._report_proof()
+        self._report_proof(proof)
         held = [(g.first, g.last, g.fence) for g in heartbeat.held or ()]
         self._recovery.record_heartbeat([(h[0], h[1]) for h in held])
         self._holdings.record_heartbeat(
@@ -432,20 +433,34 @@
         return self._tracker.proof is not None
 
     @property
-    def is_unconfirmed(self) -> bool:
-        """Whether the server in service may have left, as far as is known."""
+    def must_prove(self) -> bool:
+        """Whether the server must show by heartbeats that it hasn't left."""
         server = self.server
-        return (
-            server is not None
-            and server.may_hold
-            and self._tracker.proof is None
-        )
+        if server is None or not server.may_hold:
+            return False
+        return self._tracker.proof in (None, server_process.Proof.HEALTHY)
+
+    def record_healthy(self, server_id: str, born_ms: int) -> None:
+        """Records that a process says that it is healthy, and not leaving."""
+        server = self.server
+        if server is None or not server.is_of(server_id, born_ms):
+            return
+        proof = self._tracker.proof
+        server.is_healthy = True
+        self._report_proof(proof)
 
     @property
     def is_first_heartbeat(self) -> bool:
         """Whether the newest heartbeat is the first of its server process."""
         return self.server is not None and self.server.heartbeat_count == 1
 
+    def watch_proof(self) -> None:
+        """Stops the use of a server whose proof ends with its heartbeats."""
+        had_proof = self._tracker.proof is not None
+        self._tracker.watch_gap(self._now_ms())
+        if had_proof and self._tracker.proof is None:
+            self.on_proof_changed("heartbeats ceased")
+
     def is_grant_pending(self) -> bool:
         """Tells whether the server will probably be granted keys soon."""
         server = self.server
@@ -593,7 +608,7 @@
         had_read = self._registration.has_read
         self._handle_row(is_ours=await self._registration.read())
         if self._registration.has_read and not had_read:
-            self.on_previous_exit_known()
+            self.on_proof_changed("row")
 
     def _handle_row(self, *, is_ours: bool) -> None:
         if not is_ours:
@@ -617,10 +632,9 @@
 
         It may have granted the longest hold that its row allows.
         """
-        was_confirmed = self._tracker.proof is not None
+        proof = self._tracker.proof
         self._tracker.knows_earlier_exits = knows_exits
-        if not was_confirmed:
-            self._report_proof()
+        self._report_proof(proof)
         for departure in member.departures:
             if self._tracker.record_deregistration(
                 departure.server_id, departure.born_ms
@@ -719,11 +733,11 @@
             is_confirmed=self._tracker.proof is not None,
         )
 
-    def _report_proof(self) -> None:
-        """Logs why a server that was doubted may get requests, if it may."""
+    def _report_proof(self, previous: server_process.Proof | None) -> None:
+        """Logs a new proof that the server hasn't left."""
         server = self.server
         proof = self._tracker.proof
-        if server is None or proof is None:
+        if server is None or proof in (None, previous):
             return
         self._events.emit(
             catalog.Event.SERVER_CONFIRMED,
--- a/src/rhubarblead/router/server_process.py
+++ b/src/rhubarblead/router/server_process.py
@@ -11,7 +11,10 @@
 that: heartbeats that were held up together arrive as spaced as they were sent.
 A process that may be older than the node must show that it has not left: by
 sending a heartbeat to the address that only replies of the node's present
-process name, or by sending them for longer than any heartbeat is late.
+process name, or by sending them for longer than any heartbeat is late. Its
+health check says the same sooner; it counts while the heartbeats have come
+without a gap since the node's process began, as those of a server that lives
+do.
 """
 
 import dataclasses
@@ -57,6 +60,7 @@
     REPLY_READ = "reply read"
     OUTLASTED = "outlasted"
     """No heartbeat is delayed for as long as the node's process runs."""
+    HEALTHY = "healthy"
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -65,7 +69,9 @@
 
     `is_later_than_node` is set if it has started after the node's process,
     `has_read_reply` if it has sent a heartbeat to the address that only replies
-    of the node's process name.
+    of the node's process name, and `is_healthy` if its health check has said
+    that it isn't leaving. `has_gap` is set if its heartbeats have not arrived
+    at their interval since the node's process began.
     """
 
     server_id: str
@@ -76,6 +82,8 @@
     is_silent: bool = False
     is_later_than_node: bool = False
     has_read_reply: bool = False
+    is_healthy: bool = False
+    has_gap: bool = False
     heartbeat_count: int = 0
     first_heartbeat_at_ms: int = 0
 
@@ -196,6 +204,10 @@
             first_heartbeat_at_ms=now_ms,
             # A start in the future is that of a clock that was set back.
             is_later_than_node=self._started_wall_ms <= born_ms <= wall_ms,
+            has_gap=(
+                now_ms - self._started_at_ms
+                > MAX_SILENT_INTERVALS * self._interval_ms
+            ),
         )
         return self.current
 
@@ -212,7 +224,20 @@
         if current.has_read_reply:
             return Proof.REPLY_READ
         lasted_ms = current.last_heartbeat_at_ms - self._started_at_ms
-        return Proof.OUTLASTED if lasted_ms >= MAX_LATE_MS else None
+        if lasted_ms >= MAX_LATE_MS:
+            return Proof.OUTLASTED
+        if current.is_healthy and not current.has_gap:
+            return Proof.HEALTHY
+        return None
+
+    def watch_gap(self, now_ms: int) -> None:
+        """Records whether the known process's next heartbeat is overdue."""
+        current = self.current
+        if current is None:
+            return
+        silent_ms = now_ms - current.last_heartbeat_at_ms
+        if silent_ms > MAX_SILENT_INTERVALS * self._interval_ms:
+            current.has_gap = True
 
     def record_leaving(self, server_id: str, born_ms: int) -> bool:
         """Remembers that a process has said that it leaves.
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -15,6 +15,7 @@
 from rhubarblead.requests import waiting
 from rhubarblead.router import crashes
 from rhubarblead.router import event_log
+from rhubarblead.router import health_check
 from rhubarblead.router import http_client
 from rhubarblead.router import jobs
 from rhubarblead.router import outcomes
@@ -88,6 +89,7 @@
         "nested_calls",
         "server_id",
         "statements",
+        "health_check",
         "warmth",
     )
 
@@ -147,9 +149,10 @@
         self.statements = server_statements.ServerStatements(
             limit=self._wait_queue.rate_limit, events=events, now_ms=now_ms
         )
+        self.health_check = health_check.HealthCheck(pool=self._pool)
         self.warmth = warmth_probe.WarmthProbe(
             limit=self._wait_queue.rate_limit,
-            pool=self._pool,
+            check=self.health_check,
             events=events,
             now_ms=now_ms,
             is_wanted=lambda: self.is_serving,
--- a/src/rhubarblead/router/warmth_probe.py
+++ b/src/rhubarblead/router/warmth_probe.py
@@ -9,12 +9,9 @@
 from rhubarblead.requests import cold_start
 from rhubarblead.requests import rate_limit
 from rhubarblead.router import event_log
-from rhubarblead.router import http_client
+from rhubarblead.router import health_check
 from rhubarblead.router import tasks
 
-TIMEOUT_S = 0.5
-"""A server answers a probe at once, also when its slots are in use."""
-
 RETRY_INTERVAL_S = 0.1
 """Between probes while the server hasn't proved that it is warm."""
 
@@ -33,13 +30,12 @@
     __slots__ = (
         "_cold_start",
         "_events",
-        "_health_path",
+        "_health_check",
         "_is_probing",
         "_is_reported_cold",
         "_is_wanted",
         "_loop",
         "_now_ms",
-        "_pool",
         "_probe_count",
         "_server_id",
         "_timer",
@@ -51,7 +47,7 @@
         self,
         *,
         limit: rate_limit.RateLimit,
-        pool: http_client.Pool,
+        check: health_check.HealthCheck,
         events: event_log.EventLog,
         now_ms: Callable[[], int],
         is_wanted: Callable[[], bool],
@@ -60,7 +56,7 @@
 
         Args:
             limit: The limit that the server's queue keeps.
-            pool: The connections to the server.
+            check: Sends the probes.
             events: The event log.
             now_ms: The clock.
             is_wanted: Tells whether the server gets requests; one that doesn't
@@ -68,11 +64,10 @@
         """
         self._loop = asyncio.get_running_loop()
         self._cold_start = cold_start.ColdStart(limit=limit)
-        self._pool = pool
+        self._health_check = check
         self._events = events
         self._now_ms = now_ms
         self._is_wanted = is_wanted
-        self._health_path = ""
         self._server_id = ""
         self._is_probing = False
         self._is_reported_cold = False
@@ -100,7 +95,7 @@
         warmup = None
         if service is not None and service.warmup_per_s:
             warmup = bounds.make_warmup(service.warmup_per_s)
-        self._health_path = service.health_path if service is not None else ""
+        self._health_check.path = service.health_path if service else ""
         self._cold_start.set_warmup(warmup, self._now_ms())
         self._check()
 
@@ -142,7 +137,7 @@
         self._report("no proof")
         if not (self._is_wanted() and self._cold_start.must_probe(now_ms)):
             return
-        if self._server_id and self._health_path and not self._is_probing:
+        if self._server_id and self._health_check.path and not self._is_probing:
             self._is_probing = True
             tasks.start(self._probe(), name="warmth probe", events=self._events)
         if self._timer is None:
@@ -156,37 +151,14 @@
 
     async def _probe(self) -> None:
         self._probe_count += 1
-        connection = self._pool.acquire() or await self._pool.open()
-        if connection is None:
-            self._is_probing = False
-            return
-        server_id = self._server_id
-        timer = self._loop.call_later(
-            TIMEOUT_S, self._abandon_probe, connection
-        )
-
-        def match(fields: list[tuple[bytes, bytes]]) -> http_client.Match:
-            if headers.read_health(fields).server_id == server_id:
-                return http_client.Match.EXPECTED
-            return http_client.Match.FOREIGN
-
-        def handle(result: http_client.Result) -> None:
-            timer.cancel()
-            self._is_probing = False
-            if isinstance(result, http_client.Response):
-                self._record(
-                    headers.read_health(result.fields).cold_remaining_ms,
-                    cold_start.Source.PROBE,
-                )
-
-        connection.send(
-            headers.encode_probe(self._health_path), b"GET", match, handle
-        )
-
-    def _abandon_probe(self, connection: http_client.Connection) -> None:
-        """Gives up a probe without an answer; the server stays unproved."""
-        connection.cancel()
+        response = await self._health_check.send(self._server_id)
         self._is_probing = False
+        # Without an answer, the server stays unproved.
+        if response is not None:
+            self._record(
+                headers.read_health(response.fields).cold_remaining_ms,
+                cold_start.Source.PROBE,
+            )
 
     def _record(self, remaining_ms: float, source: cold_start.Source) -> None:
         before = self._cold_start.warmth
--- a/tests/rhubarblead/router/leaving_search.py
+++ b/tests/rhubarblead/router/leaving_search.py
@@ -64,9 +64,17 @@
 
     reuses_ids = False
 
-    @stateful.initialize(is_keyed=strategies.booleans())
-    def begin(self, is_keyed: bool) -> None:
-        """Starts a node that has registered with its server."""
+    @stateful.initialize(
+        is_keyed=strategies.booleans(), has_health=strategies.booleans()
+    )
+    def begin(self, is_keyed: bool, has_health: bool) -> None:
+        """Starts a node that has registered with its server.
+
+        Args:
+            is_keyed: Whether the server holds keys.
+            has_health: Whether servers answer health checks.
+        """
+        self.has_health = has_health
         self.node = simulated_node.SimulatedNode(is_keyed=is_keyed)
         # Its heartbeats are those of the search.
         self.node.cluster.nodes["n1"].server.is_up = False
@@ -123,6 +131,7 @@
     def announce(self, how: str) -> None:
         """Announces the exit of the server."""
         node = self.node
+        node.healthy_ids.clear()
         match how:
             case "draining":
                 self.drains = True
@@ -251,6 +260,7 @@
         node.server_id = server_id
         node.born_ms = node.wall_ms = node.cluster.now_ms
         node.sequence = 0
+        node.healthy_ids = {server_id} if self.has_health else set()
         self.drains = self.has_deregistered = False
         self.process_count += 1
 
--- a/tests/rhubarblead/router/server_leaving.feature
+++ b/tests/rhubarblead/router/server_leaving.feature
@@ -240,6 +240,56 @@
     Then the server is used
     And it is logged that the proof is "outlasted"
 
+  # A server is out of use after each restart of its node until it has proved
+  # that it lives; its second heartbeat comes 0.9 s after the first one.
+  Scenario Outline: A server that says that it is healthy is used after its first heartbeat
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    And the health check of the server succeeds
+    When the store answers none of its calls
+    And the node restarts, and <wait> ms pass
+    And a heartbeat says that it is ready
+    And 200 ms pass
+    Then <result>
+
+    Examples: a first heartbeat that comes late may be a delayed one
+      | wait | result                             |
+      | 0    | the server is used                 |
+      | 870  | the server is used                 |
+      | 1600 | the server is not used for 800 ms  |
+
+  # The health check of a server may be wrong; its heartbeats end with it.
+  Scenario Outline: The use of a server by its health check ends with its heartbeats
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    And the health check of the server succeeds
+    When the store answers none of its calls
+    And it deregisters
+    Then the exit is binding within 800 ms
+    When the node restarts, and 200 ms pass
+    And <count> delayed heartbeats arrive, and 1700 ms pass
+    Then the server is not used for 12000 ms
+
+    Examples:
+      | count |
+      | 1     |
+      | 2     |
+
+  Scenario: A server that follows no address stays in use by its health check
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    And the server follows no address that a reply names
+    And the health check of the server succeeds
+    When the node restarts, and 0 ms pass
+    And a heartbeat says that it is ready
+    And 100 ms pass
+    Then the server is used
+    When the node's server sends 13 more heartbeats, it is used all the while
+
+  Scenario: The health check of another server proves nothing
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    And the health check of another server succeeds
+    When the node restarts, and 0 ms pass
+    And a heartbeat says that it is ready
+    Then the server is not used for 800 ms
+
   # An acknowledgement binds: what may forget it must not be all that knows of it.
   Scenario Outline: An exit is acknowledged once it is stored
     Given a registered node of a plain service, whose server has sent a heartbeat
--- a/tests/rhubarblead/router/simulated_cluster.py
+++ b/tests/rhubarblead/router/simulated_cluster.py
@@ -152,6 +152,8 @@
         """Stops all nodes and closes the event loop."""
         for node in self.nodes.values():
             node.stop()
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
         self.loop.settle()
         self.loop.close()
 
@@ -619,6 +621,8 @@
         self.inbox = self.inbox[len(due) :]
         for _, sender, message in due:
             self._receive(sender, message)
+        if cluster.now_ms % 200 == 0:
+            self.ownership.watch_proof()
         if cluster.now_ms % 400 == 0:
             self._broadcast_state()
         if cluster.now_ms % 100 == 0:
--- a/tests/rhubarblead/router/simulated_node.py
+++ b/tests/rhubarblead/router/simulated_node.py
@@ -58,6 +58,8 @@
         self.sequence = 0
         # Whether the server sends heartbeats to the address of a reply.
         self.follows_replies = True
+        # The servers whose health checks say that they aren't leaving.
+        self.healthy_ids: set[str] = set()
         self.named_address = ""
         self.wall_ms = WALL_MS
         self.cluster.loop.run_until_complete(self._open())
@@ -101,15 +103,17 @@
             events=self.events,
             wall_ms=lambda: self.wall_ms,
             on_change=lambda: None,
+            is_healthy=self._check_health,
         )
         # Each process has an address of its own.
         self.handler.redirect_address = settings.Address(
             ip="127.0.0.1", port=1_000 + self.cluster.nodes["n1"].process_number
         )
         self.upstream.statements.on_leaving = self.handler.handle_stated_leaving
-        self.ownership.on_previous_exit_known = (
-            self.handler.handle_previous_exit_known
-        )
+        self.ownership.on_proof_changed = self.handler.handle_proof_change
+
+    async def _check_health(self, server_id: str) -> bool:
+        return server_id in self.healthy_ids
 
     def call(
         self,
--- a/tests/steps/router_server_leaving.py
+++ b/tests/steps/router_server_leaving.py
@@ -182,6 +182,34 @@
         node.send_delayed_heartbeat()
 
 
+@behave.when("{count:d} delayed heartbeats arrive, and {passed:d} ms pass")
+def send_delayed_and_wait(
+    context: runner.Context, count: int, passed: int
+) -> None:
+    node: simulated_node.SimulatedNode = context.node
+    for number in range(count):
+        if number:
+            node.cluster.run(_HEARTBEAT_MS)
+        node.send_delayed_heartbeat()
+    node.cluster.run(passed)
+
+
+@behave.given("the health check of {which} server succeeds")
+def make_healthy(context: runner.Context, which: str) -> None:
+    node: simulated_node.SimulatedNode = context.node
+    node.healthy_ids = {node.server_id if which == "the" else "i-9"}
+
+
+@behave.when(
+    "the node's server sends {count:d} more heartbeats, it is used all the"
+    " while"
+)
+def send_more_in_use(context: runner.Context, count: int) -> None:
+    for _ in range(count):
+        send_more(context, 1)
+        check_used(context)
+
+
 @behave.given("the server follows no address that a reply names")
 def ignore_replies(context: runner.Context) -> None:
     context.node.follows_replies = False
