The crashes of servers are kept in the store

Cause: the evidence of crashes was on record in processes only. After the loss of all of them the count began anew, and three more servers ended each time. Nodes catch up from one another, so a rolling restart lost nothing unless restarts overlap so that no node that knows lives.

Change: each node keeps a row of the crashes that it has reported, which nodes that start read with the others. It is written as soon as the store takes it, after the callers have their answers: a crash that is lost with the process costs one more retry, and three are allowed. Blocks follow from the crashes, so that they go on counting and doubling. A row holds ten minutes of crashes, 64 and 32 KiB at the most; it is written once a second at the most, at a time spread by the number of nodes (3 ms each; the store takes 400 writes a second from all). A restored store gets it again; reports name their node, so that one that restarted in an outage learns from the others which crashes to store. The first node by name removes the rows of nodes that are gone when their crashes count no more. Reports carry ages; the order of stored crashes is judged with 250 ms of tolerance, as the store's time is known as exactly as a call takes.

--- a/src/rhubarblead/events/catalog.py
+++ b/src/rhubarblead/events/catalog.py
@@ -918,6 +918,19 @@
         "A busy server was offered a request without a key, which then goes to"
         " another one. `wait_ms` is the wait that it expects. Counted only.",
     )
+    CRASHES_STORED = _define(
+        3513,
+        _INFO,
+        "crash_count row_bytes",
+        "The crashes at this node's server are in the store, by which a later"
+        " process of any node knows the requests that cause them.",
+    )
+    CRASHES_READ = _define(
+        3514,
+        _INFO,
+        "crash_count",
+        "The crashes that the nodes have stored were read.",
+    )
     INTERNAL_ERROR = _define(
         9000,
         _ERROR,
--- a/src/rhubarblead/keyspace/lease.py
+++ b/src/rhubarblead/keyspace/lease.py
@@ -70,17 +70,25 @@
         self._sent_at_ms = sent_at_ms
         self._store_ms = store_ms
 
-    def find_latest(self, now_ms: int) -> int:
-        """Returns the upper bound of the store's current time.
+    def estimate(self, now_ms: int) -> int:
+        """Returns the store's current time, late by a call's duration at most.
 
         Raises:
             ValueError: No response of the store was observed.
         """
         if self._store_ms is None:
             raise ValueError("store time unknown: no response observed")
+        return self._store_ms + now_ms - self._sent_at_ms
+
+    def find_latest(self, now_ms: int) -> int:
+        """Returns the upper bound of the store's current time.
+
+        Raises:
+            ValueError: No response of the store was observed.
+        """
         elapsed_ms = now_ms - self._sent_at_ms
         drift_ms = elapsed_ms * DRIFT_PER_MILLE // 1_000 + 1
-        return self._store_ms + elapsed_ms + drift_ms
+        return self.estimate(now_ms) + drift_ms
 
 
 class Lease:
--- a/src/rhubarblead/requests/crash_reports.py
+++ b/src/rhubarblead/requests/crash_reports.py
@@ -16,7 +16,8 @@
     `is_alone` is set if a single request was running. `happened_ago_ms` and
     `ages_ms` are times before the report was sent: of the crash, and of the
     start of each request. `ages_ms` and `commonness_per_mille` have the order
-    of `fingerprints`; reports of earlier versions lack them.
+    of `fingerprints`; reports of earlier versions lack them. `reporter` is the
+    node beside the server, `time_error_ms` a bound on the error of all times.
     """
 
     crash_id: str
@@ -25,6 +26,8 @@
     happened_ago_ms: int = 0
     ages_ms: tuple[int, ...] = ()
     commonness_per_mille: tuple[int, ...] = ()
+    reporter: str = ""
+    time_error_ms: int = 0
 
 
 def encode(crash: poison.Crash, now_ms: int) -> dict[str, Any]:
@@ -43,6 +46,8 @@
         "commonness_per_mille": tuple(
             int(s.commonness * _PER_MILLE) for s in crash.suspects
         ),
+        "reporter": crash.reporter,
+        "time_error_ms": crash.time_error_ms,
     }
 
 
@@ -64,10 +69,13 @@
                 fingerprint=fingerprint,
                 started_at_ms=now_ms
                 - (report.happened_ago_ms if age_ms is None else age_ms),
-                commonness=(per_mille or 0) / _PER_MILLE,
+                # A probability, whatever the report says.
+                commonness=min(max(per_mille or 0, 0), _PER_MILLE) / _PER_MILLE,
             )
             for fingerprint, age_ms, per_mille in rows
             if fingerprint is not None
         ),
         is_alone=report.is_alone,
+        reporter=report.reporter,
+        time_error_ms=report.time_error_ms,
     )
--- a/src/rhubarblead/requests/poison.py
+++ b/src/rhubarblead/requests/poison.py
@@ -72,13 +72,17 @@
 class Crash:
     """A crash of a server; `crash_id` identifies it on all nodes.
 
-    `is_alone` is set if a single request was running.
+    `is_alone` is set if a single request was running. `reporter` is the node
+    that has seen it, and `time_error_ms` bounds the error of the times that it
+    was told, or has read.
     """
 
     crash_id: str
     happened_at_ms: int
     suspects: tuple[Suspect, ...]
     is_alone: bool
+    reporter: str = ""
+    time_error_ms: int = 0
 
 
 class _Record:
@@ -219,12 +223,8 @@
         found.sort(key=_get_time)
         series: list[_Record] = []
         for record in found:
-            started_at_ms = record.suspects[fingerprint].started_at_ms
-            if series and started_at_ms < _get_time(series[-1]) - (
-                ORDER_TOLERANCE_MS
-            ):
-                continue
-            series.append(record)
+            if not series or _follows(record, series[-1], fingerprint):
+                series.append(record)
         return series
 
     def _find_causes(self, record: _Record) -> tuple[int, ...]:
@@ -324,6 +324,15 @@
     return int(digest.intdigest())
 
 
+def _follows(record: _Record, earlier: _Record, fingerprint: int) -> bool:
+    """Returns whether a suspect's run started after an earlier crash."""
+    tolerance_ms = ORDER_TOLERANCE_MS + max(
+        record.crash.time_error_ms, earlier.crash.time_error_ms
+    )
+    started_at_ms = record.suspects[fingerprint].started_at_ms
+    return started_at_ms >= _get_time(earlier) - tolerance_ms
+
+
 def _get_time(record: _Record) -> int:
     return record.crash.happened_at_ms
 
--- a/src/rhubarblead/router/crashes.py
+++ b/src/rhubarblead/router/crashes.py
@@ -61,6 +61,7 @@
 
     __slots__ = (
         "_broadcast",
+        "_node_id",
         "_count_servers",
         "_ended_runs",
         "_incarnation",
@@ -74,11 +75,13 @@
         "_pool",
         "_run_shares",
         "_runs",
+        "on_reported",
     )
 
     def __init__(
         self,
         *,
+        node_id: str,
         pool: http_client.Pool,
         events: event_log.EventLog,
         now_ms: Callable[[], int],
@@ -89,6 +92,7 @@
         """Creates a detector without suspects.
 
         Args:
+            node_id: This node.
             pool: Connections to the local server.
             events: The event log.
             now_ms: The clock, in milliseconds.
@@ -96,6 +100,7 @@
             broadcast: Sends a message to all nodes.
             on_blocked: Called when further requests are blocked.
         """
+        self._node_id = node_id
         self._pool = pool
         self._events = events
         self._now_ms = now_ms
@@ -112,6 +117,9 @@
         self._is_exit_expected = False
         self._last_response_at_ms = now_ms()
         self._on_checked: list[Callable[[], None]] = []
+        # Called with each crash that this node has reported, also those that
+        # an earlier process has.
+        self.on_reported: Callable[[poison.Crash], None] = lambda crash: None
 
     def set_server(self, incarnation: str) -> None:
         """Sets the server process that runs requests from now on.
@@ -235,7 +243,10 @@
     def record_remote_crash(self, message: wire.CrashSuspects) -> None:
         """Records a crash that another node has reported."""
         now_ms = self._now_ms()
-        self._record(crash_reports.decode(message, now_ms), now_ms)
+        crash = crash_reports.decode(message, now_ms)
+        self._record(crash, now_ms)
+        if crash.reporter == self._node_id:
+            self.on_reported(crash)
         self._events.emit(
             catalog.Event.CRASH_REPORT_RECEIVED,
             crash_id=message.crash_id,
@@ -243,6 +254,12 @@
             crash_count=len(self._poison_detector.list_crashes()),
         )
 
+    def record_stored(self, crashes: Iterable[poison.Crash]) -> None:
+        """Records the crashes that the nodes have stored."""
+        now_ms = self._now_ms()
+        for crash in crashes:
+            self._record(crash, now_ms)
+
     def compute_digest(self) -> int:
         """Computes a number that differs if other crashes are on record."""
         return self._poison_detector.compute_digest(self._now_ms())
@@ -300,12 +317,14 @@
             happened_at_ms=happened_at_ms,
             suspects=self._make_suspects(runs, now_ms),
             is_alone=len(runs) == 1,
+            reporter=self._node_id,
         )
         self._broadcast(
             wire.CrashSuspects(**crash_reports.encode(crash, now_ms))
         )
         self._log_crash(crash, runs)
         self._record(crash, now_ms)
+        self.on_reported(crash)
 
     def _record(self, crash: poison.Crash, now_ms: int) -> None:
         if self._poison_detector.record_crash(crash, now_ms):
--- a/src/rhubarblead/router/node.py
+++ b/src/rhubarblead/router/node.py
@@ -148,6 +148,7 @@
             ),
             broadcast=lambda message: self._links.broadcast(message),
             body_budget=body_budget,
+            node_id=self._state.node_id,
         )
         self._links = peers.Links(
             receiver=self,
@@ -254,6 +255,10 @@
             is_healthy=self._upstream.health_check.is_healthy,
             is_evacuated=lambda: self._evacuation.is_stopped,
         )
+        self._upstream.crashes.on_reported = self._ownership.add_crash
+        self._ownership.crash_store.on_read = (
+            self._upstream.crashes.record_stored
+        )
         self._ownership.on_proof_changed = (
             self._heartbeat_handler.handle_proof_change
         )
@@ -485,6 +490,7 @@
             on_change=self._handle_ownership_change,
             find_rates=self._upstream.find_rates,
             promise_exchange=self._promise_exchange,
+            random_source=self._random,
             is_first_start=self._deployment.is_first_start,
         )
 
--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections.abc import Callable
+import random
 
 from rhubarblead.events import catalog
 from rhubarblead.keyspace import assignment
@@ -17,7 +18,9 @@
 from rhubarblead.platform import heartbeats
 from rhubarblead.platform import settings
 from rhubarblead.platform import store
+from rhubarblead.requests import poison
 from rhubarblead.router import assignment_repository
+from rhubarblead.router import crash_store
 from rhubarblead.router import directory
 from rhubarblead.router import era_recovery
 from rhubarblead.router import event_log
@@ -53,6 +56,7 @@
         "_access",
         "_assignments",
         "_connect",
+        "_crash_store",
         "_directory",
         "_find_rates",
         "_batcher",
@@ -95,6 +99,7 @@
         on_change: Callable[[], None],
         find_rates: Callable[[], dict[int, float]],
         promise_exchange: promise_exchange.PromiseExchange,
+        random_source: random.Random,
         is_first_start: bool = False,
     ) -> None:
         """Initializes the state of the task; `run` does the work.
@@ -113,6 +118,7 @@
                 server has become silent.
             find_rates: Returns the requests per second of the server by key.
             promise_exchange: Exchanges promises with other nodes.
+            random_source: Spreads the writes of all nodes.
             is_first_start: Whether the whole deployment starts for the first
                 time, so that there are no rows yet.
         """
@@ -171,6 +177,14 @@
             recovery=self._recovery,
             now_ms=now_ms,
         )
+        self._crash_store = crash_store.CrashStore(
+            node_id=member.node_id,
+            access=self._access,
+            events=events,
+            now_ms=now_ms,
+            count_nodes=cluster_directory.count_nodes,
+            random_source=random_source,
+        )
         self._started_at_ms = now_ms()
         longest_ms = min(max_hold_ms, STOPPING_HOLD_MS)
         self._holdings = holdings.Holdings(
@@ -219,6 +233,16 @@
         """Takes over the keys of lost nodes."""
         return self._takeover
 
+    @property
+    def crash_store(self) -> crash_store.CrashStore:
+        """Keeps the crashes of the server in the store."""
+        return self._crash_store
+
+    def add_crash(self, crash: poison.Crash) -> None:
+        """Stores a crash of the server, which this node has reported."""
+        self._crash_store.add(crash)
+        self.wake.set()
+
     @property
     def has_loaded(self) -> bool:
         """Whether this process has read the rows of all nodes."""
@@ -549,6 +573,8 @@
             # Must be read after writing the own row: of two nodes that start
             # together, the later writer sees the other, and connects to it.
             await self._load()
+        elif self._registration.is_registered and self._crash_store.is_due:
+            await self._crash_store.write()
         elif self._registration.is_recovering:
             await self._recover()
         elif self._registration.is_registered:
@@ -557,6 +583,7 @@
     def _begin_era(self) -> None:
         """Begins to recover after the store came back from a copy."""
         self._recovery.begin(has_released=bool(self._holdings.list_released()))
+        self._crash_store.begin_era()
         self._is_loaded = False
         if not self._recovery.is_continuous:
             self._holdings.cancel_releases()
@@ -663,6 +690,9 @@
             self._recovery.record_earlier_row(member.era)
             if member.node_id != self._state.node_id:
                 self._connect(member.node_id, member.address)
+        expired = self._crash_store.read(found.rows)
+        if expired and not self._takeover.find_rank():
+            await self._crash_store.remove(expired)
 
     async def _write_transfers(
         self, transfers: list[assignment.Transfer], cause: str
--- a/src/rhubarblead/router/store_access.py
+++ b/src/rhubarblead/router/store_access.py
@@ -20,6 +20,7 @@
 MEMBER_PREFIX = "m/"
 ASSIGNMENT_PREFIX = "a/"
 ERA_PREFIX = "e/"
+CRASH_PREFIX = "c/"
 
 RETRY_DELAY_MS = 500
 """Pause after a failed call to the store."""
@@ -254,6 +255,11 @@
     return key.removeprefix(MEMBER_PREFIX)
 
 
+def make_crash_key(node_id: str) -> str:
+    """Makes the key of the row that holds the crashes at a node."""
+    return CRASH_PREFIX + node_id
+
+
 def make_assignment_key(service: str) -> str:
     """Makes the key of the row that holds a service's assignment."""
     return ASSIGNMENT_PREFIX + service
--- a/src/rhubarblead/router/upstream.py
+++ b/src/rhubarblead/router/upstream.py
@@ -105,6 +105,7 @@
         count_servers: Callable[[], int],
         broadcast: Callable[[wire.Message], None],
         body_budget: http_client.BodyBudget | None = None,
+        node_id: str = "",
     ) -> None:
         """Creates an upstream that serves nothing before its first heartbeat.
 
@@ -120,6 +121,7 @@
             count_servers: Counts the servers of the server's service.
             broadcast: Sends a message to all nodes.
             body_budget: Limits the incomplete bodies of the process.
+            node_id: This node, which reports the server's crashes.
         """
         self._loop = asyncio.get_running_loop()
         self._events = events
@@ -162,6 +164,7 @@
         self.server_id = ""
         self._is_serving = False
         self.crashes = crashes.CrashDetector(
+            node_id=node_id,
             pool=self._pool,
             events=events,
             now_ms=now_ms,
--- a/tests/rhubarblead/decoding.feature
+++ b/tests/rhubarblead/decoding.feature
@@ -21,6 +21,7 @@
       | content                   | count |
       | a member row              | 200   |
       | an assignment row         | 200   |
+      | a row of crashes          | 400   |
       | a state message           | 300   |
       | a request message         | 200   |
       | an outcome message        | 200   |
--- a/tests/rhubarblead/requests/poison.feature
+++ b/tests/rhubarblead/requests/poison.feature
@@ -59,6 +59,41 @@
       | !pi !pj !pk +60001 !pl =p +120001   | free      |
       | !pi !pj !pk +60001 !pl <pn =p +119999 | condemned |
 
+  # BUDGET, review/14: the loss of all processes began the count of crashes anew.
+  Scenario Outline: Crashes that were stored count in a later process as before
+    Given a poison detector
+    When the poison detector receives "<events>"
+    Then each of p is classified as <mode>
+
+    Examples: # is a loss of all processes, after which the stored crashes are read
+      | events                                | mode      |
+      | !pi # !pj # !pk                       | condemned |
+      | !pi !pj !pk # +59500                  | condemned |
+      | !pi !pj !pk # =p +60001               | free      |
+      | !pi !pj !pk +60001 # !pl =p +119999   | condemned |
+      | !pi !pj !pk +60001 !pl # # =p +119500 | condemned |
+      | !pi !pj !pk +60001 !pl # =p +120001   | free      |
+      | !p # !p                               | condemned |
+      | !p +600001 # !p                       | alone     |
+      | !pi # =p !pj                          | alone     |
+      | !h !h !h # =h                         | free      |
+      | !pi !pj # <pk                         | condemned |
+
+  Scenario Outline: A row of crashes is bounded
+    Given <count> crashes of a server with <suspects> suspects each
+    When they are stored, and read 1000 ms later
+    Then at most <most> of them are read, the newest ones
+    And the row has at most 32768 bytes
+    And the rarest suspect of each is kept
+
+    Examples:
+      | count | suspects | most |
+      | 1     | 20       | 1    |
+      | 64    | 20       | 64   |
+      | 200   | 20       | 64   |
+      | 200   | 2000     | 64   |
+      | 1     | 60000    | 1    |
+
   Scenario: A crash without running requests creates no suspects
     Given a poison detector
     When the poison detector receives "! !"
--- a/tests/rhubarblead/router/crashes.feature
+++ b/tests/rhubarblead/router/crashes.feature
@@ -35,6 +35,89 @@
       | each node is restarted before it gets it    |
       | each node was cut off when the others crash |
 
+  # BUDGET, review/14: the crashes were on record in processes only, so that each
+  # loss of all processes cost three more servers.
+  Scenario Outline: A request that crashes servers is known after all nodes were killed
+    When it is sent 9 times beside other requests<trouble>
+    Then it has crashed at most <most> servers
+    And no other request was refused as poison
+
+    Examples: killed at any moment, as the crashes are stored one by one
+      | trouble                                                      | most |
+      | , and all nodes are killed after each                        | 3    |
+      | , and all nodes are killed twice after the third             | 3    |
+      | , and overlapping restarts leave no node that knows          | 3    |
+      | , each time in an outage that ends before all are killed     | 3    |
+      | , and the store comes back from a copy before all are killed | 3    |
+      | , and the store loses answers before all are killed          | 3    |
+      | , beside odd rows of another writer                          | 3    |
+
+    Examples: what only the processes knew in an outage costs one more
+      | trouble                                                      | most |
+      | , and all nodes are killed in an outage and again            | 4    |
+
+  # BUDGET, review/14
+  Scenario Outline: A crash of the server is in the store as soon as that takes it
+    Given a registered node of a <kind> service, whose server has sent a heartbeat
+    When <before>
+    And its server crashes
+    And <wait> ms pass
+    And <after>
+    And 1500 ms pass
+    And the node restarts, and 3000 ms pass
+    Then it has read 1 crash of its server
+
+    Examples:
+      | kind  | before                            | wait | after                   |
+      | plain | 0 ms pass                         | 300  | 0 ms pass               |
+      | keyed | 0 ms pass                         | 300  | 0 ms pass               |
+      | plain | the store answers none of its calls | 5000 | the store answers again |
+      | keyed | the store answers none of its calls | 5000 | the store answers again |
+
+  Scenario Outline: Stored crashes come back with the store
+    Given a registered node of a keyed service in a store with restores, whose server has sent a heartbeat
+    When <first>
+    And <second>
+    And 500 ms pass
+    And the store comes back from the copy
+    And 3000 ms pass
+    And the node restarts, and 3000 ms pass
+    Then it has read 1 crash of its server
+
+    Examples: the copy has the crash, or only the processes know it
+      | first                       | second                      |
+      | a copy of the store is made | its server crashes          |
+      | its server crashes          | a copy of the store is made |
+
+  Scenario: Crashes that an earlier process has stored stay beside newer ones
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    When its server crashes
+    And 300 ms pass
+    And the node restarts, and 3000 ms pass
+    And its server crashes
+    And 1500 ms pass
+    And the node restarts, and 3000 ms pass
+    Then it has read 2 crashes of its server
+
+  Scenario: Crashes in quick succession are written together
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    When its server crashes 20 times within 1000 ms
+    Then it has written its crashes at most 2 times
+    When 1500 ms pass
+    And the node restarts, and 3000 ms pass
+    Then it has read 20 crashes of its server
+
+  Scenario Outline: The row of a node that is gone is removed when its crashes count no more
+    Given a registered node of a plain service, whose server has sent a heartbeat
+    And the row of a node that is gone, with a crash <age> s ago
+    When the first of all nodes restarts, and 3000 ms pass
+    Then the row of the node that is gone <is>
+
+    Examples: they count for ten minutes
+      | age | is         |
+      | 590 | is kept    |
+      | 610 | is removed |
+
   Scenario Outline: A crash is seen when connections don't show it
     When it is sent 6 times beside other requests, and <crash>
     Then it has crashed at most 3 servers
--- a/tests/rhubarblead/router/simulated_cluster.py
+++ b/tests/rhubarblead/router/simulated_cluster.py
@@ -591,6 +591,8 @@
             on_change=lambda: None,
             find_rates=lambda: self.rates,
             promise_exchange=self.promise_exchange,
+            # Not that of the faults, whose schedules are kept.
+            random_source=random.Random(self.process_number),
         )
         self.read_evacuated()
 
--- a/tests/rhubarblead/router/simulated_node.py
+++ b/tests/rhubarblead/router/simulated_node.py
@@ -5,6 +5,7 @@
 
 from rhubarblead.platform import settings
 from rhubarblead.requests import link_load
+from rhubarblead.requests import poison
 from rhubarblead.router import heartbeat_handler
 from rhubarblead.router import http_server
 from rhubarblead.router import upstream
@@ -81,6 +82,8 @@
 
     async def _open(self) -> None:
         self.ownership = self.cluster.nodes["n1"].ownership
+        self.read_crashes: list[poison.Crash] = []
+        self.ownership.crash_store.on_read = self.read_crashes.extend
         self.upstream = upstream.Upstream(
             address=ADDRESS,
             events=self.events,
--- a/tests/router_doubles.py
+++ b/tests/router_doubles.py
@@ -1,10 +1,13 @@
 """Test doubles for the parts of a router."""
 
 import asyncio
+import time
 from typing import Any
 
+from rhubarblead.keyspace import revisions
 from rhubarblead.platform import headers
 from rhubarblead.platform import settings
+from rhubarblead.platform import store
 from rhubarblead.requests import link_load
 from rhubarblead.router import upstream
 from rhubarblead.router import wire
@@ -36,6 +39,81 @@
         self.broadcasts.append(message)
 
 
+class MemoryStore:
+    """A client of a store that is kept in memory, with outages and restores."""
+
+    def __init__(self) -> None:
+        self.is_up = True
+        self.loses_answers = False
+        self.era = 1
+        self.clock_reading = None
+        self._revision = 0
+        self._rows: dict[str, tuple[bytes, int]] = {}
+        self._copy: dict[str, tuple[bytes, int]] = {}
+        self._started_s = time.monotonic()
+
+    def put(self, key: str, value: bytes) -> None:
+        """Writes a row as another writer does."""
+        self._revision += 1
+        self._rows[key] = value, self._revision
+
+    def copy(self) -> None:
+        """Makes the copy that the store comes back from."""
+        self._copy = dict(self._rows)
+
+    def restore(self) -> None:
+        """Comes back from the copy."""
+        self._rows = dict(self._copy)
+        self.era += 1
+
+    async def read(self, table: str) -> store.ReadOutcome:
+        """Reads all rows."""
+        del table
+        if not self.is_up:
+            return store.NotDone(reason="the store is away")
+        return store.Rows(
+            rows=tuple(self._make_row(key) for key in sorted(self._rows)),
+            revision=revisions.make_revision(self.era, self._revision),
+            now_ms=self._now_ms,
+            has_more=False,
+        )
+
+    async def write(
+        self,
+        *,
+        expected: tuple[store.Expected, ...],
+        puts: tuple[store.Put, ...],
+        removed_keys: tuple[str, ...] = (),
+    ) -> store.WriteOutcome:
+        """Applies a transaction."""
+        if not self.is_up:
+            return store.NotDone(reason="the store is away")
+        present = tuple(self._make_row(row.key) for row in expected)
+        if [row.revision for row in present] != [r.revision for r in expected]:
+            return store.Conflict(rows=present, now_ms=self._now_ms)
+        for row in puts:
+            self.put(row.key, row.value)
+        for key in removed_keys:
+            self._rows.pop(key, None)
+        if self.loses_answers:
+            return store.InDoubt(reason="the answer is lost")
+        return store.Applied(
+            revision=revisions.make_revision(self.era, self._revision),
+            now_ms=self._now_ms,
+        )
+
+    @property
+    def _now_ms(self) -> int:
+        return 1_000 + int((time.monotonic() - self._started_s) * 1_000)
+
+    def _make_row(self, key: str) -> store.Row:
+        value, number = self._rows.get(key, (b"", 0))
+        revision = revisions.make_revision(self.era, number) if number else 0
+        return store.Row(
+            table=store.TABLE, key=key, value=value, revision=revision
+        )
+
+
 def make_state(
     node_id: str, service: str, *, incarnation: str = "i"
 ) -> wire.State:
--- a/tests/steps/decoding.py
+++ b/tests/steps/decoding.py
@@ -26,6 +26,8 @@
 from rhubarblead.platform import heartbeats
 from rhubarblead.platform import settings
 from rhubarblead.platform import store
+from rhubarblead.requests import poison
+from rhubarblead.requests import stored_crashes
 from rhubarblead.router import wire
 from rhubarblead.tablestore import ownership_row
 from rhubarblead.upstream import monitor
@@ -87,6 +89,15 @@
     return store.decode_write(200, content)
 
 
+def _record_stored(content: bytes) -> None:
+    detector = poison.PoisonDetector()
+    crashes = stored_crashes.decode(content, now_ms=1_000, store_ms=2_000)
+    for crash in crashes * 2:
+        detector.record_crash(crash, 1_000)
+    for crash in crashes:
+        detector.classify([s.fingerprint for s in crash.suspects], 1_000)
+
+
 def _read_settings(content: bytes) -> product_settings.Settings:
     with tempfile.NamedTemporaryFile(suffix=".json") as file:
         file.write(content)
@@ -155,6 +166,24 @@
         refusal=assignment.CannotDecode,
         is_json=False,
     ),
+    "a row of crashes": _Case(
+        sample=stored_crashes.encode(
+            [
+                poison.Crash(
+                    crash_id="c",
+                    happened_at_ms=7,
+                    suspects=(poison.Suspect(fingerprint=5, started_at_ms=6),),
+                    is_alone=True,
+                    reporter="n1",
+                )
+            ],
+            now_ms=8,
+            store_ms=9,
+        ),
+        decode=_record_stored,
+        refusal=stored_crashes.CannotDecode,
+        is_json=False,
+    ),
     "a state message": _make_wire_case("State"),
     "a request message": _make_wire_case("Work"),
     "an outcome message": _make_wire_case("Outcome"),
--- a/tests/steps/poison.py
+++ b/tests/steps/poison.py
@@ -9,6 +9,7 @@
 from rhubarblead import messages
 from rhubarblead.requests import crash_reports
 from rhubarblead.requests import poison
+from rhubarblead.requests import stored_crashes
 
 _COMMONNESS = {"h": 0.7, "m": 0.1}
 """Commonness of the requests that run often; others run rarely."""
@@ -67,6 +68,88 @@
     context.detector.record_crash(decoded, context.now_ms)
 
 
+_STORE_AHEAD_MS = 7_000_000
+_CALL_MS = 200
+"""The store's time is known as exactly as a call takes."""
+
+
+def _store(crashes: list[poison.Crash], now_ms: int) -> bytes:
+    return stored_crashes.encode(
+        stored_crashes.select(crashes, now_ms),
+        now_ms=now_ms,
+        store_ms=now_ms + _STORE_AHEAD_MS,
+    )
+
+
+def _read(content: bytes, now_ms: int) -> tuple[poison.Crash, ...]:
+    """Reads a row; the clock of the reader differs."""
+    crashes = stored_crashes.decode(
+        content, now_ms=now_ms, store_ms=now_ms + _STORE_AHEAD_MS + _CALL_MS
+    )
+    return stored_crashes.select(crashes, now_ms)
+
+
+def _lose_processes(context: runner.Context) -> None:
+    """Makes a new detector, which knows what the nodes have stored."""
+    content = _store(context.detector.list_crashes(), context.now_ms)
+    context.detector = poison.PoisonDetector()
+    for crash in _read(content, context.now_ms):
+        context.detector.record_crash(crash, context.now_ms)
+
+
+@behave.given("{count:d} crashes of a server with {suspects:d} suspects each")
+def make_crashes(context: runner.Context, count: int, suspects: int) -> None:
+    context.crashes = [
+        poison.Crash(
+            crash_id=f"{number:016x}",
+            happened_at_ms=number * 1_000,
+            suspects=tuple(
+                poison.Suspect(
+                    fingerprint=2**64 - 1 - item,
+                    started_at_ms=number * 1_000 - 100,
+                    commonness=1 - item / (10 * suspects),
+                )
+                for item in range(suspects)
+            ),
+            is_alone=False,
+            reporter="sidecar-tanah-rata-1@10.2.0.21",
+        )
+        for number in range(count)
+    ]
+    context.now_ms = count * 1_000
+
+
+@behave.when("they are stored, and read {passed:d} ms later")
+def store_and_read(context: runner.Context, passed: int) -> None:
+    context.content = _store(context.crashes, context.now_ms)
+    context.found = stored_crashes.decode(
+        context.content,
+        now_ms=context.now_ms + passed,
+        store_ms=context.now_ms + passed + _STORE_AHEAD_MS,
+    )
+
+
+@behave.then("at most {most:d} of them are read, the newest ones")
+def check_newest(context: runner.Context, most: int) -> None:
+    found = [(crash.crash_id, crash.happened_at_ms) for crash in context.found]
+    assert 0 < len(found) <= most, len(found)
+    newest = context.crashes[-len(found) :]
+    assert found == [(c.crash_id, c.happened_at_ms) for c in newest]
+
+
+@behave.then("the row has at most {most:d} bytes")
+def check_row_bytes(context: runner.Context, most: int) -> None:
+    assert len(context.content) <= most, len(context.content)
+
+
+@behave.then("the rarest suspect of each is kept")
+def check_rarest(context: runner.Context) -> None:
+    for crash in context.found:
+        (sent,) = [c for c in context.crashes if c.crash_id == crash.crash_id]
+        rarest = sent.suspects[-1].fingerprint
+        assert rarest in [s.fingerprint for s in crash.suspects]
+
+
 @behave.when('the poison detector receives "{events}"')
 def receive(context: runner.Context, events: str) -> None:
     for event in events.split():
@@ -83,6 +166,8 @@
             case "@":
                 repeated = dataclasses.replace(context.crash)
                 context.detector.record_crash(repeated, context.now_ms)
+            case "#":
+                _lose_processes(context)
             case "<":
                 _receive_report(context, names, ago_ms=30_000)
             case _:
--- a/tests/steps/router_crashes.py
+++ b/tests/steps/router_crashes.py
@@ -2,19 +2,26 @@
 
 import asyncio
 from collections.abc import Callable
+import random
 import time
 from typing import Any
 
 import behave
 from behave import runner
+import msgspec
 
 from rhubarblead.platform import headers
 from rhubarblead.platform import settings
 from rhubarblead.requests import link_load
+from rhubarblead.requests import poison
+from rhubarblead.requests import stored_crashes
+from rhubarblead.router import crash_store
 from rhubarblead.router import crash_sync
+from rhubarblead.router import store_access
 from rhubarblead.router import upstream
 from rhubarblead.router import wire
 from tests import router_doubles
+from tests.rhubarblead.router import simulated_node
 
 _IP = "127.0.0.1"
 _SLOT_COUNT = 6
@@ -26,6 +33,16 @@
 _CATCH_UP_S = crash_sync.CATCH_UP_DELAY_S + 0.1
 _COMPANION_COUNT = 3
 _COUNT_BEFORE_QUEUE = 2
+_KILLED_BEFORE = (3, 6)
+_STORE_TICK_S = 0.02
+_ODD_ROWS = {
+    "odd": b"\x93",
+    "empty": b"",
+    "no time": msgspec.msgpack.encode([-1, []]),
+    "a later time": msgspec.msgpack.encode([2**60, []]),
+    "no reports": msgspec.msgpack.encode([0, None]),
+    "deep": b"\x91" * 10_000,
+}
 _CRASHING = "crashing"
 _SLOW = "slow"
 _SLOW_RUN_S = 0.4
@@ -118,6 +135,8 @@
         self.server = _Server()
         self.upstream: Any = None
         self.crash_sync: Any = None
+        self.access: Any = None
+        self.crash_store: Any = None
         self.is_cut_off = False
 
     async def start(self) -> None:
@@ -141,13 +160,45 @@
             ),
             count_servers=lambda: len(self._cluster.nodes),
             broadcast=lambda message: self._cluster.broadcast(self, message),
+            node_id=self.name,
+        )
+        client: Any = self._cluster.store
+        self.access = store_access.StoreAccess(
+            client=client, events=event_log, now_ms=_read_now_ms
+        )
+        self.crash_store = crash_store.CrashStore(
+            node_id=self.name,
+            access=self.access,
+            events=event_log,
+            now_ms=_read_now_ms,
+            count_nodes=lambda: len(self._cluster.nodes),
+            random_source=random.Random(1),
         )
+        self.crash_store.on_read = self.upstream.crashes.record_stored
+        self.upstream.crashes.on_reported = self.crash_store.add
         links: Any = self
         self.crash_sync = crash_sync.CrashSync(
             crash_detector=self.upstream.crashes, links=links
         )
         self.see_server()
 
+    async def read_store(self) -> None:
+        """Reads the rows of all nodes, if the store answers."""
+        if self.access.has_new_era:
+            self.access.begin_era()
+            self.crash_store.begin_era()
+        found = await self.access.read("load")
+        if found is not None:
+            self.crash_store.read(found.rows)
+
+    async def write_store(self) -> None:
+        """Writes what is due, as the ownership task does."""
+        while not self.crash_store.is_saved and self._cluster.store.is_up:
+            if self.crash_store.is_due:
+                await self.crash_store.write()
+            else:
+                await asyncio.sleep(_STORE_TICK_S)
+
     def close(self) -> None:
         """Stops the process."""
         self.upstream.close()
@@ -195,6 +246,7 @@
         self.nodes = [_Node(name=f"n{i}", cluster=self) for i in range(4)]
         self.outcomes: dict[str, wire.Outcome] = {}
         self.known_counts: list[tuple[int, int]] = []
+        self.store = router_doubles.MemoryStore()
         self._number = 0
 
     def broadcast(self, sender: _Node, message: wire.Message) -> None:
@@ -211,6 +263,18 @@
         node.receive(sender, message)
         return True
 
+    async def restart_all(self) -> None:
+        """Kills all processes at the same moment, and starts them again."""
+        for node in self.nodes:
+            node.restart_process()
+        for node in self.nodes:
+            await node.read_store()
+
+    async def write_store(self) -> None:
+        """Has all nodes write what is due."""
+        for node in self.nodes:
+            await node.write_store()
+
     async def exchange_states(self) -> None:
         """Has all nodes send their state, as they do when a link is up."""
         for node in self.nodes:
@@ -298,6 +362,7 @@
     context.cluster = _Cluster()
     for node in context.cluster.nodes:
         await node.start()
+        await node.read_store()
 
 
 async def _send(
@@ -349,6 +414,85 @@
     await cluster.exchange_states()
 
 
+async def _send_and_kill(cluster: _Cluster, number: int, node: _Node) -> None:
+    await _send(cluster, number, node)
+    await cluster.write_store()
+    await cluster.restart_all()
+
+
+async def _send_and_kill_twice(
+    cluster: _Cluster, number: int, node: _Node
+) -> None:
+    if number in _KILLED_BEFORE:
+        await cluster.write_store()
+        await cluster.restart_all()
+    await _send(cluster, number, node)
+
+
+async def _send_and_roll(cluster: _Cluster, number: int, node: _Node) -> None:
+    await _send(cluster, number, node)
+    await cluster.write_store()
+    for other in cluster.nodes:
+        other.restart_process()
+    for other in reversed(cluster.nodes):
+        await other.read_store()
+
+
+async def _send_in_outage(cluster: _Cluster, number: int, node: _Node) -> None:
+    if number == _KILLED_BEFORE[0] - 1:
+        await cluster.write_store()
+        cluster.store.is_up = False
+    if number in _KILLED_BEFORE:
+        await cluster.write_store()
+        await cluster.restart_all()
+        cluster.store.is_up = True
+        await cluster.restart_all()
+    await _send(cluster, number, node)
+
+
+async def _send_after_outage(
+    cluster: _Cluster, number: int, node: _Node
+) -> None:
+    cluster.store.is_up = False
+    await _send(cluster, number, node)
+    cluster.store.is_up = True
+    await cluster.write_store()
+    await cluster.restart_all()
+
+
+async def _send_after_restore(
+    cluster: _Cluster, number: int, node: _Node
+) -> None:
+    cluster.store.copy()
+    await _send(cluster, number, node)
+    await cluster.write_store()
+    cluster.store.restore()
+    for other in cluster.nodes:
+        await other.read_store()
+    await cluster.write_store()
+    await cluster.restart_all()
+
+
+async def _send_and_lose_answers(
+    cluster: _Cluster, number: int, node: _Node
+) -> None:
+    cluster.store.loses_answers = True
+    await _send(cluster, number, node)
+    if node.crash_store.is_due:
+        await node.crash_store.write()
+    cluster.store.loses_answers = False
+    await cluster.write_store()
+    await cluster.restart_all()
+
+
+async def _send_beside_odd_rows(
+    cluster: _Cluster, number: int, node: _Node
+) -> None:
+    for name, content in _ODD_ROWS.items():
+        cluster.store.put(store_access.make_crash_key(name), content)
+    await _send_and_kill(cluster, number, node)
+
+
 async def _send_to_silent(cluster: _Cluster, number: int, node: _Node) -> None:
     node.server.falls_silent = True
     crash_count = node.server.crash_count
@@ -410,6 +554,20 @@
     ),
     ", five of its kind at once": _send_five,
     ", and waits while the third crash is reported": _send_to_queue,
+    ", and all nodes are killed after each": _send_and_kill,
+    ", and all nodes are killed twice after the third": _send_and_kill_twice,
+    ", and overlapping restarts leave no node that knows": _send_and_roll,
+    ", and all nodes are killed in an outage and again": _send_in_outage,
+    ", each time in an outage that ends before all are killed": (
+        _send_after_outage
+    ),
+    ", and the store comes back from a copy before all are killed": (
+        _send_after_restore
+    ),
+    ", and the store loses answers before all are killed": (
+        _send_and_lose_answers
+    ),
+    ", beside odd rows of another writer": _send_beside_odd_rows,
 }
 
 
@@ -506,3 +664,80 @@
         if not request_id.startswith((_CRASHING, "twin"))
     ]
     assert not others, others
+
+
+def _crash_server(node: simulated_node.SimulatedNode) -> None:
+    now_ms = node.cluster.now_ms
+    node.ownership.add_crash(
+        poison.Crash(
+            crash_id=f"crash-{now_ms}",
+            happened_at_ms=now_ms,
+            suspects=(poison.Suspect(fingerprint=7, started_at_ms=now_ms - 9),),
+            is_alone=True,
+            reporter="n1",
+        )
+    )
+
+
+@behave.when("its server crashes")
+def crash_server(context: runner.Context) -> None:
+    _crash_server(context.node)
+
+
+@behave.when("its server crashes {count:d} times within {duration:d} ms")
+def crash_often(context: runner.Context, count: int, duration: int) -> None:
+    cluster = context.node.cluster
+    context.revisions = set()
+    key = store_access.make_crash_key("n1")
+    for _ in range(count):
+        _crash_server(context.node)
+        cluster.run(duration // count)
+        context.revisions.add(cluster.rows.get(key, (b"", 0))[1])
+
+
+@behave.then("it has written its crashes at most {most:d} times")
+def check_writes(context: runner.Context, most: int) -> None:
+    count = len(context.revisions - {0})
+    assert 0 < count <= most, context.revisions
+
+
+@behave.then("it has read {count:d} crash of its server")
+@behave.then("it has read {count:d} crashes of its server")
+def check_read(context: runner.Context, count: int) -> None:
+    found = {crash.crash_id for crash in context.node.read_crashes}
+    assert len(found) == count, found
+
+
+@behave.given("the row of a node that is gone, with a crash {age:d} s ago")
+def put_row(context: runner.Context, age: int) -> None:
+    cluster = context.node.cluster
+    happened_at_ms = cluster.now_ms - age * 1_000
+    crash = poison.Crash(
+        crash_id="gone",
+        happened_at_ms=happened_at_ms,
+        suspects=(poison.Suspect(fingerprint=7, started_at_ms=happened_at_ms),),
+        is_alone=True,
+        reporter="n9",
+    )
+    cluster.revision += 1
+    content = stored_crashes.encode(
+        [crash],
+        now_ms=cluster.now_ms,
+        store_ms=cluster.read_store_clock_ms(),
+    )
+    key = store_access.make_crash_key("n9")
+    cluster.rows[key] = (content, cluster.revision)
+
+
+@behave.when("the first of all nodes restarts, and {passed:d} ms pass")
+def restart_first(context: runner.Context, passed: int) -> None:
+    cluster = context.node.cluster
+    cluster.nodes["n0"].start()
+    cluster.run(passed)
+
+
+@behave.then("the row of the node that is gone {what}")
+def check_gone_row(context: runner.Context, what: str) -> None:
+    key = store_access.make_crash_key("n9")
+    is_kept = key in context.node.cluster.rows
+    assert is_kept == (what == "is kept"), context.node.cluster.rows
