A commonness that is no probability is tested

A report of another node, or an odd row, with a commonness above 1 raised a ValueError (math domain error) once three crashes were on record. The bound came with the rows of crashes and had no test: without it, the first of the two new examples raises the error; the second one, below 0, passes either way.

--- a/tests/rhubarblead/requests/poison.feature
+++ b/tests/rhubarblead/requests/poison.feature
@@ -79,6 +79,17 @@
       | !h !h !h # =h                         | free      |
       | !pi !pj # <pk                         | condemned |
 
+  # Odd content of another writer: a logarithm of a negative number was an error.
+  Scenario Outline: A report whose commonness is no probability is taken as well as it can be
+    Given a poison detector
+    When it receives reports of the crashes "pi ij pi pi p" with a commonness of <per_mille> per mille
+    Then each of i is classified as <mode>
+
+    Examples:
+      | per_mille | mode      |
+      | 2000      | alone     |
+      | -5000     | condemned |
+
   Scenario Outline: A row of crashes is bounded
     Given <count> crashes of a server with <suspects> suspects each
     When they are stored, and read 1000 ms later
--- a/tests/steps/poison.py
+++ b/tests/steps/poison.py
@@ -174,6 +174,23 @@
                 _receive_report(context, names)
 
 
+@behave.when(
+    'it receives reports of the crashes "{crashes}" with a commonness of'
+    " {per_mille:d} per mille"
+)
+def receive_odd(context: runner.Context, crashes: str, per_mille: int) -> None:
+    for names in crashes.split():
+        context.now_ms += 1_000
+        report = crash_reports.CrashReport(
+            crash_id=str(context.now_ms),
+            fingerprints=tuple(map(ord, names)),
+            ages_ms=(10,) * len(names),
+            commonness_per_mille=(per_mille,) * len(names),
+        )
+        crash = crash_reports.decode(report, context.now_ms)
+        context.detector.record_crash(crash, context.now_ms)
+
+
 @behave.then("the poison detector classifies p as {first} and i as {second}")
 def check_modes(context: runner.Context, first: str, second: str) -> None:
     check_all_modes(context, "p", first)
