A start that a server names is no proof that it hasn't left

A clock that was ahead and was set back, or another writer's copy with a later start, put a server in service whose exit had been acknowledged in an outage.

Change: each server proves that it hasn't left while the node's process is younger than any heartbeat may be late, also one that says that it has started since. Its health check does so with its first heartbeat, as before; the heartbeats of one that has just started have no gap.

--- a/src/rhubarblead/router/ownership.py
+++ b/src/rhubarblead/router/ownership.py
@@ -206,7 +206,7 @@
         self._tracker = server_process.ServerTracker(
             interval_ms=heartbeat_ms,
             started_at_ms=self._started_at_ms,
-            started_wall_ms=0 if is_first_start else wall_ms(),
+            is_first_start=is_first_start,
         )
         self.wake = asyncio.Event()
 
--- a/src/rhubarblead/router/server_process.py
+++ b/src/rhubarblead/router/server_process.py
@@ -9,12 +9,13 @@
 A heartbeat may have been sent before an exit that was announced to an earlier
 process of the node, and that nobody remembers. When it arrives shows nothing of
 that: heartbeats that were held up together arrive as spaced as they were sent.
-A process that may be older than the node must show that it has not left: by
-sending a heartbeat to the address that only replies of the node's present
-process name, or by sending them for longer than any heartbeat is late. Its
-health check says the same sooner; it counts while the heartbeats have come
-without a gap since the node's process began, as those of a server that lives
-do.
+While the node's process is young, a server must show that it has not left: by
+sending a heartbeat to the address that only replies of this process name, or by
+sending them for longer than any heartbeat is late. Its health check says the
+same sooner; it counts while the heartbeats have come without a gap since the
+node's process or the server began, as those of a server that lives do. The
+start that a heartbeat names proves nothing: clocks are set, and another writer
+may have changed it.
 """
 
 import dataclasses
@@ -55,7 +56,6 @@
 class Proof(enum.Enum):
     """Why a server process can't have left before the node's process began."""
 
-    STARTED_LATER = "started later"
     EXITS_KNOWN = "exits known"
     REPLY_READ = "reply read"
     OUTLASTED = "outlasted"
@@ -67,11 +67,10 @@
 class ServerState:
     """State of the local server process by its latest heartbeat.
 
-    `is_later_than_node` is set if it has started after the node's process,
-    `has_read_reply` if it has sent a heartbeat to the address that only replies
-    of the node's process name, and `is_healthy` if its health check has said
-    that it isn't leaving. `has_gap` is set if its heartbeats have not arrived
-    at their interval since the node's process began.
+    `has_read_reply` is set if it has sent a heartbeat to the address that only
+    replies of the node's process name, and `is_healthy` if its health check has
+    said that it isn't leaving. `has_gap` is set if its heartbeats have not
+    arrived at their interval since it or the node's process began.
     """
 
     server_id: str
@@ -80,7 +79,6 @@
     last_heartbeat_at_ms: int
     is_leaving: bool = False
     is_silent: bool = False
-    is_later_than_node: bool = False
     has_read_reply: bool = False
     is_healthy: bool = False
     has_gap: bool = False
@@ -131,28 +129,25 @@
         "_leaving",
         "_seen",
         "_started_at_ms",
-        "_started_wall_ms",
         "_unattributed",
         "current",
         "knows_earlier_exits",
     )
 
     def __init__(
-        self, *, interval_ms: int, started_at_ms: int, started_wall_ms: int
+        self, *, interval_ms: int, started_at_ms: int, is_first_start: bool
     ) -> None:
         """Creates a tracker that knows no server.
 
         Args:
             interval_ms: Interval of the heartbeats.
             started_at_ms: When the node's process has started.
-            started_wall_ms: The Unix time of that, 0 if there was no process
-                before it.
+            is_first_start: Whether there was no process before it.
         """
         self._interval_ms = interval_ms
         self._started_at_ms = started_at_ms
-        self._started_wall_ms = started_wall_ms
         # Whether all exits that earlier processes have acknowledged are known.
-        self.knows_earlier_exits = not started_wall_ms
+        self.knows_earlier_exits = is_first_start
         # A heartbeat that the known process can't have sent in that order.
         self._seen: _Unexpected | None = None
         # Processes that have said that they leave, the oldest first.
@@ -195,19 +190,16 @@
             now_ms: When it has arrived.
             wall_ms: The Unix time of that.
         """
-        born_ms = heartbeat.born_ms
+        waited_ms = min(
+            wall_ms - heartbeat.born_ms, now_ms - self._started_at_ms
+        )
         self.current = ServerState(
             server_id=heartbeat.server_id,
-            born_ms=born_ms,
+            born_ms=heartbeat.born_ms,
             sequence=-1,
             last_heartbeat_at_ms=now_ms,
             first_heartbeat_at_ms=now_ms,
-            # A start in the future is that of a clock that was set back.
-            is_later_than_node=self._started_wall_ms <= born_ms <= wall_ms,
-            has_gap=(
-                now_ms - self._started_at_ms
-                > MAX_SILENT_INTERVALS * self._interval_ms
-            ),
+            has_gap=waited_ms > MAX_SILENT_INTERVALS * self._interval_ms,
         )
         return self.current
 
@@ -217,8 +209,6 @@
         current = self.current
         if current is None:
             return None
-        if current.is_later_than_node:
-            return Proof.STARTED_LATER
         if self.knows_earlier_exits:
             return Proof.EXITS_KNOWN
         if current.has_read_reply:
--- a/tests/rhubarblead/router/simulated_node.py
+++ b/tests/rhubarblead/router/simulated_node.py
@@ -8,6 +8,7 @@
 from rhubarblead.requests import poison
 from rhubarblead.router import heartbeat_handler
 from rhubarblead.router import http_server
+from rhubarblead.router import server_process
 from rhubarblead.router import upstream
 from tests.rhubarblead.router import simulated_cluster
 
@@ -64,6 +65,10 @@
         self.named_address = ""
         self.wall_ms = WALL_MS
         self.cluster.loop.run_until_complete(self._open())
+        # This process has run for so long that no heartbeat that arrives was
+        # sent before; those that `restart` begins have not.
+        tracker = self.ownership._tracker
+        tracker._started_at_ms -= server_process.MAX_LATE_MS
 
     def read_row(self) -> None:
         """Reads the node's row, after which heartbeats are believed."""
