--- a/tests/rhubarblead/router/server_leaving.feature
+++ b/tests/rhubarblead/router/server_leaving.feature
@@ -244,6 +244,20 @@
     And a heartbeat of another writer, with a later start, says that it is ready
     Then the server is not used for 2000 ms
 
+  # DRAIN: while the process runs, nothing tells the copy from the next server.
+  Scenario Outline: A copy with a later start doesn't bring a server back that has left
+    Given a registered node of a <kind> service, whose server has sent a heartbeat
+    When <announcement>
+    And 300 ms pass
+    And 100 ms pass on its clock
+    And a heartbeat of another writer, with a later start, says that it is ready
+    Then the server is not used for 2000 ms
+
+    Examples: stored by then
+      | kind  | announcement                    |
+      | plain | it deregisters                  |
+      | keyed | a heartbeat says that it drains |
+
   Scenario: A server that starts under the id of one that left, its clock set back, is used
     Given a registered node of a plain service, whose server has sent a heartbeat
     When it deregisters
