--- a/tests/rhubarblead/router/crashes.feature
+++ b/tests/rhubarblead/router/crashes.feature
@@ -107,6 +107,17 @@
     And the node restarts, and 3000 ms pass
     Then it has read 20 crashes of its server
 
+  Scenario Outline: The writes of many nodes whose servers crash at once are spread
+    Given <count> nodes whose servers crash at the same moment
+    Then at most <most> of them write their crashes in any second
+    And all of them have written them after <last> ms
+
+    Examples: the store takes 400 writes a second
+      | count | most | last  |
+      | 11    | 11   | 40    |
+      | 300   | 340  | 1000  |
+      | 1800  | 400  | 6000  |
+
   Scenario Outline: The row of a node that is gone is removed when its crashes count no more
     Given a registered node of a plain service, whose server has sent a heartbeat
     And the row of a node that is gone, with a crash <age> s ago
--- a/tests/steps/router_crashes.py
+++ b/tests/steps/router_crashes.py
@@ -35,6 +35,7 @@
 _COUNT_BEFORE_QUEUE = 2
 _KILLED_BEFORE = (3, 6)
 _STORE_TICK_S = 0.02
+_MAX_SPREAD_MS = 20_000
 _ODD_ROWS = {
     "odd": b"\x93",
     "empty": b"",
@@ -764,3 +765,61 @@
     key = store_access.make_crash_key("n9")
     is_kept = key in context.node.cluster.rows
     assert is_kept == (what == "is kept"), context.node.cluster.rows
+
+
+@behave.given("{count:d} nodes whose servers crash at the same moment")
+def crash_all(context: runner.Context, count: int) -> None:
+    clock = [0]
+    context.due_at_ms = {}
+    stores = [
+        _make_crash_store(number, count, clock) for number in range(count)
+    ]
+    while len(context.due_at_ms) < count and clock[0] < _MAX_SPREAD_MS:
+        for number, item in enumerate(stores):
+            if item.is_due:
+                context.due_at_ms.setdefault(number, clock[0])
+        clock[0] += 10
+
+
+def _make_crash_store(
+    number: int, count: int, clock: list[int]
+) -> crash_store.CrashStore:
+    """Makes the store of a node whose server has just crashed."""
+    client: Any = router_doubles.MemoryStore()
+    event_log: Any = router_doubles.SilentEventLog()
+    access = store_access.StoreAccess(
+        client=client, events=event_log, now_ms=lambda: clock[0]
+    )
+    access.clock.observe(sent_at_ms=0, store_ms=1)
+    made = crash_store.CrashStore(
+        node_id=f"n{number}",
+        access=access,
+        events=event_log,
+        now_ms=lambda: clock[0],
+        count_nodes=lambda: count,
+        random_source=random.Random(number),
+    )
+    suspect = poison.Suspect(fingerprint=7, started_at_ms=0)
+    made.add(
+        poison.Crash(
+            crash_id=f"crash-{number}",
+            happened_at_ms=0,
+            suspects=(suspect,),
+            is_alone=True,
+            reporter=f"n{number}",
+        )
+    )
+    return made
+
+
+@behave.then("at most {most:d} of them write their crashes in any second")
+def check_spread(context: runner.Context, most: int) -> None:
+    times = sorted(context.due_at_ms.values())
+    for begin in times:
+        found = sum(begin <= at_ms < begin + 1_000 for at_ms in times)
+        assert found <= most, (begin, found)
+
+
+@behave.then("all of them have written them after {last:d} ms")
+def check_last(context: runner.Context, last: int) -> None:
+    assert max(context.due_at_ms.values()) <= last
