--- a/src/rhubarblead/router/heartbeat_handler.py
+++ b/src/rhubarblead/router/heartbeat_handler.py
@@ -109,7 +109,7 @@
         # The last server process whose exit was announced.
         self._departed = ""
         self.is_stopping = False
-        # An address that no process of this node before has named, if any.
+        # An address that no earlier process of the node has named recently.
         self.redirect_address: settings.Address | None = None
 
     def handle_redirected(self, exchange: http_server.Exchange) -> None:
